--- /dev/null
+++ b/adapter/src/wire.rs
@@ -0,0 +1,163 @@
+//! Messages of the wire, as they are read and written.
+
+use calicomoor::{CellId, Entry, KindId, Load, Outcome, ServerId, State, ZoneId};
+use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
+
+#[derive(Deserialize)]
+pub struct Batch<'a> {
+    pub clock_us: u64,
+    #[serde(borrow)]
+    pub input: Vec<Input<'a>>,
+}
+
+/// Any event; which fields it has depends on its verb.
+#[derive(Deserialize)]
+pub struct Input<'a> {
+    #[serde(borrow)]
+    pub verb: Cow<'a, str>,
+    pub proxy: Option<i64>,
+    pub seed: Option<u64>,
+    pub facts: Option<serde_json::Value>,
+    pub roster_id: Option<i64>,
+    pub elements: Option<Vec<Element>>,
+    pub scope: Option<i64>,
+    #[serde(borrow)]
+    pub call: Option<Cow<'a, str>>,
+    #[serde(borrow)]
+    pub user_group: Option<Cow<'a, str>>,
+    #[serde(borrow)]
+    pub tier_class: Option<Cow<'a, str>>,
+    pub time_budget_us: Option<u64>,
+    #[serde(default)]
+    pub resent: bool,
+    pub seq_no: Option<u32>,
+    pub host: Option<u32>,
+    #[serde(borrow)]
+    pub result: Option<Cow<'a, str>>,
+    pub elapsed_us: Option<u64>,
+    #[serde(default)]
+    pub terminal: bool,
+    pub stats: Option<Stats>,
+}
+
+#[derive(Deserialize)]
+pub struct Stats {
+    active: Option<f64>,
+    waiting: Option<f64>,
+    cpu: Option<f64>,
+    err_rps: Option<f64>,
+}
+
+impl Stats {
+    pub fn load(&self) -> Load {
+        Load { in_hand: self.active, waiting: self.waiting, busy: self.cpu, error_rate: self.err_rps }
+    }
+}
+
+#[derive(Deserialize)]
+pub struct Element {
+    #[serde(default)]
+    last_start_us: u64,
+    #[serde(default)]
+    az: String,
+    #[serde(default)]
+    shape: String,
+    #[serde(default)]
+    weight: f64,
+    #[serde(default)]
+    cohort: u32,
+    host: u32,
+    state: u32,
+}
+
+impl Element {
+    pub fn entry(&self) -> Result<Entry, String> {
+        let state = match self.state {
+            0 => State::Draining,
+            1 => State::Ready,
+            2 => State::Gone,
+            other => return Err(format!("host {} in unknown state {other}", self.host)),
+        };
+        Ok(Entry {
+            server: ServerId(self.host),
+            state,
+            zone: zone(&self.az),
+            cell: CellId(self.cohort),
+            kind: KindId(number(&self.shape)),
+            weight: self.weight,
+            started: self.last_start_us,
+        })
+    }
+}
+
+/// A number for a name (FNV-1a), the same wherever it is met.
+fn number(name: &str) -> u32 {
+    name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+}
+
+pub fn zone(name: &str) -> ZoneId {
+    ZoneId(number(name))
+}
+
+pub fn outcome(code: &str) -> Outcome {
+    match code {
+        "served" => Outcome::Served,
+        "server_error" => Outcome::Error,
+        "turned_away" => Outcome::TurnedAway,
+        "no_answer" => Outcome::TimedOut,
+        "no_connection" => Outcome::NoConnection,
+        "connection_lost" => Outcome::Reset,
+        "called_off" => Outcome::CalledOff,
+        "not_sent" => Outcome::NotSent,
+        _ => Outcome::Unknown,
+    }
+}
+
+#[derive(Serialize)]
+pub struct Reply {
+    pub cmds: Vec<Command>,
+}
+
+#[derive(Serialize)]
+#[serde(tag = "verb", rename_all = "SCREAMING_SNAKE_CASE")]
+pub enum Command {
+    Route {
+        proxy: i64,
+        call: String,
+        host: u32,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        stop_at_us: Option<u64>,
+    },
+    DropAttempt {
+        proxy: i64,
+        call: String,
+        seq_no: u32,
+    },
+    Test {
+        proxy: i64,
+        host: u32,
+    },
+    SetAlarm {
+        proxy: i64,
+        offset_us: u64,
+        tag: u64,
+    },
+    DropRequest {
+        proxy: i64,
+        call: String,
+    },
+    Bounce {
+        proxy: i64,
+        call: String,
+        hold_off_us: u64,
+    },
+    Listen {
+        proxy: i64,
+        enable: bool,
+    },
+    Trace {
+        proxy: i64,
+        note_text: String,
+    },
+}
--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,452 @@
+//! The interface of the decision module: settings, events, actions. Times are whole microseconds.
+
+/// A moment or a span, in microseconds.
+pub type Micros = u64;
+
+/// A call (one try of a client), as the proxy numbers it; no number returns.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// A server (a process's place); it keeps its number when the process restarts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServerId(pub u32);
+
+/// Place of a class in [`Settings::classes`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClassId(pub usize);
+
+/// Place of a tenant in [`Settings::tenants`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TenantId(pub usize);
+
+/// A zone, numbered by the proxy.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ZoneId(pub u32);
+
+/// A machine kind, numbered by the proxy.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KindId(pub u32);
+
+/// A cell of servers that drop each other's repeats.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CellId(pub u32);
+
+/// Which servers drop repeats of a guarded call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// All of them.
+    All,
+    /// Those of one zone.
+    Zone,
+    /// Those of one cell.
+    Cell,
+}
+
+/// Whether a call of a class may run again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Repeat {
+    /// Harmless.
+    Free,
+    /// Harmless on the servers of `scope`, within `window` of the first attempt that may have run.
+    Guarded {
+        /// Who drops repeats.
+        scope: Scope,
+        /// For how long.
+        window: Micros,
+    },
+    /// Never.
+    #[default]
+    SingleShot,
+}
+
+/// What is asked of a class of calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Class {
+    /// An answer within this time earns the full worth.
+    pub aim: Micros,
+    /// How long a client waits in all.
+    pub deadline: Micros,
+    /// Worth of an answer in time.
+    pub worth: f64,
+    /// Share of the worth for an answer between aim and deadline.
+    pub late_value: f64,
+    /// Whether it may run again.
+    pub repeat: Repeat,
+}
+
+/// A tenant's part of the service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tenant {
+    /// Share of the service, 0 to 1.
+    pub share: f64,
+    /// Calls a second over all balancers that are within its share; 0: not told.
+    pub quota: f64,
+}
+
+/// What [`Entry::weight`] means.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum WeightSource {
+    /// Nothing.
+    #[default]
+    Off,
+    /// The registered size of the server.
+    Nominal,
+    /// Its approximate size.
+    Rough,
+    /// Its size over its load at some recent moment.
+    Live,
+}
+
+/// Where servers report their load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Reporting {
+    /// Nowhere.
+    #[default]
+    Off,
+    /// In each outcome and in each answer to a probe.
+    Inline,
+    /// In answers to probes only.
+    OnProbe,
+}
+
+/// What a server reports of its load, and where.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Reports {
+    /// Where.
+    pub how: Reporting,
+    /// Whether [`Load::in_hand`] is among the figures.
+    pub in_hand: bool,
+}
+
+/// Points that are taken off the result, for each unit a call.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Charges {
+    /// An attempt that crosses zones.
+    pub cross_zone: f64,
+    /// A probe.
+    pub probe: f64,
+    /// A new connection.
+    pub handshake: f64,
+    /// Server work that gave no answer, as much as was asked for.
+    pub waste: f64,
+    /// All worth failing only after its aim.
+    pub late_fail: f64,
+}
+
+/// What the site allows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Attempts may be called off.
+    pub cancel: bool,
+    /// Servers may be probed.
+    pub probes: bool,
+    /// A call may have two attempts out at once.
+    pub second_copies: bool,
+    /// Most attempts for a call.
+    pub max_attempts: u32,
+    /// Longest advice that a client heeds; 0 where clients are given none.
+    pub max_retry_after: Micros,
+    /// Attempts that one connection carries at a time; 0: not told.
+    pub max_streams: u32,
+}
+
+/// Figures of the rules that must hold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rules {
+    /// A server starts at this share of its capacity or more.
+    pub cold_share: f64,
+    /// And is warm after this at the latest.
+    pub cold_time: Micros,
+    /// Sent more than this multiple of what it can then do ...
+    pub fall_multiple: f64,
+    /// ... over this span, a cold server falls over.
+    pub fall_time: Micros,
+    /// Latest that calls may still go to a server after word that it drains or is gone.
+    pub drain_grace: Micros,
+    /// Longest that a proxy may go without asking for the list.
+    pub ask_every: Micros,
+}
+
+/// Weights of the parts of the goal.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Goal {
+    /// All calls together.
+    pub whole: f64,
+    /// The worst-served class.
+    pub worst_class: f64,
+    /// The worst-served tenant, within its share.
+    pub worst_tenant: f64,
+    /// The worst stretch of time.
+    pub worst_window: f64,
+}
+
+/// What a balancer is told at start, for good.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// How many balancers send to these servers, this one included.
+    pub balancers: u32,
+    /// The zone of this balancer.
+    pub zone: ZoneId,
+    /// Smallest step of the proxy's clock.
+    pub tick: Micros,
+    /// Whether news of the server list must be asked for.
+    pub ask: bool,
+    /// Classes of calls.
+    pub classes: Vec<Class>,
+    /// Tenants, if there are any.
+    pub tenants: Vec<Tenant>,
+    /// What the site allows.
+    pub limits: Limits,
+    /// Figures of the rules.
+    pub rules: Rules,
+    /// Weights of the goal.
+    pub goal: Goal,
+    /// What costs points.
+    pub charges: Charges,
+    /// What servers report.
+    pub reports: Reports,
+    /// What the list's weights mean.
+    pub weights: WeightSource,
+    /// What a call is worth beyond its tenant's share, against one within.
+    pub over_share_worth: f64,
+}
+
+impl Default for Settings {
+    /// One balancer, a pushed list, one class of calls that are wanted in half a second and never repeated.
+    fn default() -> Self {
+        let repeat = Repeat::SingleShot;
+        Settings {
+            balancers: 1,
+            zone: ZoneId::default(),
+            tick: 1_000,
+            ask: false,
+            classes: vec![Class { aim: 500_000, deadline: 1_000_000, worth: 1.0, late_value: 0.0, repeat }],
+            tenants: Vec::new(),
+            limits: Limits {
+                cancel: true,
+                probes: false,
+                second_copies: false,
+                max_attempts: 3,
+                max_retry_after: 1_000_000,
+                max_streams: 0,
+            },
+            rules: Rules {
+                cold_share: 0.1,
+                cold_time: 20_000_000,
+                fall_multiple: 3.0,
+                fall_time: 2_000_000,
+                drain_grace: 1_000_000,
+                ask_every: 10_000_000,
+            },
+            goal: Goal { whole: 1.0, worst_class: 0.0, worst_tenant: 0.0, worst_window: 0.0 },
+            charges: Charges::default(),
+            reports: Reports::default(),
+            weights: WeightSource::default(),
+            over_share_worth: 1.0,
+        }
+    }
+}
+
+/// What the list says of a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum State {
+    /// It takes calls.
+    #[default]
+    Ready,
+    /// It finishes its work and takes no more.
+    Draining,
+    /// It has been removed.
+    Gone,
+}
+
+/// An entry of the server list.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Entry {
+    /// Which server.
+    pub server: ServerId,
+    /// What it does.
+    pub state: State,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Its cell.
+    pub cell: CellId,
+    /// Its machine kind.
+    pub kind: KindId,
+    /// A figure to compare servers by, see [`WeightSource`]; 0 or less: not told.
+    pub weight: f64,
+    /// When it last started; 0: long ago.
+    pub started: Micros,
+}
+
+/// How much of the list a piece of news holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    /// Changed entries only.
+    Delta,
+    /// The whole list.
+    Full,
+    /// The whole list as the proxy last had it, maybe old.
+    Cached,
+    /// None: asking failed or the subscription broke.
+    Failed,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Served.
+    Served,
+    /// The server answered with an error.
+    Error,
+    /// Turned away unseen: full or draining.
+    TurnedAway,
+    /// No answer in time.
+    TimedOut,
+    /// No connection could be made.
+    NoConnection,
+    /// The connection broke while the attempt was out.
+    Reset,
+    /// Called off by this balancer.
+    CalledOff,
+    /// Never sent.
+    NotSent,
+    /// Anything else; it may have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// Whether this proves that the attempt never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::TurnedAway | Outcome::NoConnection | Outcome::NotSent)
+    }
+}
+
+/// A server's word on its load; what it does not report is absent.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Requests in hand.
+    pub in_hand: Option<f64>,
+    /// Requests waiting.
+    pub waiting: Option<f64>,
+    /// Share of its cores that is busy.
+    pub busy: Option<f64>,
+    /// Errors a second.
+    pub error_rate: Option<f64>,
+}
+
+/// What the proxy tells the balancer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// The proxy comes up. Its saved list, if any, comes next.
+    Start,
+    /// News of the server list.
+    Members {
+        /// How much of it.
+        kind: ListKind,
+        /// The entries.
+        entries: Vec<Entry>,
+    },
+    /// A call has come in.
+    Request {
+        /// Which.
+        call: CallId,
+        /// Its class.
+        class: ClassId,
+        /// Whose it is.
+        tenant: Option<TenantId>,
+        /// How long the client still waits.
+        time_left: Micros,
+        /// The client says that it has tried before.
+        resent: bool,
+    },
+    /// An attempt is over.
+    Outcome {
+        /// Of which call.
+        call: CallId,
+        /// Which attempt, from 0.
+        attempt: u32,
+        /// How it ended.
+        outcome: Outcome,
+        /// How long it took.
+        elapsed: Micros,
+        /// Nothing more is owed for the call.
+        closed: bool,
+        /// The server's report.
+        load: Load,
+    },
+    /// The answer of an attempt has begun to flow; the call is bound to it.
+    Streaming {
+        /// Which call.
+        call: CallId,
+        /// Which attempt.
+        attempt: u32,
+    },
+    /// A probe was answered.
+    Probed {
+        /// By which server.
+        server: ServerId,
+        /// How it ended.
+        outcome: Outcome,
+        /// How long it took.
+        elapsed: Micros,
+        /// The server's report.
+        load: Load,
+    },
+    /// Nobody waits for this call any more.
+    Gone {
+        /// Which.
+        call: CallId,
+    },
+    /// A time asked for by [`Action::Wake`] has come.
+    Timer,
+}
+
+/// What the balancer tells the proxy to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Pass the call to a server; the first pass is attempt 0, the next 1, and so on.
+    Send {
+        /// Which call.
+        call: CallId,
+        /// To which server.
+        server: ServerId,
+        /// When the attempt times out (a moment); `None`: with the client's patience.
+        until: Option<Micros>,
+    },
+    /// End the call unserved; it may safely come again.
+    Refuse {
+        /// Which call.
+        call: CallId,
+        /// Advice when.
+        retry_after: Micros,
+    },
+    /// End the call with an error that promises nothing.
+    Fail {
+        /// Which call.
+        call: CallId,
+    },
+    /// Call off an attempt.
+    Cancel {
+        /// Of which call.
+        call: CallId,
+        /// Which attempt.
+        attempt: u32,
+    },
+    /// Send a health check.
+    Probe {
+        /// To which server.
+        server: ServerId,
+    },
+    /// Send [`Event::Timer`] after this time.
+    Wake {
+        /// How long from now.
+        after: Micros,
+    },
+    /// Subscribe to the server list.
+    Subscribe,
+    /// A line for whoever is on call.
+    Log {
+        /// The line.
+        text: String,
+    },
+}
--- /dev/null
+++ b/tests/sparse.rs
@@ -0,0 +1,226 @@
+//! What acts where balancers outnumber servers, and each balancer sees little: asking, groups, own zone, cold lots.
+
+mod common;
+use calicomoor::*;
+use common::*;
+
+const HERE: ZoneId = ZoneId(1);
+const THERE: ZoneId = ZoneId(2);
+
+/// A thousand balancers; probes tell what a server holds and cost little.
+fn many(probed: bool) -> Settings {
+    let how = if probed { Reporting::OnProbe } else { Reporting::Off };
+    let limits = Limits { probes: true, ..settings(Repeat::Free).limits };
+    Settings {
+        balancers: 1_000,
+        zone: HERE,
+        limits,
+        reports: Reports { how, in_hand: probed },
+        charges: Charges { probe: 0.01, ..Charges::default() },
+        ..settings(Repeat::Free)
+    }
+}
+
+fn probes(actions: &[Action]) -> Vec<ServerId> {
+    actions
+        .iter()
+        .filter_map(|a| if let Action::Probe { server } = a { Some(*server) } else { None })
+        .collect()
+}
+
+fn tell(proxy: &mut Proxy, server: ServerId, in_hand: Option<f64>) -> Vec<Action> {
+    let load = Load { in_hand, ..Load::default() };
+    let outcome = if in_hand.is_some() { Outcome::Served } else { Outcome::TimedOut };
+    proxy.event(Event::Probed { server, outcome, elapsed: MS, load })
+}
+
+#[test]
+fn a_call_goes_to_the_server_that_tells_of_less_in_hand() {
+    for lighter in [0, 1] {
+        let mut proxy = Proxy::new(many(true), 6);
+        let (call, actions) = proxy.call();
+        let asked = probes(&actions);
+        assert!(
+            asked.len() == 2 && sent(&actions).is_empty(),
+            "two at a charge of a point each: {actions:?}"
+        );
+        proxy.now += MS;
+        let heavier = 1 - lighter;
+        assert!(sent(&tell(&mut proxy, asked[heavier], Some(3.0))).is_empty(), "it waits for the other");
+        assert_eq!(sent(&tell(&mut proxy, asked[lighter], Some(1.0))), [(call, asked[lighter])]);
+    }
+}
+
+#[test]
+fn nothing_is_asked_where_servers_outnumber_balancers_or_tell_nothing() {
+    let few = Settings { balancers: 3, ..many(true) };
+    for settings in [few, many(false)] {
+        let mut proxy = Proxy::new(settings, 6);
+        let (_, actions) = proxy.call();
+        assert!(probes(&actions).is_empty() && sent(&actions).len() == 1, "{actions:?}");
+    }
+}
+
+#[test]
+fn a_server_that_does_not_tell_in_time_is_taken_for_the_most_loaded() {
+    let mut proxy = Proxy::new(many(true), 6);
+    let (call, actions) = proxy.call();
+    let asked = probes(&actions);
+    proxy.now += MS;
+    tell(&mut proxy, asked[1], Some(4.0));
+    assert_eq!(sent(&proxy.wait(50 * MS)), [(call, asked[1])], "not later than a small share of the aim");
+    let mut proxy = Proxy::new(many(true), 6);
+    let (call, actions) = proxy.call();
+    let asked = probes(&actions);
+    tell(&mut proxy, asked[0], None);
+    assert_eq!(sent(&tell(&mut proxy, asked[1], Some(4.0))), [(call, asked[1])]);
+}
+
+#[test]
+fn with_all_that_were_asked_full_a_call_is_held_asks_again_and_is_ended_in_time() {
+    let mut proxy = Proxy::new(many(true), 6);
+    let (call, mut actions) = proxy.call();
+    let end = proxy.now + 1_200 * MS;
+    let mut rounds = 0;
+    while !refused(&proxy.actions, call) && proxy.now < end {
+        assert!(sent(&proxy.actions).is_empty(), "{} {:?}", proxy.now, proxy.actions);
+        for server in probes(&actions) {
+            rounds += 1;
+            tell(&mut proxy, server, Some(1_000.0));
+        }
+        actions = proxy.wait(5 * MS);
+    }
+    assert!(refused(&proxy.actions, call), "refused before its client gives up");
+    assert!((4..=40).contains(&rounds), "waits double between: {rounds} probes");
+}
+
+#[test]
+fn absurd_reports_and_probes_of_unknown_servers_change_nothing() {
+    let mut proxy = Proxy::new(many(true), 6);
+    tell(&mut proxy, ServerId(99), Some(1.0));
+    let (call, actions) = proxy.call();
+    for (server, told) in probes(&actions).into_iter().zip([f64::NAN, -7.0]) {
+        tell(&mut proxy, server, Some(told));
+    }
+    proxy.wait(50 * MS);
+    assert_eq!(sent(&proxy.actions).iter().filter(|s| s.0 == call).count(), 1);
+}
+
+#[test]
+fn a_jam_is_shed_by_what_a_whole_group_showed_and_its_end_is_noticed() {
+    let mut proxy = Proxy::new(many(false), 60);
+    let round = |proxy: &mut Proxy, outcome, elapsed| {
+        let mut served = 0;
+        for _ in 0..150 {
+            let (call, actions) = proxy.call();
+            let went = sent(&actions).iter().any(|s| s.0 == call);
+            served += usize::from(went);
+            proxy.now += elapsed;
+            if went {
+                proxy.end(call, 0, outcome, elapsed);
+            }
+            proxy.wait(200 * MS);
+            for attempt in 1..5 {
+                proxy.end(call, attempt, outcome, elapsed);
+            }
+            proxy.event(Event::Gone { call });
+        }
+        served
+    };
+    assert_eq!(round(&mut proxy, Outcome::Served, 40 * MS), 150);
+    round(&mut proxy, Outcome::TimedOut, 500 * MS);
+    let jammed = round(&mut proxy, Outcome::TimedOut, 500 * MS);
+    assert!((1..=50).contains(&jammed), "some must tell when it is over: {jammed}");
+    round(&mut proxy, Outcome::Served, 40 * MS);
+    assert!(round(&mut proxy, Outcome::Served, 40 * MS) > 140);
+}
+
+#[test]
+fn ties_between_servers_never_met_go_to_the_kind_that_answers_sooner() {
+    let mut proxy = Proxy::new(many(false), 0);
+    let kind = |i: u32| KindId(i % 2);
+    proxy.list(ListKind::Full, (1..=200).map(|i| Entry { kind: kind(i), ..ready(i) }).collect());
+    let mut quick = 0;
+    for n in 0..120 {
+        let (call, actions) = proxy.call();
+        let server = sent(&actions)[0].1;
+        let slow = kind(server.0) == KindId(1);
+        quick += usize::from(n >= 40 && !slow);
+        let elapsed = if slow { 150 * MS } else { 40 * MS };
+        proxy.now += elapsed;
+        proxy.end(call, 0, Outcome::Served, elapsed);
+    }
+    assert!((53..80).contains(&quick), "two random ones are of one kind half the time: {quick} of 80");
+}
+
+#[test]
+fn the_own_zone_is_used_while_it_has_room_and_others_when_it_has_none() {
+    let charges = Charges { cross_zone: 0.1, ..Charges::default() };
+    for (cross, stays) in [(charges, true), (Charges::default(), false)] {
+        let mut proxy = Proxy::new(Settings { charges: cross, ..many(false) }, 0);
+        let zone = |i: u32| if i.is_multiple_of(2) { HERE } else { THERE };
+        proxy.list(ListKind::Full, (1..=8).map(|i| Entry { zone: zone(i), ..ready(i) }).collect());
+        let went: Vec<ServerId> = (0..8).flat_map(|_| sent(&proxy.call().1)).map(|s| s.1).collect();
+        assert_eq!(went.len(), 8, "a call each fills them all");
+        assert_eq!(went[..4].iter().all(|s| zone(s.0) == HERE), stays);
+    }
+}
+
+#[test]
+fn a_thousand_balancers_that_hear_of_a_cold_server_together_do_not_rush_to_it() {
+    let mut cold = 0;
+    for seed in 0..1_000 {
+        let mut balancer = Balancer::new(seed, many(false));
+        let mut actions = Vec::new();
+        let mut entries: Vec<Entry> = (1..=9).map(ready).collect();
+        entries.push(Entry { started: 1_000_000, ..ready(10) });
+        balancer.handle(1_000_001, Event::Start, &mut actions);
+        balancer.handle(1_000_001, Event::Members { kind: ListKind::Full, entries }, &mut actions);
+        let (call, class) = (CallId(1), ClassId(0));
+        let event = Event::Request { call, class, tenant: None, time_left: 900 * MS, resent: false };
+        balancer.handle(1_000_002, event, &mut actions);
+        cold += sent(&actions).iter().filter(|s| s.1 == ServerId(10)).count();
+    }
+    // A tenth of a tenth of the capacity is there: 11 of 1,000 calls, where an even share were 100.
+    assert!((3..=30).contains(&cold), "{cold}");
+}
+
+#[test]
+fn repeats_of_clients_draw_no_cold_server() {
+    for (resent, expected) in [(false, true), (true, false)] {
+        let mut proxy = Proxy::new(many(false), 0);
+        let mut entries: Vec<Entry> = (1..=4).map(ready).collect();
+        entries[3].started = proxy.now - MS;
+        proxy.list(ListKind::Full, entries);
+        let mut cold = false;
+        for n in 0..400 {
+            let (call, class) = (CallId(10_000 + n), ClassId(0));
+            let event = Event::Request { call, class, tenant: None, time_left: 900 * MS, resent };
+            let actions = proxy.event(event);
+            cold |= sent(&actions).iter().any(|s| s.1 == ServerId(4));
+            proxy.now += MS;
+            proxy.end(call, 0, Outcome::Served, MS);
+        }
+        assert_eq!(cold, expected);
+    }
+}
+
+#[test]
+fn a_balancer_keeps_to_a_few_servers_and_two_balancers_to_different_ones() {
+    let few = |seed: u64| {
+        let mut proxy = Proxy::new(many(false), 0);
+        proxy.balancer = Balancer::new(seed, many(false));
+        proxy.list(ListKind::Full, (1..=60).map(ready).collect());
+        let used: Vec<ServerId> = (0..200).filter_map(|_| proxy.serve(40 * MS)).collect();
+        assert_eq!(used.len(), 200);
+        std::collections::BTreeSet::from_iter(used)
+    };
+    let (one, other) = (few(1), few(2));
+    assert!(one.len() <= 12 && other.len() <= 12, "connections are kept, not opened for each call: {one:?}");
+    assert_ne!(one, other);
+    // Many calls at once find those few at their budgets, and go beyond.
+    let mut proxy = Proxy::new(many(false), 60);
+    let went: std::collections::BTreeSet<ServerId> =
+        (0..40).flat_map(|_| sent(&proxy.call().1)).map(|s| s.1).collect();
+    assert_eq!(went.len(), 40, "a hot balancer starves at no subset");
+}
