--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -2,10 +2,10 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-mod settings;
 mod wire;
 
-use calicomoor::{Action, Balancer, CallId, ClassId, Entry, Event, ListKind, Outcome, ServerId, TenantId};
+use badgerramp::settings;
+use badgerramp::{Action, Balancer, CallId, ClassId, Entry, Event, ListKind, Outcome, ServerId, TenantId};
 use std::collections::HashMap;
 use std::io::{self, BufRead, Write};
 use wire::{Batch, Command, Input, Reply};
@@ -82,9 +82,10 @@
         if verb == "CREATE" {
             let facts = need(input.facts, verb, "facts")?;
             let seed = need(input.seed, verb, "seed")?;
-            let (settings, classes, tenants) = settings::read(&facts).map_err(|e| format!("facts: {e}"))?;
-            let balancer = Balancer::new(seed, settings);
+            let facts = settings::read(&facts).map_err(|e| format!("facts: {e}"))?;
+            let balancer = Balancer::new(seed, facts.settings);
             let (numbers, names) = (HashMap::new(), HashMap::new());
+            let (classes, tenants) = (facts.classes, facts.tenants);
             let instance = Instance { balancer, classes, tenants, numbers, names, next: 0 };
             self.instances.insert(proxy, instance);
         } else if verb == "DETACH" {
@@ -226,7 +227,7 @@
                 }
             }
             Err(fault) => {
-                eprintln!("calicomoor-adapter: line {}: {fault}", index + 1);
+                eprintln!("badgerramp-adapter: line {}: {fault}", index + 1);
                 std::process::exit(1);
             }
         }
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -1,6 +1,7 @@
 //! Messages of the wire, as they are read and written.
 
-use calicomoor::{CellId, Entry, KindId, Load, Outcome, ServerId, State, ZoneId};
+use badgerramp::settings;
+use badgerramp::{CellId, Entry, Load, Outcome, ServerId, State};
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 
@@ -82,24 +83,15 @@
         Ok(Entry {
             server: ServerId(self.host),
             state,
-            zone: zone(&self.az),
+            zone: settings::zone(&self.az),
             cell: CellId(self.cohort),
-            kind: KindId(number(&self.shape)),
+            kind: settings::kind(&self.shape),
             weight: self.weight,
             started: self.last_start_us,
         })
     }
 }
 
-/// A number for a name (FNV-1a), the same wherever it is met.
-fn number(name: &str) -> u32 {
-    name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
-}
-
-pub fn zone(name: &str) -> ZoneId {
-    ZoneId(number(name))
-}
-
 pub fn outcome(code: &str) -> Outcome {
     match code {
         "served" => Outcome::Served,
--- a/adapter/tests/wire.rs
+++ b/adapter/tests/wire.rs
@@ -10,7 +10,7 @@
 const JOB: &str = r#"{"clock_us":9,"input":[{"verb":"JOB_IN","proxy":3,"call":"r-x","tier_class":"a","time_budget_us":900000}]}"#;
 
 fn run(lines: &[&str]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_calicomoor-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_badgerramp-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,10 @@
-//! calicomoor makes the decisions of a client-side load balancer: which server
+//! badgerramp makes the decisions of a client-side load balancer: which server
 //! gets a call, when a call waits, goes again, is refused or fails. It does no I/O and reads no clock.
 //!
 //! A client proxy makes one [`Balancer`], feeds it [`Event`]s and carries out the [`Action`]s:
 //!
 //! ```
-//! use calicomoor::{Action, Balancer, CallId, ClassId, Entry, Event, ListKind, ServerId, Settings, State};
+//! use badgerramp::{Action, Balancer, CallId, ClassId, Entry, Event, ListKind, ServerId, Settings, State};
 //!
 //! let mut balancer = Balancer::new(7, Settings::default());
 //! let mut actions = Vec::new();
@@ -27,6 +27,7 @@
 
 mod api;
 mod balance;
+pub mod settings;
 mod state;
 
 pub use api::*;
--- a/adapter/src/settings.rs
+++ b/src/settings.rs
@@ -1,13 +1,12 @@
-//! The first message's settings. Unknown keys are ignored, absent ones get harmless values.
+//! The reader of the settings object, shared by the adapter (its first message) and the program (its
+//! configuration). Unknown keys are ignored, absent ones get harmless values.
 
-use crate::wire;
-use calicomoor::WeightSource;
-use calicomoor::{Charges, Class, Goal, Limits, Repeat, Reporting, Reports, Rules, Scope, Settings, Tenant};
+use crate::api::*;
 use serde::Deserialize;
 use serde_json::Value;
 
 #[derive(Deserialize)]
-struct Facts {
+struct Raw {
     balancers: u32,
     classes: Vec<ClassFacts>,
     #[serde(default)]
@@ -83,6 +82,9 @@
     retry_after: bool,
     max_retry_after_us: u64,
     max_streams: u32,
+    max_open: usize,
+    conn_idle_us: u64,
+    connect_timeout_us: u64,
 }
 
 impl Default for LimitFacts {
@@ -96,6 +98,9 @@
             retry_after,
             max_retry_after_us: 0,
             max_streams: 0,
+            max_open: 10_000,
+            conn_idle_us: 15_000_000,
+            connect_timeout_us: 250_000,
         }
     }
 }
@@ -130,9 +135,48 @@
     }
 }
 
-/// Settings, and the names of classes and tenants in their order.
-pub fn read(facts: &Value) -> Result<(Settings, Vec<String>, Vec<String>), String> {
-    let facts = Facts::deserialize(facts).map_err(|e| e.to_string())?;
+/// What the settings say of the sockets; the module decides nothing by it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Transport {
+    /// Requests that may be open at once.
+    pub max_open: usize,
+    /// Hosts close a connection that has been idle for this long.
+    pub conn_idle: Micros,
+    /// A connection that is not up by then has failed.
+    pub connect_timeout: Micros,
+}
+
+/// All that is read from the settings object.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Facts {
+    /// What the module is told.
+    pub settings: Settings,
+    /// Names of the classes, in the order of their numbers.
+    pub classes: Vec<String>,
+    /// Names of the tenants, in the order of their numbers.
+    pub tenants: Vec<String>,
+    /// What the sockets go by.
+    pub transport: Transport,
+}
+
+/// A number for a name (FNV-1a), the same wherever it is met.
+fn number(name: &str) -> u32 {
+    name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+}
+
+/// The number of a zone by its name.
+pub fn zone(name: &str) -> ZoneId {
+    ZoneId(number(name))
+}
+
+/// The number of a machine kind by its name.
+pub fn kind(name: &str) -> KindId {
+    KindId(number(name))
+}
+
+/// Reads the settings object; the error says which part is missing or odd.
+pub fn read(facts: &Value) -> Result<Facts, String> {
+    let facts = Raw::deserialize(facts).map_err(|e| e.to_string())?;
     let mut classes = Vec::new();
     for class in &facts.classes {
         let scope = match class.dedup_scope.as_str() {
@@ -166,7 +210,7 @@
     };
     let settings = Settings {
         balancers: facts.balancers,
-        zone: wire::zone(&facts.locality),
+        zone: zone(&facts.locality),
         tick: facts.tick_us,
         ask: facts.discovery == "ask",
         classes,
@@ -204,6 +248,12 @@
         weights,
         over_share_worth: facts.over_share_worth.unwrap_or(harmless.over_share_worth),
     };
-    let names = facts.classes.into_iter().map(|c| c.name).collect();
-    Ok((settings, names, facts.tenants.into_iter().map(|t| t.name).collect()))
+    let classes = facts.classes.into_iter().map(|c| c.name).collect();
+    let transport = Transport {
+        max_open: limits.max_open,
+        conn_idle: limits.conn_idle_us,
+        connect_timeout: limits.connect_timeout_us,
+    };
+    let tenants = facts.tenants.into_iter().map(|t| t.name).collect();
+    Ok(Facts { settings, classes, tenants, transport })
 }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -1,7 +1,7 @@
 //! The mechanism of the design, each part by itself.
 
 mod common;
-use calicomoor::*;
+use badgerramp::*;
 use common::*;
 use std::collections::BTreeMap;
 
