Serve on real sockets: the program badgerramp

The decision module gets a body: tokio on one thread, hyper for HTTP/1.1 both ways, one driver that owns the module, its timers and the name-number maps. A host connection is driven by the attempt that uses it, so dropping the attempt closes it and nothing is resent by a library.

--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,106 @@
+//! The client proxy: start, configuration, signals, exit.
+#![forbid(unsafe_code)]
+
+mod net;
+
+use badgerramp::{settings, ListKind};
+use net::discovery;
+use net::driver::{Clock, Driver, List};
+use net::front::Front;
+use net::hosts::Hosts;
+use net::Descriptors;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpSocket;
+use tokio::signal::unix::{signal, SignalKind};
+
+/// Descriptors kept out of the count: standard streams, the runtime's own, the listener, discovery, and a
+/// client's connection that is closed as soon as it is accepted.
+const RESERVE: usize = 48;
+/// Connections waiting to be accepted.
+const BACKLOG: u32 = 1_024;
+
+#[derive(Deserialize)]
+struct Config {
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: String,
+    limits: Limits,
+    known: Option<List>,
+    settings: serde_json::Value,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    sockets: usize,
+}
+
+fn config() -> Result<Config, String> {
+    let path = std::env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG is not set".to_owned())?;
+    let text = std::fs::read(&path).map_err(|e| format!("configuration {path}: {e}"))?;
+    serde_json::from_slice(&text).map_err(|e| format!("configuration {path}: {e}"))
+}
+
+async fn run(config: Config) -> Result<(), String> {
+    let facts = settings::read(&config.settings).map_err(|e| format!("settings: {e}"))?;
+    let seed = u64::from_str_radix(&config.seed, 16).map_err(|e| format!("seed {}: {e}", config.seed))?;
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
+    let socket = TcpSocket::new_v4().map_err(|e| format!("socket: {e}"))?;
+    let bind = |e| format!("listen on {}: {e}", config.listen);
+    socket.set_reuseaddr(true).map_err(bind)?;
+    socket.bind(config.listen).map_err(bind)?;
+    let listener = socket.listen(BACKLOG).map_err(bind)?;
+
+    let clock = Clock::start();
+    let room = config.limits.sockets.saturating_sub(RESERVE).max(8);
+    let descriptors = Descriptors::new(room);
+    let hosts = Hosts::new(facts.transport, facts.settings.balancers, Rc::clone(&descriptors), clock);
+    let driver = Driver::new(seed, facts, clock, Rc::clone(&hosts));
+    driver.start();
+    let index = config.known.as_ref().map(|k| k.index);
+    driver.members(ListKind::Cached, config.known.as_ref().map_or(&[], |k| &k.endpoints));
+
+    let mut timers = tokio::task::spawn_local({
+        let driver = driver.clone();
+        async move { driver.timers().await }
+    });
+    let mut watch = tokio::task::spawn_local(discovery::run(driver.clone(), config.discovery, index));
+    let sweep = async {
+        loop {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            hosts.sweep();
+        }
+    };
+    if let Ok(address) = listener.local_addr() {
+        eprintln!("badgerramp: listening on {address}");
+    }
+    let front = Rc::new(Front { driver, hosts: Rc::clone(&hosts), descriptors, most: room * 3 / 5 });
+    let stop = async move {
+        term.recv().await;
+    };
+    tokio::select! {
+        () = front.serve(listener, stop) => Ok(()),
+        // Without these calls would stay unanswered: better a crash that is seen.
+        ended = &mut timers => Err(format!("the timers ended: {ended:?}")),
+        ended = &mut watch => Err(format!("discovery ended: {ended:?}")),
+        () = sweep => Ok(()),
+    }
+}
+
+fn main() -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let done = config().and_then(|config| {
+        let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+        tokio::task::LocalSet::new().block_on(&runtime, run(config))
+    });
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("badgerramp: {fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,100 @@
+//! The list of hosts: a watch that follows on the last answer at once. When it fails, the module says when
+//! to ask again; calls never wait for it.
+
+use super::driver::{Driver, List};
+use badgerramp::ListKind;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::HOST;
+use hyper::StatusCode;
+use hyper_util::rt::TokioIo;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+/// How long a watch waits for news.
+const WAIT: Duration = Duration::from_secs(20);
+/// Silence beyond the wait that is a failure.
+const SILENCE: Duration = Duration::from_secs(3);
+/// Most bytes of a list: some thousand hosts.
+const LIST_MOST: usize = 4 << 20;
+/// A pause after an answer that came at once and told nothing new: it stays within the 200 ms in which the
+/// next call continues the watch, and keeps a confused service from being asked without end.
+const CALM: Duration = Duration::from_millis(50);
+
+struct Link {
+    sender: SendRequest<Empty<Bytes>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Keeps the list up to date, for as long as the program runs.
+pub async fn run(driver: Driver, address: SocketAddr, mut index: Option<u64>) {
+    loop {
+        driver.subscribed().await;
+        let mut link = None;
+        loop {
+            let asked = Instant::now();
+            match tokio::time::timeout(WAIT + SILENCE, ask(&mut link, address, index)).await {
+                Ok(Ok(list)) => {
+                    let kind = if list.snapshot { ListKind::Full } else { ListKind::Delta };
+                    driver.members(kind, &list.endpoints);
+                    if index == Some(list.index) && asked.elapsed() < CALM {
+                        tokio::time::sleep(CALM).await;
+                    }
+                    index = Some(list.index);
+                }
+                Ok(Err(fault)) => {
+                    eprintln!("badgerramp: discovery: {fault}");
+                    break;
+                }
+                Err(_) => {
+                    eprintln!("badgerramp: discovery: no answer");
+                    break;
+                }
+            }
+        }
+        drop(link);
+        driver.members_failed();
+    }
+}
+
+async fn ask(link: &mut Option<Link>, address: SocketAddr, index: Option<u64>) -> Result<List, String> {
+    let open = match link.take().filter(|l| l.sender.is_ready()) {
+        Some(open) => open,
+        None => connect(address).await?,
+    };
+    let open = link.insert(open);
+    let path = match index {
+        Some(index) => format!("/catalog/members?index={index}&wait={}", WAIT.as_millis()),
+        None => "/catalog/members".to_owned(),
+    };
+    let request = hyper::Request::get(path).header(HOST, address.to_string()).body(Empty::new());
+    let request = request.map_err(|e| e.to_string())?;
+    let answer = open.sender.send_request(request).await.map_err(|e| e.to_string())?;
+    if answer.status() != StatusCode::OK {
+        return Err(format!("answered {}", answer.status()));
+    }
+    let body = Limited::new(answer.into_body(), LIST_MOST).collect().await.map_err(|e| e.to_string())?;
+    serde_json::from_slice(&body.to_bytes()).map_err(|e| format!("odd list: {e}"))
+}
+
+async fn connect(address: SocketAddr) -> Result<Link, String> {
+    let stream = TcpStream::connect(address).await.map_err(|e| format!("no connection: {e}"))?;
+    let _ = stream.set_nodelay(true);
+    let (mut sender, connection) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(|e| format!("no connection: {e}"))?;
+    let task = tokio::task::spawn_local(async move {
+        // A broken connection shows in the call that uses it.
+        let _ = connection.await;
+    });
+    sender.ready().await.map_err(|e| format!("no connection: {e}"))?;
+    Ok(Link { sender, task })
+}
--- /dev/null
+++ b/src/net/driver.rs
@@ -0,0 +1,521 @@
+//! The one owner of the [`Balancer`]: turns what happens into events, carries the actions out, and owns the
+//! timers, the calls and the maps between names and numbers. It never picks, retries or sheds by itself.
+
+use super::hosts::{self, Ended, Hosts, Target};
+use badgerramp::settings::{self, Facts};
+use badgerramp::{
+    Action, Balancer, CallId, CellId, ClassId, Entry, Event, ListKind, Load, Micros, Outcome, ServerId,
+    State, TenantId,
+};
+use bytes::Bytes;
+use hyper::header::HeaderValue;
+use hyper::http::{HeaderMap, Method, Uri};
+use serde::Deserialize;
+use std::cell::RefCell;
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::{oneshot, Notify};
+use tokio::task::AbortHandle;
+
+/// Monotonic microseconds that start at the Unix time of the process's start. So a host's start time, which
+/// is Unix time, is on this clock as it is, also where it lies before the start of this process.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    unix: Micros,
+    start: Instant,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { unix: unix.as_micros() as Micros, start: Instant::now() }
+    }
+
+    pub fn now(&self) -> Micros {
+        self.unix + self.start.elapsed().as_micros() as Micros
+    }
+
+    /// The moment `at` as the timers of the runtime count.
+    pub fn instant(&self, at: Micros) -> tokio::time::Instant {
+        (self.start + Duration::from_micros(at.saturating_sub(self.unix))).into()
+    }
+}
+
+/// A request as the client sent it, kept while it may still go to a host.
+#[derive(Debug)]
+pub struct Request {
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// What the module is told of a request.
+#[derive(Debug)]
+pub struct Intake {
+    pub class: String,
+    pub tenant: Option<String>,
+    pub deadline: Micros,
+    pub resent: bool,
+}
+
+/// The one final answer.
+#[derive(Debug)]
+pub enum Answer {
+    Served {
+        body: Bytes,
+        content_type: Option<HeaderValue>,
+    },
+    Refused {
+        retry_after: Micros,
+    },
+    Failed,
+    /// The time was up before the module had ended the call.
+    Overdue,
+}
+
+/// An entry of the list in discovery's form.
+#[derive(Debug, Deserialize)]
+pub struct Endpoint {
+    name: String,
+    #[serde(default)]
+    address: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default, rename = "type")]
+    kind: String,
+    #[serde(default)]
+    group: u32,
+    #[serde(default)]
+    status: String,
+    #[serde(default)]
+    weight: f64,
+    #[serde(default)]
+    since_ms: u64,
+}
+
+/// The list, or what changed of it.
+#[derive(Debug, Deserialize)]
+pub struct List {
+    pub index: u64,
+    #[serde(default)]
+    pub snapshot: bool,
+    pub endpoints: Vec<Endpoint>,
+}
+
+#[derive(Debug)]
+struct Host {
+    name: String,
+    address: Option<SocketAddr>,
+    started: Micros,
+    state: State,
+    /// Counts processes and addresses: connections of an earlier one are not used.
+    generation: u64,
+}
+
+#[derive(Debug)]
+struct Attempt {
+    server: ServerId,
+    sent: Micros,
+    until: Micros,
+    /// None once its outcome is in.
+    task: Option<AbortHandle>,
+    out: bool,
+}
+
+#[derive(Debug)]
+struct Call {
+    request: Rc<Request>,
+    deadline: Micros,
+    /// Taken when the final answer is given.
+    answer: Option<oneshot::Sender<Answer>>,
+    attempts: Vec<Attempt>,
+}
+
+/// What is due at a moment. The order matters: at a deadline the attempts time out first, so that the module
+/// can end the call itself, then its own timer comes, and only then the backstop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Attempt(CallId, u32),
+    Module,
+    Backstop(CallId),
+}
+
+struct Core {
+    balancer: Balancer,
+    classes: Vec<String>,
+    tenants: Vec<String>,
+    max_open: usize,
+    calls: HashMap<CallId, Call>,
+    open: usize,
+    next_call: u64,
+    numbers: HashMap<String, ServerId>,
+    hosts: Vec<Host>,
+    timers: BTreeSet<(Micros, Due)>,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+}
+
+/// The driver as the other parts see it.
+#[derive(Clone)]
+pub struct Driver {
+    core: Rc<RefCell<Core>>,
+    clock: Clock,
+    sockets: Rc<Hosts>,
+    timer_moved: Rc<Notify>,
+    subscribe: Rc<Notify>,
+}
+
+impl Driver {
+    pub fn new(seed: u64, facts: Facts, clock: Clock, sockets: Rc<Hosts>) -> Self {
+        let core = Core {
+            balancer: Balancer::new(seed, facts.settings),
+            classes: facts.classes,
+            tenants: facts.tenants,
+            max_open: facts.transport.max_open,
+            calls: HashMap::new(),
+            open: 0,
+            next_call: 0,
+            numbers: HashMap::new(),
+            hosts: Vec::new(),
+            timers: BTreeSet::new(),
+            events: VecDeque::new(),
+            actions: Vec::new(),
+        };
+        let (timer_moved, subscribe) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
+        Driver { core: Rc::new(RefCell::new(core)), clock, sockets, timer_moved, subscribe }
+    }
+
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// Waits until the module asks for the list.
+    pub async fn subscribed(&self) {
+        self.subscribe.notified().await;
+    }
+
+    pub fn start(&self) {
+        self.event(Event::Start);
+    }
+
+    /// Takes a request on. None: more are open than the settings allow.
+    pub fn request(&self, intake: Intake, request: Request) -> Option<(CallId, oneshot::Receiver<Answer>)> {
+        let (sender, receiver) = oneshot::channel();
+        let mut core = self.core.borrow_mut();
+        if core.open >= core.max_open {
+            return None;
+        }
+        let call = CallId(core.next_call);
+        core.next_call += 1;
+        core.open += 1;
+        let deadline = intake.deadline;
+        let entry = Call { request: Rc::new(request), deadline, answer: Some(sender), attempts: Vec::new() };
+        core.calls.insert(call, entry);
+        core.timers.insert((deadline, Due::Backstop(call)));
+        let place = |all: &[String], name: &str| all.iter().position(|n| n == name);
+        let event = Event::Request {
+            call,
+            // A class that the settings do not name is unsafe: the module takes it so.
+            class: ClassId(place(&core.classes, &intake.class).unwrap_or(usize::MAX)),
+            tenant: intake.tenant.and_then(|t| place(&core.tenants, &t)).map(TenantId),
+            time_left: deadline.saturating_sub(self.clock.now()),
+            resent: intake.resent,
+        };
+        drop(core);
+        self.event(event);
+        Some((call, receiver))
+    }
+
+    /// The client of this call has gone. Its attempts are dropped whatever the module says.
+    pub fn gone(&self, call: CallId) {
+        let open = self.core.borrow().calls.get(&call).is_some_and(|c| c.answer.is_some());
+        if !open {
+            return;
+        }
+        self.core.borrow_mut().close(call, None);
+        self.event(Event::Gone { call });
+        self.drop_attempts(call);
+    }
+
+    /// May the first byte of this attempt be written now? Asked after the connection is there: the call may
+    /// have ended meanwhile, its time may be up, its host may drain or be another process.
+    pub fn may_start(&self, call: CallId, attempt: u32, generation: u64) -> bool {
+        let core = self.core.borrow();
+        core.calls.get(&call).filter(|c| c.answer.is_some()).is_some_and(|c| {
+            c.attempts.get(attempt as usize).is_some_and(|a| {
+                let host = core.hosts.get(a.server.0 as usize);
+                a.out
+                    && self.clock.now() < a.until
+                    && host.is_some_and(|h| h.state == State::Ready && h.generation == generation)
+            })
+        })
+    }
+
+    /// An attempt has ended by itself. Only its first outcome counts.
+    pub fn ended(&self, call: CallId, attempt: u32, ended: Ended) {
+        if self.core.borrow_mut().outcome(self.clock.now(), call, attempt, ended) {
+            self.run();
+        }
+    }
+
+    /// News of the list.
+    pub fn members(&self, kind: ListKind, list: &[Endpoint]) {
+        let mut entries = Vec::new();
+        let mut core = self.core.borrow_mut();
+        let core = &mut *core;
+        if matches!(kind, ListKind::Full | ListKind::Cached) {
+            for (host, number) in core.hosts.iter_mut().zip(0..) {
+                if !list.iter().any(|e| e.name == host.name) {
+                    host.state = State::Gone;
+                    self.sockets.close(ServerId(number));
+                }
+            }
+        }
+        for endpoint in list {
+            let state = match endpoint.status.as_str() {
+                "up" => State::Ready,
+                "removed" => State::Gone,
+                // Draining, and what is not known: nothing new goes there.
+                _ => State::Draining,
+            };
+            let (next, started) = (core.hosts.len() as u32, endpoint.since_ms.saturating_mul(1_000));
+            let server = *core.numbers.entry(endpoint.name.clone()).or_insert(ServerId(next));
+            if server.0 == next {
+                let name = endpoint.name.clone();
+                core.hosts.push(Host { name, address: None, started, state, generation: 0 });
+            }
+            let Some(host) = core.hosts.get_mut(server.0 as usize) else { continue };
+            let address = endpoint.address.parse().ok().or(host.address.filter(|_| state != State::Ready));
+            // The same name with a new start is a new process, and a new address another way to it: what is
+            // open leads to the old one.
+            if address != host.address || started != host.started {
+                host.generation += 1;
+            }
+            if state != State::Ready || address != host.address || started != host.started {
+                self.sockets.close(server);
+            }
+            (host.state, host.address, host.started) = (state, address, started);
+            entries.push(Entry {
+                server,
+                state,
+                zone: settings::zone(&endpoint.zone),
+                cell: CellId(endpoint.group),
+                kind: settings::kind(&endpoint.kind),
+                weight: endpoint.weight,
+                started,
+            });
+        }
+        core.events.push_back(Event::Members { kind, entries });
+        self.run_with(core);
+    }
+
+    /// Asking for the list failed, or the watch broke.
+    pub fn members_failed(&self) {
+        self.event(Event::Members { kind: ListKind::Failed, entries: Vec::new() });
+    }
+
+    fn event(&self, event: Event) {
+        self.core.borrow_mut().events.push_back(event);
+        self.run();
+    }
+
+    fn run(&self) {
+        self.run_with(&mut self.core.borrow_mut());
+    }
+
+    /// Hands the events to the module in their order and carries out what it says; an action may bring a
+    /// further event at once, so this goes on until none is left.
+    fn run_with(&self, core: &mut Core) {
+        let first = core.timers.first().copied();
+        while let Some(event) = core.events.pop_front() {
+            let now = self.clock.now();
+            let mut actions = std::mem::take(&mut core.actions);
+            let touched = match event {
+                Event::Outcome { call, .. } => Some(call),
+                _ => None,
+            };
+            core.balancer.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(core, now, action);
+            }
+            core.actions = actions;
+            if let Some(call) = touched {
+                core.tidy(call);
+            }
+        }
+        if core.timers.first().copied() != first {
+            self.timer_moved.notify_one();
+        }
+    }
+
+    fn act(&self, core: &mut Core, now: Micros, action: Action) {
+        match action {
+            Action::Send { call, server, until } => self.send(core, now, (call, server, until)),
+            Action::Refuse { call, retry_after } => core.close(call, Some(Answer::Refused { retry_after })),
+            Action::Fail { call } => core.close(call, Some(Answer::Failed)),
+            Action::Cancel { call, attempt } => {
+                core.outcome(now, call, attempt, Outcome::CalledOff.into());
+            }
+            Action::Wake { after } => {
+                core.timers.insert((now.saturating_add(after), Due::Module));
+            }
+            Action::Subscribe => self.subscribe.notify_one(),
+            // Where the site allows no probes the module asks for none.
+            Action::Probe { server } => core.events.push_back(Event::Probed {
+                server,
+                outcome: Outcome::NotSent,
+                elapsed: 0,
+                load: Load::default(),
+            }),
+            Action::Log { text } => {
+                let name = |n: &str| core.hosts.get(n.parse::<usize>().ok()?).map(|h| h.name.clone());
+                let words = text.split(' ').map(|w| name(w).unwrap_or_else(|| w.to_owned()));
+                eprintln!("badgerramp: {}", words.collect::<Vec<_>>().join(" "));
+            }
+        }
+    }
+
+    fn send(&self, core: &mut Core, now: Micros, (id, server, until): (CallId, ServerId, Option<Micros>)) {
+        let Some(call) = core.calls.get_mut(&id) else { return };
+        let number = call.attempts.len() as u32;
+        let until = until.filter(|&u| u > 0).unwrap_or(Micros::MAX).min(call.deadline);
+        call.attempts.push(Attempt { server, sent: now, until, task: None, out: true });
+        let host = core.hosts.get(server.0 as usize);
+        let target = host
+            .filter(|h| h.state == State::Ready)
+            .and_then(|h| Some(Target { server, address: h.address?, generation: h.generation }));
+        let Some(target) = target.filter(|_| call.answer.is_some() && until > now) else {
+            core.outcome(now, id, number, Outcome::NotSent.into());
+            return;
+        };
+        core.timers.insert((until, Due::Attempt(id, number)));
+        let (driver, request) = (self.clone(), Rc::clone(&call.request));
+        let task = tokio::task::spawn_local(async move {
+            // An attempt whose task dies may have run; without this its call would wait for its deadline.
+            let mut guard = Guard { driver, call: id, attempt: number, ended: Some(Outcome::Unknown.into()) };
+            let driver = &guard.driver;
+            let left = || until.saturating_sub(driver.clock.now());
+            let may_start = || driver.may_start(id, number, target.generation);
+            let ended = hosts::attempt(&driver.sockets, target, &request, left, may_start).await;
+            guard.ended = Some(ended);
+        });
+        call.attempts[number as usize].task = Some(task.abort_handle());
+    }
+
+    /// Gives up what is still out for a call of which nothing more is wanted.
+    fn drop_attempts(&self, call: CallId) {
+        let mut core = self.core.borrow_mut();
+        let count = core.calls.get(&call).map_or(0, |c| c.attempts.len() as u32);
+        for attempt in 0..count {
+            core.outcome(self.clock.now(), call, attempt, Outcome::CalledOff.into());
+        }
+        self.run_with(&mut core);
+        core.tidy(call);
+    }
+
+    /// Serves the timers, for as long as the program runs.
+    pub async fn timers(&self) {
+        loop {
+            let next = self.core.borrow().timers.first().map(|t| t.0);
+            match next {
+                Some(at) if at <= self.clock.now() => self.due(),
+                Some(at) => {
+                    tokio::select! {
+                        () = tokio::time::sleep_until(self.clock.instant(at)) => {}
+                        () = self.timer_moved.notified() => {}
+                    }
+                }
+                None => self.timer_moved.notified().await,
+            }
+        }
+    }
+
+    fn due(&self) {
+        let mut core = self.core.borrow_mut();
+        let core = &mut *core;
+        let now = self.clock.now();
+        while let Some((_, due)) = core.timers.first().filter(|t| t.0 <= now).copied() {
+            core.timers.pop_first();
+            match due {
+                Due::Attempt(call, attempt) => {
+                    core.outcome(now, call, attempt, Outcome::TimedOut.into());
+                }
+                Due::Module => core.events.push_back(Event::Timer),
+                Due::Backstop(call) => {
+                    if core.calls.get(&call).is_some_and(|c| c.answer.is_some()) {
+                        // Whatever the module does, a call ends by its deadline.
+                        core.close(call, Some(Answer::Overdue));
+                        core.events.push_back(Event::Gone { call });
+                    }
+                }
+            }
+            self.run_with(core);
+        }
+    }
+}
+
+/// Reports the outcome of an attempt when its task ends, however that comes about.
+struct Guard {
+    driver: Driver,
+    call: CallId,
+    attempt: u32,
+    ended: Option<Ended>,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if let Some(ended) = self.ended.take() {
+            self.driver.ended(self.call, self.attempt, ended);
+        }
+    }
+}
+
+impl Core {
+    /// Gives the final answer, if it has not been given yet.
+    fn close(&mut self, id: CallId, answer: Option<Answer>) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        if let Some(sender) = call.answer.take() {
+            self.open -= 1;
+            self.timers.remove(&(call.deadline, Due::Backstop(id)));
+            if let Some(answer) = answer {
+                // The client may be gone: then its connection's end says so.
+                let _ = sender.send(answer);
+            }
+        }
+        self.tidy(id);
+    }
+
+    /// Notes the end of an attempt, stops its task and queues the event. False if it had ended before.
+    fn outcome(&mut self, now: Micros, id: CallId, number: u32, ended: Ended) -> bool {
+        let Some(call) = self.calls.get_mut(&id) else { return false };
+        let Some(attempt) = call.attempts.get_mut(number as usize).filter(|a| a.out) else { return false };
+        attempt.out = false;
+        self.timers.remove(&(attempt.until, Due::Attempt(id, number)));
+        if let Some(task) = attempt.task.take() {
+            // Its connection goes with it: the host learns that nobody waits.
+            task.abort();
+        }
+        let elapsed = now.saturating_sub(attempt.sent);
+        let Ended { outcome, load, served } = ended;
+        if let Some((body, content_type)) = served {
+            if let Some(sender) = call.answer.take() {
+                self.open -= 1;
+                self.timers.remove(&(call.deadline, Due::Backstop(id)));
+                let _ = sender.send(Answer::Served { body, content_type });
+            }
+        }
+        let closed = call.answer.is_none();
+        self.events.push_back(Event::Outcome { call: id, attempt: number, outcome, elapsed, closed, load });
+        true
+    }
+
+    /// Forgets a call once it has ended and none of its attempts is out.
+    fn tidy(&mut self, id: CallId) {
+        if self.calls.get(&id).is_some_and(|c| c.answer.is_none() && c.attempts.iter().all(|a| !a.out)) {
+            self.calls.remove(&id);
+        }
+    }
+}
