Read load reports under the names that the settings give their columns

Cause: load() in hosts.rs knew only the protocol's example names (inflight, queue); a probe of answers shows 'TEXT active=0.965, waiting=0, avg_ms=17.5', the names of report.columns, so the module got no report at all. Test: an attempt over loopback reads a report under both spellings; it fails with the old names.

--- a/src/main.rs
+++ b/src/main.rs
@@ -70,7 +70,7 @@
     let mut watch = tokio::task::spawn_local(discovery::run(driver.clone(), config.discovery, index));
     let sweep = async {
         loop {
-            tokio::time::sleep(Duration::from_secs(1)).await;
+            tokio::time::sleep(Duration::from_millis(250)).await;
             hosts.sweep();
         }
     };
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -31,6 +31,10 @@
 const SPARES_OF_ALL: usize = 60;
 const SPARES: (usize, usize) = (4, 16);
 
+/// How long a connection may stand idle. Each one open takes a part of its host's capacity all the while,
+/// which soon outweighs the work of opening it anew.
+const SPARE_TIME: Micros = 2_000_000;
+
 /// Where an attempt goes.
 #[derive(Clone, Copy, Debug)]
 pub struct Target {
@@ -159,7 +163,7 @@
             clock,
             connect_timeout: Duration::from_micros(transport.connect_timeout),
             // Well ahead of the host, which may close it any time from then on.
-            idle_most: transport.conn_idle / 4 * 3,
+            idle_most: (transport.conn_idle / 4 * 3).min(SPARE_TIME),
             spares,
         })
     }
@@ -309,19 +313,74 @@
     Some(message)
 }
 
-/// Reads a load report. What is odd in it is skipped.
+/// Reads a load report. What is odd in it is skipped. Its figures bear the names that the settings give the
+/// columns (`active`), or those of the protocol's example (`inflight`): a reader of the latter alone left the
+/// module without any report, and hosts were loaded until calls timed out.
 pub fn load(value: &HeaderValue) -> Load {
     let mut load = Load::default();
     let text = value.to_str().unwrap_or_default();
     for (name, value) in text.trim_start_matches("TEXT").split(',').filter_map(|part| part.split_once('=')) {
         let value = value.trim().parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0);
         match name.trim() {
-            "inflight" => load.in_hand = value,
-            "queue" => load.waiting = value,
-            "util" => load.busy = value,
-            "eps" => load.error_rate = value,
+            "active" | "inflight" => load.in_hand = value,
+            "waiting" | "queue" => load.waiting = value,
+            "cpu" | "util" => load.busy = value,
+            "err_rps" | "eps" => load.error_rate = value,
             _ => {}
         }
     }
     load
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hyper::http::{Method, Uri};
+    use std::io::{Read, Write};
+    use std::net::TcpListener;
+
+    /// One attempt at a stub that reads a little and answers `text`.
+    fn attempt_at(text: &'static str, may_start: bool) -> Ended {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("its address");
+        std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            if stream.read(&mut [0; 4096]).is_ok_and(|n| n > 0) {
+                stream.write_all(text.as_bytes()).expect("an open connection");
+            }
+        });
+        let transport = Transport {
+            max_open: 9,
+            conn_idle: 60_000_000,
+            connect_timeout: Duration::from_secs(9).as_micros() as Micros,
+        };
+        let hosts = Hosts::new(transport, 1, Descriptors::new(9), Clock::start());
+        let target = Target { server: ServerId(0), address, generation: 0 };
+        let request = Request {
+            method: Method::GET,
+            uri: Uri::from_static("/a"),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        };
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        runtime.block_on(attempt(&hosts, target, &request, || 1_000, || may_start))
+    }
+
+    #[test]
+    fn a_load_report_is_read_under_the_names_of_the_settings_and_of_the_example() {
+        let wanted = Load { in_hand: Some(7.0), waiting: Some(2.5), busy: Some(0.5), error_rate: Some(0.0) };
+        for text in [
+            "HTTP/1.1 200 OK\r\nX-Server-Load: TEXT active=7, waiting=2.5, avg_ms=9, cpu=0.5, err_rps=0\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nX-Server-Load: TEXT inflight=7,queue=2.5,util=0.5,eps=0,odd\r\nContent-Length: 0\r\n\r\n",
+        ] {
+            let ended = attempt_at(text, true);
+            assert_eq!((ended.outcome, ended.load), (Outcome::Served, wanted), "{text}");
+        }
+    }
+
+    #[test]
+    fn what_may_not_start_any_more_is_not_sent() {
+        let ended = attempt_at("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false);
+        assert_eq!(ended.outcome, Outcome::NotSent);
+    }
+}
