A host that drains keeps no connection; a stop is heard in a crowd

Found by reading: hosts.rs closed the idle connections of a draining host, but one in use went back among the idle ones when its call ended and stood there, taking a place at a host that wants nothing new. Connections now carry their generation back and are closed if it has passed. Checked: the new test a_host_that_drains_finishes_its_call_and_keeps_no_connection fails without the check (no close within 20 s) and passes with it. Also: a host listed as up without an address gets nothing; the accept loop looks for the stop before the next client. Neither was seen to fail.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -275,7 +275,8 @@
             for (host, number) in core.hosts.iter_mut().zip(0..) {
                 if !list.iter().any(|e| e.name == host.name) {
                     host.state = State::Gone;
-                    self.sockets.close(ServerId(number));
+                    host.generation += 1;
+                    self.sockets.close(ServerId(number), host.generation);
                 }
             }
         }
@@ -294,13 +295,13 @@
             }
             let Some(host) = core.hosts.get_mut(server.0 as usize) else { continue };
             let address = endpoint.address.parse().ok().or(host.address.filter(|_| state != State::Ready));
+            // Nothing can go to a host of which no address is told.
+            let state = if state == State::Ready && address.is_none() { State::Draining } else { state };
             // The same name with a new start is a new process, and a new address another way to it: what is
             // open leads to the old one.
-            if address != host.address || started != host.started {
-                host.generation += 1;
-            }
             if state != State::Ready || address != host.address || started != host.started {
-                self.sockets.close(server);
+                host.generation += 1;
+                self.sockets.close(server, host.generation);
             }
             (host.state, host.address, host.started) = (state, address, started);
             entries.push(Entry {
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -71,7 +71,14 @@
                 (listener.accept().await, place.ok())
             };
             tokio::select! {
+                // A crowd of clients must not keep the stop from being heard, nor a stop clients from being taken.
                 biased;
+                () = &mut stop, if end.is_none() => {
+                    // From now on each answer closes its connection, and idle ones close at once, while new
+                    // ones are still taken: clients move over before the listener goes.
+                    end = Some(Instant::now() + STOP_ACCEPT);
+                    let _ = closing.send(true);
+                }
                 (accepted, place) = accept => match accepted {
                     Ok((stream, _)) => {
                         let crowded = places.available_permits() < self.beyond;
@@ -79,12 +86,6 @@
                     }
                     Err(fault) => self.short_of_sockets(&fault).await,
                 },
-                () = &mut stop, if end.is_none() => {
-                    // From now on each answer closes its connection, and idle ones close at once, while new
-                    // ones are still taken: clients move over before the listener goes.
-                    end = Some(Instant::now() + STOP_ACCEPT);
-                    let _ = closing.send(true);
-                }
                 () = late => break,
             }
         }
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -143,6 +143,7 @@
 /// The connections to all hosts.
 pub struct Hosts {
     idle: RefCell<HashMap<ServerId, Vec<Link>>>,
+    current: RefCell<HashMap<ServerId, u64>>,
     descriptors: Rc<Descriptors>,
     clock: Clock,
     connect_timeout: Duration,
@@ -155,6 +156,7 @@
         let spares = (SPARES_OF_ALL / balancers.max(1) as usize).clamp(SPARES.0, SPARES.1);
         Rc::new(Hosts {
             idle: RefCell::new(HashMap::new()),
+            current: RefCell::new(HashMap::new()),
             descriptors,
             clock,
             connect_timeout: Duration::from_micros(transport.connect_timeout),
@@ -164,9 +166,11 @@
         })
     }
 
-    /// Closes the idle connections to a host.
-    pub fn close(&self, server: ServerId) {
+    /// Closes the idle connections to a host, and those in use of a generation before this one when they
+    /// come back: a host that drains would otherwise keep connections that nothing uses any more.
+    pub fn close(&self, server: ServerId, generation: u64) {
         self.idle.borrow_mut().remove(&server);
+        self.current.borrow_mut().insert(server, generation);
     }
 
     /// Closes what has been idle for too long.
@@ -226,7 +230,8 @@
     }
 
     async fn keep(&self, server: ServerId, mut link: Link) {
-        if !link.alive().await {
+        let old = self.current.borrow().get(&server).is_some_and(|&current| link.generation < current);
+        if old || !link.alive().await {
             return;
         }
         link.idle_since = self.clock.now();
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -4,6 +4,8 @@
 
 use peers::*;
 use std::io::{Read, Write};
+use std::sync::mpsc::channel;
+use std::sync::Mutex;
 use std::time::Instant;
 
 fn up(name: &str, host: &Host) -> String {
@@ -199,6 +201,55 @@
     assert_eq!(proxy.call("safe", "2000m").body, b"new");
 }
 
+#[test]
+fn a_host_that_drains_finishes_its_call_and_keeps_no_connection() {
+    let ((arrived, came), (open, gate)) = (channel(), channel::<()>());
+    let gate = Mutex::new(gate);
+    let host = Host::start(move |_| {
+        let _ = arrived.send(());
+        let _ = gate.lock().expect("one call").recv();
+        Reply::Write(answer("200 OK", "", "late"))
+    });
+    let discovery = Discovery::start();
+    let proxy = Proxy::start(&discovery, &[up("s-1", &host)]);
+    discovery.asked();
+    let mut client = proxy.client();
+    client.send("unsafe", "20000m");
+    came.recv_timeout(LONG).expect("the call at the host");
+    discovery.tell(&list(42, false, &[entry("s-1", host.address, "draining", 0)]));
+    discovery.asked();
+    open.send(()).expect("the host waits");
+    assert_eq!(client.answer().expect("an answer").status(), 200);
+    assert_eq!(host.closed(), 0);
+}
+
+#[test]
+fn the_connection_used_last_is_used_first() {
+    let ((arrived, came), (open, gate)) = (channel(), channel::<()>());
+    let gate = Mutex::new(gate);
+    let host = Host::start(move |n| {
+        let _ = arrived.send(());
+        if n == 0 {
+            let _ = gate.lock().expect("one call").recv();
+        }
+        Reply::Write(answer("200 OK", "", "ok"))
+    });
+    let discovery = Discovery::start();
+    let proxy = Proxy::start(&discovery, &[up("s-1", &host)]);
+    let mut slow = proxy.client();
+    slow.send("unsafe", "20000m");
+    came.recv_timeout(LONG).expect("the first call at the host");
+    assert_eq!(proxy.call("unsafe", "2000m").status(), 200);
+    assert_eq!(host.request().0, 1, "a second connection while the first is in use");
+    open.send(()).expect("the host waits");
+    assert_eq!(slow.answer().expect("an answer").status(), 200);
+    assert_eq!(host.request().0, 0);
+    for _ in 0..3 {
+        assert_eq!(proxy.call("unsafe", "2000m").status(), 200);
+        assert_eq!(host.request().0, 0, "it came back last");
+    }
+}
+
 #[test]
 fn a_watch_that_fails_is_asked_again_and_calls_go_on() {
     let (discovery, host) = (Discovery::start(), Host::serving("ok"));
