--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -31,6 +31,10 @@
 const SPARES_OF_ALL: usize = 60;
 const SPARES: (usize, usize) = (4, 16);
 
+/// The system's word for no descriptor left: in all, and for this process.
+const ENFILE: i32 = 23;
+const EMFILE: i32 = 24;
+
 /// Where an attempt goes.
 #[derive(Clone, Copy, Debug)]
 pub struct Target {
@@ -214,7 +218,14 @@
             None => return Err(Outcome::NotSent),
         };
         let connect = tokio::time::timeout(self.connect_timeout, TcpStream::connect(target.address));
-        let stream = connect.await.ok().and_then(Result::ok).ok_or(Outcome::NoConnection)?;
+        let stream = match connect.await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(fault)) if matches!(fault.raw_os_error(), Some(ENFILE | EMFILE)) => {
+                self.evict();
+                return Err(Outcome::NotSent);
+            }
+            _ => return Err(Outcome::NoConnection),
+        };
         let _ = stream.set_nodelay(true);
         let handed_over = Rc::new(Cell::new(false));
         let io = TokioIo::new(Watched { stream, handed_over: Rc::clone(&handed_over) });
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -224,12 +224,16 @@
 
 static RUNS: AtomicUsize = AtomicUsize::new(0);
 
-/// Starts the program with this text as its configuration.
-pub fn spawn(config: &str) -> (Child, std::path::PathBuf) {
+/// Starts the program with this text as its configuration, with so many descriptors at the most.
+pub fn spawn(config: &str, descriptors: Option<u32>) -> (Child, std::path::PathBuf) {
     let name = format!("badgerramp-{}-{}.json", std::process::id(), RUNS.fetch_add(1, Ordering::SeqCst));
     let path = std::env::temp_dir().join(name);
     std::fs::write(&path, config).expect("a temporary file");
-    let child = Command::new(env!("CARGO_BIN_EXE_badgerramp"))
+    let limit = descriptors.map(|most| format!("ulimit -n {most}; ")).unwrap_or_default();
+    let child = Command::new("sh")
+        .arg("-c")
+        .arg(format!("{limit}exec \"$0\""))
+        .arg(env!("CARGO_BIN_EXE_badgerramp"))
         .env("RELAY_CONFIG", &path)
         .stderr(Stdio::piped())
         .spawn()
@@ -259,9 +263,13 @@
         Proxy::with(&config(listen, discovery.address, 1_024, known))
     }
 
-    /// Waits for the line that tells where it listens.
     pub fn with(text: &str) -> Proxy {
-        let (mut child, config) = spawn(text);
+        Proxy::within(text, None)
+    }
+
+    /// Waits for the line that tells where it listens.
+    pub fn within(text: &str, descriptors: Option<u32>) -> Proxy {
+        let (mut child, config) = spawn(text, descriptors);
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
         loop {
             let mut line = String::new();
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -319,12 +319,35 @@
     }
 }
 
+#[test]
+fn out_of_descriptors_it_waits_for_some_and_lives() {
+    let (discovery, host) = (Discovery::start(), Host::serving("ok"));
+    let listen = "127.0.0.1:0".parse().expect("an address");
+    let text = config(listen, discovery.address, 1_024, &[up("s-1", &host)]);
+    // The system gives far fewer than the configuration promises.
+    let mut proxy = Proxy::within(&text, Some(24));
+    discovery.asked();
+    let clients: Vec<Client> = (0..40)
+        .map(|_| {
+            let mut client = proxy.client();
+            client.send("unsafe", "500m");
+            client
+        })
+        .collect();
+    drop(clients);
+    let asked = Instant::now();
+    while proxy.call("safe", "2000m").status() != 200 {
+        assert!(asked.elapsed() < LONG);
+    }
+    assert!(proxy.child.try_wait().expect("a child").is_none(), "it still runs");
+}
+
 #[test]
 fn bad_configuration_is_one_line_and_a_failure() {
     let address = nobody();
     let good = config(address, address, 1_024, &[]);
     for text in ["", "{", "{}", &good.replace("8c1f", "seed"), &good.replace("\"cold_from\"", "\"warm\"")] {
-        let (mut child, path) = spawn(text);
+        let (mut child, path) = spawn(text, None);
         let mut message = String::new();
         child.stderr.take().expect("piped").read_to_string(&mut message).expect("text");
         assert_eq!(child.wait().expect("an end").code(), Some(1), "{text}");
