An attempt whose time ends while it connects has never run

Seen: with a host whose queue is full, an unsafe call was failed (502) though no byte had been sent: the new test a_connect_that_hangs_... wanted 503. Cause: driver.rs reported every attempt whose time was up as timed out, which may have run, also one that still waited for its connection (the last tries of a call have less time left than the connect time-out). Ruled out: the connect time-out itself, which gave 'no connection' in time on the first try. Mend: the driver notes when the first byte may be written and says 'no connection' before that. The test failed before and passes now. A second test makes a connect hang and end with its call: with the abort of attempts taken out it fails, as do three others.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -120,6 +120,8 @@
     server: ServerId,
     sent: Micros,
     until: Micros,
+    /// Its first byte may have been written.
+    started: bool,
     /// None once its outcome is in.
     task: Option<AbortHandle>,
     out: bool,
@@ -248,15 +250,14 @@
     /// May the first byte of this attempt be written now? Asked after the connection is there: the call may
     /// have ended meanwhile, its time may be up, its host may drain or be another process.
     pub fn may_start(&self, call: CallId, attempt: u32, generation: u64) -> bool {
-        let core = self.core.borrow();
-        core.calls.get(&call).filter(|c| c.answer.is_some()).is_some_and(|c| {
-            c.attempts.get(attempt as usize).is_some_and(|a| {
-                let host = core.hosts.get(a.server.0 as usize);
-                a.out
-                    && self.clock.now() < a.until
-                    && host.is_some_and(|h| h.state == State::Ready && h.generation == generation)
-            })
-        })
+        let mut core = self.core.borrow_mut();
+        let Core { calls, hosts, .. } = &mut *core;
+        let Some(call) = calls.get_mut(&call).filter(|c| c.answer.is_some()) else { return false };
+        let Some(attempt) = call.attempts.get_mut(attempt as usize).filter(|a| a.out) else { return false };
+        let host = hosts.get(attempt.server.0 as usize);
+        attempt.started = self.clock.now() < attempt.until
+            && host.is_some_and(|h| h.state == State::Ready && h.generation == generation);
+        attempt.started
     }
 
     /// An attempt has ended by itself. Only its first outcome counts.
@@ -388,7 +389,7 @@
         let Some(call) = core.calls.get_mut(&id) else { return };
         let number = call.attempts.len() as u32;
         let until = until.filter(|&u| u > 0).unwrap_or(Micros::MAX).min(call.deadline);
-        call.attempts.push(Attempt { server, sent: now, until, task: None, out: true });
+        call.attempts.push(Attempt { server, sent: now, until, started: false, task: None, out: true });
         let host = core.hosts.get(server.0 as usize);
         let target = host
             .filter(|h| h.state == State::Ready)
@@ -447,7 +448,14 @@
             core.timers.pop_first();
             match due {
                 Due::Attempt(call, attempt) => {
-                    core.outcome(now, call, attempt, Outcome::TimedOut.into());
+                    let tried = core.calls.get(&call).and_then(|c| c.attempts.get(attempt as usize));
+                    // Its time may be up while it still waits for its connection. Then it never ran, and to
+                    // say 'timed out' would fail an unsafe call that may safely go again or be refused.
+                    let outcome = match tried {
+                        Some(Attempt { started: false, .. }) => Outcome::NoConnection,
+                        _ => Outcome::TimedOut,
+                    };
+                    core.outcome(now, call, attempt, outcome.into());
                 }
                 Due::Module => core.events.push_back(Event::Timer),
                 Due::Backstop(call) => {
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -159,6 +159,45 @@
     TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
 }
 
+/// A host at which connections hang: its queue is full and it takes nobody.
+pub struct Deaf {
+    pub address: SocketAddr,
+    listener: TcpListener,
+    waiting: Vec<TcpStream>,
+}
+
+impl Deaf {
+    pub fn start() -> Deaf {
+        // The standard library's listener has a long queue; this one's is one.
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().expect("a runtime");
+        let _entered = runtime.enter();
+        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+        socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+        let listener = socket.listen(1).and_then(tokio::net::TcpListener::into_std).expect("a listener");
+        let address = listener.local_addr().expect("its address");
+        let mut waiting = Vec::new();
+        while let Ok(stream) = TcpStream::connect_timeout(&address, SHORT) {
+            waiting.push(stream);
+            assert!(waiting.len() < 64, "the queue never fills");
+        }
+        Deaf { address, listener, waiting }
+    }
+
+    /// Takes those that wait, and tells whether another comes in the time in which its next try would.
+    pub fn another_comes(self) -> bool {
+        self.listener.set_nonblocking(true).expect("a listener");
+        let known: Vec<_> = self.waiting.iter().map(|w| w.local_addr().expect("an address")).collect();
+        let asked = std::time::Instant::now();
+        while asked.elapsed() < SHORT * 10 {
+            match self.listener.accept() {
+                Ok((_, from)) if !known.contains(&from) => return true,
+                _ => thread::sleep(SHORT / 30),
+            }
+        }
+        false
+    }
+}
+
 /// Discovery: the test sees each question and gives each answer.
 pub struct Discovery {
     pub address: SocketAddr,
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -96,6 +96,28 @@
     assert_eq!(host.closed(), 0);
 }
 
+#[test]
+fn a_connect_under_way_is_dropped_when_its_call_ends() {
+    let (discovery, deaf) = (Discovery::start(), Deaf::start());
+    let listen = "127.0.0.1:0".parse().expect("an address");
+    let text = config(listen, discovery.address, 1_024, &[entry("s-1", deaf.address, "up", 0)]);
+    let text = text.replace(r#""connect_timeout_us":1000000"#, r#""connect_timeout_us":60000000"#);
+    let proxy = Proxy::with(&text);
+    let answer = proxy.call("unsafe", "300m");
+    assert_ne!(answer.status(), 200);
+    assert!(!deaf.another_comes(), "nothing starts after the final answer");
+}
+
+#[test]
+fn a_connect_that_hangs_ends_in_the_settings_time_and_never_ran() {
+    let (discovery, deaf) = (Discovery::start(), Deaf::start());
+    let proxy = Proxy::start(&discovery, &[entry("s-1", deaf.address, "up", 0)]);
+    let asked = Instant::now();
+    let answer = proxy.call("unsafe", "60000m");
+    assert_eq!(answer.status(), 503, "refused, as nothing has run: {}", answer.head);
+    assert!(asked.elapsed() < LONG, "{:?}", asked.elapsed());
+}
+
 #[test]
 fn a_client_that_leaves_takes_its_attempt_along() {
     let (discovery, host) = (Discovery::start(), Host::start(|_| Reply::Silence));
