SIGHUP rereads the configuration and moves discovery

Cause: main.rs installed a handler for SIGTERM only, so SIGHUP kept its default; discovery.rs took its address once. Ruled out: a panic (the log ends without one). A connect to a silent discovery could also hang for the whole 12 s of a watch; it now has 1 s, and a list asked for at once 3.5 s. Test: a_new_configuration_moves_discovery_and_a_bad_one_changes_nothing (the old program is killed by it).

--- a/src/main.rs
+++ b/src/main.rs
@@ -15,7 +15,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpSocket;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::watch;
 
 /// Descriptors kept out of the count: standard streams, the runtime's own, the listener, discovery, and a
 /// client's connection that is closed as soon as it is accepted.
@@ -44,10 +45,30 @@
     serde_json::from_slice(&text).map_err(|e| format!("configuration {path}: {e}"))
 }
 
-async fn run(config: Config) -> Result<(), String> {
+/// Rereads the configuration at each SIGHUP. Where to find discovery is what may change in a running
+/// program; a file that can't be read, or not in every part, changes nothing.
+async fn reloads(mut hangups: Signal, discovery: watch::Sender<SocketAddr>) {
+    while hangups.recv().await.is_some() {
+        let read = config().and_then(|config| {
+            settings::read(&config.settings).map_err(|e| format!("settings: {e}"))?;
+            Ok(config.discovery)
+        });
+        match read {
+            Ok(address) => {
+                discovery.send_if_modified(|old| std::mem::replace(old, address) != address);
+            }
+            Err(fault) => eprintln!("badgerramp: the old configuration stays: {fault}"),
+        }
+    }
+}
+
+async fn run() -> Result<(), String> {
+    // First of all: until then either signal kills.
+    let hangups = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
+    let config = config()?;
     let facts = settings::read(&config.settings).map_err(|e| format!("settings: {e}"))?;
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|e| format!("seed {}: {e}", config.seed))?;
-    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
     let socket = TcpSocket::new_v4().map_err(|e| format!("socket: {e}"))?;
     let bind = |e| format!("listen on {}: {e}", config.listen);
     socket.set_reuseaddr(true).map_err(bind)?;
@@ -67,7 +88,9 @@
         let driver = driver.clone();
         async move { driver.timers().await }
     });
-    let mut watch = tokio::task::spawn_local(discovery::run(driver.clone(), config.discovery, index));
+    let (moved, address) = watch::channel(config.discovery);
+    let mut watch = tokio::task::spawn_local(discovery::run(driver.clone(), address, index));
+    let reloads = tokio::task::spawn_local(reloads(hangups, moved));
     let sweep = async {
         loop {
             tokio::time::sleep(Duration::from_millis(250)).await;
@@ -87,16 +110,16 @@
         // Without these calls would stay unanswered: better a crash that is seen.
         ended = &mut timers => Err(format!("the timers ended: {ended:?}")),
         ended = &mut watch => Err(format!("discovery ended: {ended:?}")),
+        ended = reloads => Err(format!("the reader of the configuration ended: {ended:?}")),
         () = sweep => Ok(()),
     }
 }
 
 fn main() -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let done = config().and_then(|config| {
-        let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-        tokio::task::LocalSet::new().block_on(&runtime, run(config))
-    });
+    let done = runtime
+        .map_err(|e| format!("runtime: {e}"))
+        .and_then(|runtime| tokio::task::LocalSet::new().block_on(&runtime, run()));
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 /// How long a watch waits for news. A service that has fallen silent shows only after that, so it is short;
@@ -19,6 +20,10 @@
 const WAIT: Duration = Duration::from_secs(10);
 /// Silence beyond the wait that is a failure.
 const SILENCE: Duration = Duration::from_secs(2);
+/// ... and for a list that is asked for at once: the service gives its callers up after three.
+const FETCH: Duration = Duration::from_millis(3_500);
+/// A connection that is not up by then has failed: a service that has vanished refuses nobody.
+const CONNECT: Duration = Duration::from_secs(1);
 /// Most bytes of a list: some thousand hosts.
 const LIST_MOST: usize = 4 << 20;
 /// A pause after an answer that came at once and told nothing new: it stays within the 200 ms in which the
@@ -36,34 +41,62 @@
     }
 }
 
-/// Keeps the list up to date, for as long as the program runs.
-pub async fn run(driver: Driver, address: SocketAddr, mut index: Option<u64>) {
+/// Keeps the list up to date, for as long as the program runs. When `address` changes, the whole list is
+/// fetched at the new one at once: the old service's index means nothing there.
+pub async fn run(driver: Driver, mut address: watch::Receiver<SocketAddr>, mut index: Option<u64>) {
+    let mut moved = false;
     loop {
-        driver.subscribed().await;
-        let mut link = None;
-        loop {
-            let asked = Instant::now();
-            match tokio::time::timeout(WAIT + SILENCE, ask(&mut link, address, index)).await {
-                Ok(Ok(list)) => {
-                    let kind = if list.snapshot { ListKind::Full } else { ListKind::Delta };
-                    driver.members(kind, &list.endpoints);
-                    if index == Some(list.index) && asked.elapsed() < CALM {
-                        tokio::time::sleep(CALM).await;
-                    }
-                    index = Some(list.index);
-                }
-                Ok(Err(fault)) => {
-                    eprintln!("badgerramp: discovery: {fault}");
-                    break;
-                }
-                Err(_) => {
-                    eprintln!("badgerramp: discovery: no answer");
-                    break;
+        if !moved {
+            tokio::select! {
+                () = driver.subscribed() => {}
+                () = changed(&mut address) => index = None,
+            }
+        }
+        let at = *address.borrow_and_update();
+        moved = tokio::select! {
+            biased;
+            () = changed(&mut address) => true,
+            () = follow(&driver, at, &mut index) => false,
+        };
+        if moved {
+            index = None;
+        } else {
+            driver.members_failed();
+        }
+    }
+}
+
+/// Resolves when there is another address; never once none can come any more.
+async fn changed(address: &mut watch::Receiver<SocketAddr>) {
+    if address.changed().await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Watches at one address until that fails.
+async fn follow(driver: &Driver, address: SocketAddr, index: &mut Option<u64>) {
+    let mut link = None;
+    loop {
+        let asked = Instant::now();
+        let patience = if index.is_some() { WAIT + SILENCE } else { FETCH };
+        match tokio::time::timeout(patience, ask(&mut link, address, *index)).await {
+            Ok(Ok(list)) => {
+                let kind = if list.snapshot { ListKind::Full } else { ListKind::Delta };
+                driver.members(kind, &list.endpoints);
+                if *index == Some(list.index) && asked.elapsed() < CALM {
+                    tokio::time::sleep(CALM).await;
                 }
+                *index = Some(list.index);
+            }
+            Ok(Err(fault)) => {
+                eprintln!("badgerramp: discovery: {fault}");
+                return;
+            }
+            Err(_) => {
+                eprintln!("badgerramp: discovery: no answer");
+                return;
             }
         }
-        drop(link);
-        driver.members_failed();
     }
 }
 
@@ -88,7 +121,9 @@
 }
 
 async fn connect(address: SocketAddr) -> Result<Link, String> {
-    let stream = TcpStream::connect(address).await.map_err(|e| format!("no connection: {e}"))?;
+    let stream = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
+    let stream = stream.map_err(|_| "no connection in time".to_owned())?;
+    let stream = stream.map_err(|e| format!("no connection: {e}"))?;
     let _ = stream.set_nodelay(true);
     let (mut sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(|e| format!("no connection: {e}"))?;
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -321,10 +321,31 @@
     }
 
     pub fn terminate(&self) {
-        let done = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+        self.signal("-TERM");
+    }
+
+    fn signal(&self, signal: &str) {
+        let done = Command::new("kill").arg(signal).arg(self.child.id().to_string()).status();
         assert!(done.expect("kill").success());
     }
 
+    /// Replaces the configuration and has the program read it.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(&self.config, text).expect("a temporary file");
+        self.signal("-HUP");
+    }
+
+    /// The next line of its log that has these words; those before it are passed over.
+    pub fn logged(&mut self, words: &str) -> String {
+        loop {
+            let mut line = String::new();
+            assert!(self.log.read_line(&mut line).expect("text") > 0, "it ended");
+            if line.contains(words) {
+                return line;
+            }
+        }
+    }
+
     /// Waits for its end; true if that came in time and was no failure.
     pub fn ended(&mut self) -> bool {
         let asked = std::time::Instant::now();
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -291,6 +291,33 @@
     assert!(discovery.asked().contains("index=42&"));
 }
 
+/// SIGHUP killed the program. Now it moves on to the discovery that the file names, whose versions have nothing to
+/// do with the old one's, while calls go on; a bad file changes nothing.
+#[test]
+fn a_new_configuration_moves_discovery_and_a_bad_one_changes_nothing() {
+    let (old, new) = (Discovery::start(), Discovery::start());
+    let (one, two) = (Host::serving("1"), Host::serving("2"));
+    let mut proxy = Proxy::start(&old, &[up("s-1", &one)]);
+    assert!(old.asked().contains("index=41&"));
+    let moved = config(proxy.address, new.address, 1_024, &[]);
+    for bad in ["", "{", &moved.replace("\"cold_from\"", "\"warm\"")] {
+        proxy.reload(bad);
+        proxy.logged("the old configuration stays");
+        assert_eq!(proxy.call("safe", "2000m").body, b"1");
+    }
+    proxy.reload(&moved);
+    assert!(new.asked().starts_with("GET /catalog/members HTTP/1.1"), "the whole list");
+    assert_eq!(proxy.call("safe", "2000m").body, b"1", "calls go on while the new list is awaited");
+    new.tell(&list(7, true, &[up("s-2", &two)]));
+    assert!(new.asked().contains("index=7&"));
+    assert_eq!(proxy.call("safe", "2000m").body, b"2");
+    // The same again is harmless: the watch there goes on.
+    proxy.reload(&moved);
+    new.tell(&list(8, false, &[]));
+    assert!(new.asked().contains("index=8&"));
+    assert_eq!(proxy.call("safe", "2000m").body, b"2");
+}
+
 #[test]
 fn a_stop_finishes_what_is_taken_and_a_start_binds_at_once() {
     let discovery = Discovery::start();
