Spoilt answers are errors, stale bytes are seen before use, gone hosts are forgotten

All spoilt ones (no HTTP, odd status or length, broken chunks, endless heads, 3 GB) ended as resets, and hosts.rs gave the module a reset for each; a reset at the lowest budget sets a host aside at once. Cause: Link::exchange made one outcome of two. Ruled out: answers mixed up (none in the log), CPU, sockets. Now what can't be used is an error; a declared length over the bound, two framings, a coding that does not end, 101 fail at once; heads have 16 KB. Also: a connection is looked at in the kernel by a peek at checkout, for the runtime's readiness may lag; of several load reports the first readable one counts; driver and hosts forget gone hosts, numbers and generations are never given again, and the module has one timer. Tests in tests/proxy.rs.

--- a/src/main.rs
+++ b/src/main.rs
@@ -10,7 +10,7 @@
 use net::driver::{Clock, Driver, List};
 use net::front::{Class, Front};
 use net::hosts::Hosts;
-use net::{Bytes, Descriptors};
+use net::{Descriptors, Room};
 use serde::Deserialize;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -99,7 +99,10 @@
     let clock = Clock::start();
     let room = config.limits.sockets.saturating_sub(RESERVE).max(8);
     let descriptors = Descriptors::new(room);
-    let hosts = Hosts::new(facts.transport, facts.settings.balancers, Rc::clone(&descriptors), clock);
+    // The rest is for buffers, which are bounded by the number of connections.
+    let bytes = Room::new((config.limits.memory_mb << 20) / 4);
+    let counted = (Rc::clone(&descriptors), Rc::clone(&bytes));
+    let hosts = Hosts::new(facts.transport, facts.settings.balancers, counted, clock);
     let driver = Driver::new(seed, facts, clock, Rc::clone(&hosts));
     driver.start();
     let index = config.known.as_ref().map(|k| k.index);
@@ -121,8 +124,7 @@
         descriptors,
         clients: Clients::default(),
         classes,
-        // The rest is for buffers, which are bounded by the number of connections.
-        room: Bytes::new((config.limits.memory_mb << 20) / 4),
+        room: bytes,
         open: RefCell::default(),
         advice,
         most: room / 2,
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -12,7 +12,7 @@
 use hyper::http::{HeaderMap, Method, Uri};
 use serde::Deserialize;
 use std::cell::RefCell;
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -107,11 +107,11 @@
 
 #[derive(Debug)]
 struct Host {
-    name: String,
+    name: Rc<str>,
     address: Option<SocketAddr>,
     started: Micros,
     state: State,
-    /// Counts processes and addresses: connections of an earlier one are not used.
+    /// Stands for a process at an address, and for no other: connections of an earlier one are not used.
     generation: u64,
 }
 
@@ -152,9 +152,15 @@
     calls: HashMap<CallId, Call>,
     open: usize,
     next_call: u64,
-    numbers: HashMap<String, ServerId>,
-    hosts: Vec<Host>,
+    /// Hosts of the list. One that is gone is forgotten, as are the numbers of its name: they are never given
+    /// again, so that what is still out there concerns nobody else.
+    numbers: HashMap<Rc<str>, ServerId>,
+    hosts: HashMap<ServerId, Host>,
+    next_host: u32,
+    next_generation: u64,
     timers: BTreeSet<(Micros, Due)>,
+    /// When the module's timer is due: it has one, the earliest that it asked for since the last.
+    module_due: Option<Micros>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
 }
@@ -179,7 +185,10 @@
             open: 0,
             next_call: 0,
             numbers: HashMap::new(),
-            hosts: Vec::new(),
+            hosts: HashMap::new(),
+            next_host: 0,
+            next_generation: 0,
+            module_due: None,
             timers: BTreeSet::new(),
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -251,7 +260,7 @@
         let Core { calls, hosts, .. } = &mut *core;
         let Some(call) = calls.get_mut(&call).filter(|c| c.answer.is_some()) else { return false };
         let Some(attempt) = call.attempts.get_mut(attempt as usize).filter(|a| a.out) else { return false };
-        let host = hosts.get(attempt.server.0 as usize);
+        let host = hosts.get(&attempt.server);
         attempt.started = self.clock.now() < attempt.until
             && host.is_some_and(|h| h.state == State::Ready && h.generation == generation);
         attempt.started
@@ -273,13 +282,10 @@
         let mut core = self.core.borrow_mut();
         let core = &mut *core;
         if matches!(kind, ListKind::Full | ListKind::Cached) {
-            for (host, number) in core.hosts.iter_mut().zip(0..) {
-                if !list.iter().any(|e| e.name == host.name) {
-                    host.state = State::Gone;
-                    host.generation += 1;
-                    self.sockets.close(ServerId(number), host.generation);
-                }
-            }
+            let named: HashSet<&str> = list.iter().map(|e| e.name.as_str()).collect();
+            let gone: Vec<_> =
+                core.numbers.keys().filter(|name| !named.contains(&***name)).cloned().collect();
+            gone.iter().for_each(|name| core.forget(name, &self.sockets));
         }
         for endpoint in list {
             let state = match endpoint.status.as_str() {
@@ -288,23 +294,25 @@
                 // Draining, and what is not known: nothing new goes there.
                 _ => State::Draining,
             };
-            let (next, started) = (core.hosts.len() as u32, endpoint.since_ms.saturating_mul(1_000));
-            let server = *core.numbers.entry(endpoint.name.clone()).or_insert(ServerId(next));
-            if server.0 == next {
-                let name = endpoint.name.clone();
-                core.hosts.push(Host { name, address: None, started, state, generation: 0 });
-            }
-            let Some(host) = core.hosts.get_mut(server.0 as usize) else { continue };
+            let started = endpoint.since_ms.saturating_mul(1_000);
+            let Some(server) = core.number(&endpoint.name, state) else { continue };
+            let Some(host) = core.hosts.get_mut(&server) else { continue };
             let address = endpoint.address.parse().ok().or(host.address.filter(|_| state != State::Ready));
             // Nothing can go to a host of which no address is told.
             let state = if state == State::Ready && address.is_none() { State::Draining } else { state };
             // The same name with a new start is a new process, and a new address another way to it: what is
             // open leads to the old one.
-            if state != State::Ready || address != host.address || started != host.started {
-                host.generation += 1;
-                self.sockets.close(server, host.generation);
+            if state != State::Ready {
+                self.sockets.close(server);
+            } else if host.state != State::Ready || address != host.address || started != host.started {
+                host.generation = core.next_generation;
+                core.next_generation += 1;
+                self.sockets.open(server, host.generation);
             }
             (host.state, host.address, host.started) = (state, address, started);
+            if state == State::Gone {
+                core.forget(&endpoint.name, &self.sockets);
+            }
             entries.push(Entry {
                 server,
                 state,
@@ -367,7 +375,11 @@
                 core.outcome(now, call, attempt, Outcome::CalledOff.into());
             }
             Action::Wake { after } => {
-                core.timers.insert((now.saturating_add(after), Due::Module));
+                let at = now.saturating_add(after);
+                if core.module_due.is_none_or(|due| at < due) {
+                    core.module_due.replace(at).map(|due| core.timers.remove(&(due, Due::Module)));
+                    core.timers.insert((at, Due::Module));
+                }
             }
             Action::Subscribe => self.subscribe.notify_one(),
             // Where the site allows no probes the module asks for none.
@@ -378,8 +390,8 @@
                 load: Load::default(),
             }),
             Action::Log { text } => {
-                let name = |n: &str| core.hosts.get(n.parse::<usize>().ok()?).map(|h| h.name.clone());
-                let words = text.split(' ').map(|w| name(w).unwrap_or_else(|| w.to_owned()));
+                let name = |n: &str| Some(&*core.hosts.get(&ServerId(n.parse().ok()?))?.name);
+                let words = text.split(' ').map(|w| name(w).unwrap_or(w));
                 eprintln!("badgerramp: {}", words.collect::<Vec<_>>().join(" "));
             }
         }
@@ -390,7 +402,7 @@
         let number = call.attempts.len() as u32;
         let until = until.filter(|&u| u > 0).unwrap_or(Micros::MAX).min(call.deadline);
         call.attempts.push(Attempt { server, sent: now, until, started: false, task: None, out: true });
-        let host = core.hosts.get(server.0 as usize);
+        let host = core.hosts.get(&server);
         let target = host
             .filter(|h| h.state == State::Ready)
             .and_then(|h| Some(Target { server, address: h.address?, generation: h.generation }));
@@ -457,7 +469,10 @@
                     };
                     core.outcome(now, call, attempt, outcome.into());
                 }
-                Due::Module => core.events.push_back(Event::Timer),
+                Due::Module => {
+                    core.module_due = None;
+                    core.events.push_back(Event::Timer);
+                }
                 Due::Backstop(call) => {
                     if core.calls.get(&call).is_some_and(|c| c.answer.is_some()) {
                         // Whatever the module does, a call ends by its deadline.
@@ -488,6 +503,30 @@
 }
 
 impl Core {
+    /// The number of a host by its name: a new one if it was not known. None if it is gone as well.
+    fn number(&mut self, name: &str, state: State) -> Option<ServerId> {
+        if let Some(&number) = self.numbers.get(name) {
+            return Some(number);
+        }
+        if state == State::Gone {
+            return None;
+        }
+        let (number, name) = (ServerId(self.next_host), Rc::<str>::from(name));
+        self.next_host += 1;
+        self.numbers.insert(Rc::clone(&name), number);
+        // Draining until it is known better: whatever its first entry says is news.
+        let host = Host { name, address: None, started: 0, state: State::Draining, generation: 0 };
+        self.hosts.insert(number, host);
+        Some(number)
+    }
+
+    fn forget(&mut self, name: &str, sockets: &Hosts) {
+        if let Some(number) = self.numbers.remove(name) {
+            self.hosts.remove(&number);
+            sockets.close(number);
+        }
+    }
+
     /// Gives the final answer, if it has not been given yet.
     fn close(&mut self, id: CallId, answer: Option<Answer>) {
         let Some(call) = self.calls.get_mut(&id) else { return };
@@ -537,14 +576,14 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::net::Descriptors;
+    use crate::net::{Descriptors, Room};
     use badgerramp::settings::Transport;
     use badgerramp::Settings;
 
     fn driver() -> Driver {
         let clock = Clock::start();
         let transport = Transport { max_open: 9, conn_idle: 60_000_000, connect_timeout: 9_000_000 };
-        let sockets = Hosts::new(transport, 1, Descriptors::new(9), clock);
+        let sockets = Hosts::new(transport, 1, (Descriptors::new(9), Room::new(1 << 20)), clock);
         let facts = Facts { settings: Settings::default(), classes: vec![], tenants: vec![], transport };
         Driver::new(7, facts, clock, sockets)
     }
@@ -587,7 +626,7 @@
             format!(r#"[{{"name":"s","address":"127.0.0.1:9","status":"up","since_ms":{}}}]"#, unix / 1_000);
         let list: Vec<Endpoint> = serde_json::from_str(&list).expect("a list");
         driver.members(ListKind::Full, &list);
-        assert_eq!(driver.core.borrow().hosts[0].started, unix / 1_000 * 1_000);
+        assert_eq!(driver.core.borrow().hosts[&ServerId(0)].started, unix / 1_000 * 1_000);
     }
 
     /// More than the settings allow are turned away before the module sees them.
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -3,7 +3,7 @@
 use super::clients::{Clients, Noted, Seat, UNASKED};
 use super::driver::{Answer, Driver, Intake, Request};
 use super::hosts::{Hosts, BODY_MOST};
-use super::{Bytes as Room, Descriptors};
+use super::{Descriptors, Room};
 use badgerramp::{CallId, ClassId, Micros};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -2,12 +2,13 @@
 //! there is no task behind it, so dropping the attempt closes it, and nothing is ever sent twice.
 
 use super::driver::{Clock, Request};
-use super::{Descriptor, Descriptors};
+use super::socket::{self, Socket};
+use super::{Descriptor, Descriptors, Room};
 use badgerramp::settings::Transport;
 use badgerramp::{Load, Micros, Outcome, ServerId};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Response, StatusCode};
@@ -26,6 +27,8 @@
 
 /// Most bytes of a body, either way.
 pub const BODY_MOST: usize = 64 * 1024;
+/// Most bytes of an answer's head, and of what is read of a body at once.
+const HEAD_MOST: usize = 16 * 1024;
 /// Connections that all client proxies may keep idle at a host between them, and the bounds of a part.
 /// A host holds 76 in all; those in use come on top.
 const SPARES_OF_ALL: usize = 60;
@@ -60,7 +63,7 @@
 
 /// A stream that notes whether all that was to be written has been handed to the socket.
 struct Watched {
-    stream: TcpStream,
+    socket: Socket,
     handed_over: Rc<Cell<bool>>,
 }
 
@@ -70,14 +73,14 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        Pin::new(&mut self.socket).poll_read(cx, buf)
     }
 }
 
 impl AsyncWrite for Watched {
     // Not vectored: head and body are laid together and go out in one write.
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        let written = Pin::new(&mut self.socket).poll_write(cx, buf);
         if let Poll::Ready(Ok(count)) = written {
             self.handed_over.set(count == buf.len());
         }
@@ -85,17 +88,18 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        Pin::new(&mut self.socket).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        Pin::new(&mut self.socket).poll_shutdown(cx)
     }
 }
 
 struct Link {
     sender: SendRequest<Full<Bytes>>,
     connection: Connection<TokioIo<Watched>, Full<Bytes>>,
+    stream: Rc<TcpStream>,
     handed_over: Rc<Cell<bool>>,
     idle_since: Micros,
     generation: u64,
@@ -103,20 +107,26 @@
 }
 
 impl Link {
-    /// Is it open and ready for a request? A connection that its host has closed shows it here.
+    /// Is it open and ready for a request, with nothing on it that belongs to an earlier one? What has come in, an
+    /// end or a second copy of an answer, is looked for in the kernel: the runtime may not know of it yet, and
+    /// would have it read as the answer to the next request.
     async fn alive(&mut self) -> bool {
         let ended = poll_fn(|cx| Poll::Ready(Pin::new(&mut self.connection).poll(cx).is_ready())).await;
-        !ended && self.sender.is_ready()
+        !ended && self.sender.is_ready() && socket::quiet(&self.stream)
     }
 
-    /// One exchange, driven from here. None: the connection broke before the answer was whole.
-    async fn exchange(&mut self, request: hyper::Request<Full<Bytes>>) -> Option<(Response<()>, Bytes)> {
+    /// One exchange, driven from here.
+    async fn exchange(
+        &mut self,
+        request: hyper::Request<Full<Bytes>>,
+        room: &Rc<Room>,
+    ) -> Result<(Response<()>, Bytes), Fault> {
         self.handed_over.set(false);
         let mut exchange = pin!(async {
-            let answer = self.sender.send_request(request).await.ok()?;
+            let answer = self.sender.send_request(request).await.map_err(|e| Fault::of(&e))?;
             let (parts, body) = answer.into_parts();
-            let body = whole(&parts.headers, parts.status, body).await?;
-            Some((Response::from_parts(parts, ()), body))
+            let body = whole(&parts.headers, parts.status, body, room).await?;
+            Ok((Response::from_parts(parts, ()), body))
         });
         let connection = &mut self.connection;
         poll_fn(|cx| {
@@ -127,7 +137,7 @@
             }
             let ended = Pin::new(&mut *connection).poll(cx).is_ready();
             match exchange.as_mut().poll(cx) {
-                Poll::Pending if ended => Poll::Ready(None),
+                Poll::Pending if ended => Poll::Ready(Err(Fault::Broken)),
                 other => other,
             }
         })
@@ -135,19 +145,76 @@
     }
 }
 
-/// The body of an answer, only if it is provably whole: one that ends with its connection may have been cut.
-async fn whole(headers: &HeaderMap, status: StatusCode, body: Incoming) -> Option<Bytes> {
-    let framed = headers.contains_key(header::CONTENT_LENGTH)
-        || headers.contains_key(header::TRANSFER_ENCODING)
-        || status == StatusCode::NO_CONTENT;
-    let body = Limited::new(body, BODY_MOST).collect().await.ok()?;
-    framed.then(|| body.to_bytes())
+/// Why an exchange brought no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    /// The connection broke or ended.
+    Broken,
+    /// What came back is no answer that can be used. The request has run.
+    Spoilt,
+}
+
+impl Fault {
+    fn of(error: &hyper::Error) -> Self {
+        if error.is_parse() {
+            Fault::Spoilt
+        } else {
+            Fault::Broken
+        }
+    }
+}
+
+/// The body of an answer, only if it is provably whole: one that ends with its connection may have been cut, and
+/// one framed in two ways may be anything. What can't be used is not read to its end.
+async fn whole(
+    headers: &HeaderMap,
+    status: StatusCode,
+    body: Incoming,
+    room: &Rc<Room>,
+) -> Result<Bytes, Fault> {
+    let chunked = headers.contains_key(header::TRANSFER_ENCODING);
+    let length = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
+    let most = match length {
+        Some(length) if headers.contains_key(header::CONTENT_LENGTH) && !chunked => length,
+        None if chunked && !headers.contains_key(header::CONTENT_LENGTH) && body_ends(headers) => BODY_MOST,
+        _ if status == StatusCode::NO_CONTENT => 0,
+        _ => return Err(Fault::Spoilt),
+    };
+    if most > BODY_MOST {
+        return Err(Fault::Spoilt);
+    }
+    let _held = room.take(most).ok_or(Fault::Spoilt)?;
+    match Limited::new(body, BODY_MOST).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(fault) => Err(fault.downcast_ref().map_or(Fault::Spoilt, |e: &hyper::Error| {
+            if e.is_incomplete_message() || std::error::Error::source(e).is_some_and(broke) {
+                Fault::Broken
+            } else {
+                Fault::Spoilt
+            }
+        })),
+    }
+}
+
+/// Does a body in this transfer coding tell its end? All others end with the connection.
+fn body_ends(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    let only = codings.next().filter(|_| codings.next().is_none());
+    only.is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"chunked"))
+}
+
+/// Did the connection break, rather than bring what can't be read?
+fn broke(source: &(dyn std::error::Error + 'static)) -> bool {
+    let kinds = [io::ErrorKind::InvalidInput, io::ErrorKind::InvalidData, io::ErrorKind::Other];
+    source.downcast_ref::<io::Error>().is_some_and(|e| !kinds.contains(&e.kind()))
 }
 
 /// The connections to all hosts.
 pub struct Hosts {
     idle: RefCell<HashMap<ServerId, Vec<Link>>>,
+    /// The generation of each host to which something may go.
     current: RefCell<HashMap<ServerId, u64>>,
+    room: Rc<Room>,
     descriptors: Rc<Descriptors>,
     clock: Clock,
     connect_timeout: Duration,
@@ -156,11 +223,17 @@
 }
 
 impl Hosts {
-    pub fn new(transport: Transport, balancers: u32, descriptors: Rc<Descriptors>, clock: Clock) -> Rc<Self> {
+    pub fn new(
+        transport: Transport,
+        balancers: u32,
+        (descriptors, room): (Rc<Descriptors>, Rc<Room>),
+        clock: Clock,
+    ) -> Rc<Self> {
         let spares = (SPARES_OF_ALL / balancers.max(1) as usize).clamp(SPARES.0, SPARES.1);
         Rc::new(Hosts {
             idle: RefCell::new(HashMap::new()),
             current: RefCell::new(HashMap::new()),
+            room,
             descriptors,
             clock,
             connect_timeout: Duration::from_micros(transport.connect_timeout),
@@ -170,13 +243,19 @@
         })
     }
 
-    /// Closes the idle connections to a host, and those in use of a generation before this one when they
-    /// come back: a host that drains would otherwise keep connections that nothing uses any more.
-    pub fn close(&self, server: ServerId, generation: u64) {
-        self.idle.borrow_mut().remove(&server);
+    /// Connections of this generation, and of no other, lead to a host from now on.
+    pub fn open(&self, server: ServerId, generation: u64) {
+        self.close(server);
         self.current.borrow_mut().insert(server, generation);
     }
 
+    /// Nothing leads to a host any more: its idle connections are closed, and those in use when they come back. A
+    /// host that drains would otherwise keep connections that nothing uses.
+    pub fn close(&self, server: ServerId) {
+        self.idle.borrow_mut().remove(&server);
+        self.current.borrow_mut().remove(&server);
+    }
+
     /// Closes what has been idle for too long.
     pub fn sweep(&self) {
         let now = self.clock.now();
@@ -227,12 +306,13 @@
             _ => return Err(Outcome::NoConnection),
         };
         let _ = stream.set_nodelay(true);
-        let handed_over = Rc::new(Cell::new(false));
-        let io = TokioIo::new(Watched { stream, handed_over: Rc::clone(&handed_over) });
-        let (sender, connection) = http1::handshake(io).await.map_err(|_| Outcome::NoConnection)?;
+        let (stream, handed_over) = (Rc::new(stream), Rc::new(Cell::new(false)));
+        let watched = Watched { socket: Socket::new(&stream), handed_over: Rc::clone(&handed_over) };
+        let handshake = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(TokioIo::new(watched)).await;
+        let (sender, connection) = handshake.map_err(|_| Outcome::NoConnection)?;
         let (idle_since, generation) = (0, target.generation);
         let mut link =
-            Link { sender, connection, handed_over, idle_since, generation, _descriptor: descriptor };
+            Link { sender, connection, stream, handed_over, idle_since, generation, _descriptor: descriptor };
         if link.alive().await {
             Ok(link)
         } else {
@@ -241,8 +321,8 @@
     }
 
     async fn keep(&self, server: ServerId, mut link: Link) {
-        let old = self.current.borrow().get(&server).is_some_and(|&current| link.generation < current);
-        if old || !link.alive().await {
+        let current = self.current.borrow().get(&server) == Some(&link.generation);
+        if !current || !link.alive().await {
             return;
         }
         link.idle_since = self.clock.now();
@@ -276,13 +356,18 @@
         return Outcome::NotSent.into();
     }
     let Some(message) = message(request, left()) else { return Outcome::NotSent.into() };
-    let Some((answer, body)) = link.exchange(message).await else {
+    let (answer, body) = match link.exchange(message, &hosts.room).await {
+        Ok(answer) => answer,
+        // Its connection goes in either case. An answer that can't be used is a host's word all the same.
+        Err(Fault::Spoilt) => return Outcome::Error.into(),
         // Never ran only if the last byte was not handed to the socket; all else may have run.
-        let whole = link.handed_over.get();
-        return if whole { Outcome::Reset } else { Outcome::NoConnection }.into();
+        Err(Fault::Broken) if link.handed_over.get() => return Outcome::Reset.into(),
+        Err(Fault::Broken) => return Outcome::NoConnection.into(),
     };
-    hosts.keep(target.server, link).await;
-    let load = answer.headers().get("x-server-load").map(load).unwrap_or_default();
+    if answer.status() != StatusCode::SWITCHING_PROTOCOLS {
+        hosts.keep(target.server, link).await;
+    }
+    let load = loads(answer.headers());
     let turned_away = answer.headers().get("x-not-processed").is_some_and(|v| v.as_bytes() == b"1");
     match answer.status() {
         StatusCode::OK => {
@@ -325,6 +410,12 @@
     Some(message)
 }
 
+/// The load report of an answer: the first that tells anything.
+fn loads(headers: &HeaderMap) -> Load {
+    let mut reports = headers.get_all("x-server-load").iter().map(load);
+    reports.find(|load| *load != Load::default()).unwrap_or_default()
+}
+
 /// Reads a load report. What is odd in it is skipped. Its figures bear the names that the settings give the
 /// columns (`active`), or those of the protocol's example (`inflight`): a reader of the latter alone left the
 /// module without any report, and hosts were loaded until calls timed out.
@@ -366,7 +457,7 @@
             conn_idle: 60_000_000,
             connect_timeout: Duration::from_secs(9).as_micros() as Micros,
         };
-        let hosts = Hosts::new(transport, 1, Descriptors::new(9), Clock::start());
+        let hosts = Hosts::new(transport, 1, (Descriptors::new(9), Room::new(1 << 20)), Clock::start());
         let target = Target { server: ServerId(0), address, generation: 0 };
         let request = Request {
             method: Method::GET,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -44,18 +44,18 @@
 
 /// Counts the bytes of bodies that are held, so that the process stays under its limit of memory.
 #[derive(Debug)]
-pub struct Bytes {
+pub struct Room {
     free: Cell<usize>,
 }
 
 /// Some counted bytes; dropping them counts them out.
 #[derive(Debug)]
-pub struct Held(Rc<Bytes>, usize);
+pub struct Held(Rc<Room>, usize);
 
-impl Bytes {
+impl Room {
     /// Room for `limit` bytes.
     pub fn new(limit: usize) -> Rc<Self> {
-        Rc::new(Bytes { free: Cell::new(limit) })
+        Rc::new(Room { free: Cell::new(limit) })
     }
 
     /// Counts so many in, if there is room.
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -60,6 +60,17 @@
         Reply::Write(answer("500 Internal Server Error", "", "")),
         Reply::Write(answer("503 Service Unavailable", "", "")),
         Reply::Write(answer("200 OK", "", &"x".repeat(70_000))),
+        // The rest has run all the same, and its connection, which stays open, is of no further use.
+        Reply::Write("noise that is no answer\r\n\r\n".to_owned()),
+        Reply::Write("HTTP/1.1 2oo OK\r\nContent-Length: 2\r\n\r\nok".to_owned()),
+        Reply::Write("HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nok".to_owned()),
+        Reply::Write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok".to_owned()),
+        Reply::Write("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nok".to_owned()),
+        Reply::Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nok\r\n".to_owned()),
+        Reply::Write(answer("200 OK", "Transfer-Encoding: chunked\r\n", "0\r\n\r\n")),
+        Reply::WriteAndClose("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok".to_owned()),
+        Reply::Write("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n".to_owned()),
+        Reply::Write(format!("HTTP/1.1 200 OK\r\nX-Long: {}", "x".repeat(40_000))),
     ] {
         let discovery = Discovery::start();
         let shown = format!("{reply:?}").chars().take(90).collect::<String>();
@@ -72,6 +83,56 @@
     }
 }
 
+/// What comes behind a good answer, also while its connection is idle, must not answer the next request. The answer
+/// itself is served; its connection is not used again.
+#[test]
+fn what_follows_an_answer_never_answers_another_request() {
+    for surplus in [answer("200 OK", "", "old"), "noise".to_owned(), "\r\n".to_owned()] {
+        let host = Host::start(move |n| {
+            Reply::Write(
+                answer("200 OK", "", &format!("answer {n}")) + if n % 2 == 0 { &surplus } else { "" },
+            )
+        });
+        let discovery = Discovery::start();
+        let proxy = Proxy::start(&discovery, &[up("s-1", &host)]);
+        for n in 0..10 {
+            let answer = proxy.call("unsafe", "2000m");
+            assert_eq!((answer.status(), answer.body), (200, format!("answer {n}").into_bytes()));
+        }
+    }
+}
+
+/// One spoilt answer tells little of its host. Taken for a broken connection it set a host aside at once.
+#[test]
+fn a_host_that_spoils_one_answer_is_not_set_aside() {
+    let spoils = Host::start(|n| match n {
+        0 => Reply::Write("HTTP/1.1 2oo OK\r\n\r\n".to_owned()),
+        _ => Reply::Write(answer("200 OK", "", "ok")),
+    });
+    let (discovery, other) = (Discovery::start(), Host::serving("ok"));
+    let proxy = Proxy::start(&discovery, &[up("s-1", &spoils), up("s-2", &other)]);
+    let asked = Instant::now();
+    while proxy.call("unsafe", "2000m").status() == 200 {
+        assert!(asked.elapsed() < LONG, "it is never asked");
+    }
+    spoils.request();
+    assert!((0..40).all(|_| proxy.call("unsafe", "2000m").status() == 200));
+    assert!(spoils.further_requests() > 0, "it goes on being used");
+}
+
+/// Answers that are announced by others, and reports that can't be read, are as good as any.
+#[test]
+fn interim_answers_are_skipped() {
+    let interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+    let host = Host::start(move |_| Reply::Write(interim.to_owned() + &answer("200 OK", "", "ok")));
+    let discovery = Discovery::start();
+    let proxy = Proxy::start(&discovery, &[up("s-1", &host)]);
+    for _ in 0..3 {
+        assert_eq!(proxy.call("unsafe", "2000m").body, b"ok");
+        assert_eq!(host.request().0, 0, "the connection is kept");
+    }
+}
+
 #[test]
 fn what_never_ran_goes_to_another_host() {
     let turned_away = answer("503 Service Unavailable", "X-Not-Processed: 1\r\n", "");
