A reset is one connection's, and idle connections are not used at an age at which they break

Cause 1: balance.rs, learn: each reset took a step, the only one set the host aside, and trials can't grow budgets as fast. Now a reset takes a step only where nothing was answered since the last, counts half as a failure, and the last step of a server that has answered goes by its share of failures or by failed connections in a row. Cause 2, by a probe of each connection's idle age and end: 7 % of the requests break on those idle under 100 ms, 33 to 47 % beyond, though the settings speak of 60 s. hosts.rs now learns from which age on they break more often than a new connection costs (a tenth), and forgets it within half a minute. Ruled out: CPU (0.08 s a second), descriptors.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -74,10 +74,6 @@
         Budget { steps: 1, concurrency, floor, ..Budget::default() }
     }
 
-    fn trial_ready(&self, now: Micros) -> bool {
-        !self.trial_out && now >= self.backoff_end
-    }
-
     fn trial_served(&mut self) {
         self.doublings = 0;
         if self.steps < STEP_CLAMP {
@@ -105,11 +101,6 @@
         self.in_flight >= (budget + 0.5).max(1.0) as u32
     }
 
-    /// Is it up, apart from its budget?
-    fn usable(&self, now: Micros) -> bool {
-        self.listed && self.budget.steps > 0 && now >= self.not_before
-    }
-
     /// Are enough answers in since its budget last changed to tell what the change did?
     fn settled(&self, now: Micros, usual: f64) -> bool {
         self.answers_since >= self.in_flight.max(1)
@@ -435,8 +426,11 @@
             }
             _ => true,
         };
-        // A time-out proves less than an error: a crowded server may owe a lone call for that long.
-        let weight = if outcome == Outcome::TimedOut { FAIL_WEIGHT / 2.0 } else { FAIL_WEIGHT };
+        // A time-out proves less than an error: a crowded server may owe a lone call for that long. So does a
+        // reset: it tells of one connection, which may have been stale, and those of a server that is gone come
+        // in numbers.
+        let unclear = matches!(outcome, Outcome::TimedOut | Outcome::Reset);
+        let weight = if unclear { FAIL_WEIGHT / 2.0 } else { FAIL_WEIGHT };
         server.failing += (f64::from(u8::from(failed)) - server.failing) * weight;
         let group = self.groups.entry((server.zone, server.kind)).or_insert(Group { strain, share: 1.0 });
         let seen = if failed { STRAIN_DEEP * 2.0 } else { strain };
@@ -476,10 +470,15 @@
             (server.answers_since, server.changed) = (0, now);
         }
         let was_up = server.budget.steps > 0;
-        if matches!(outcome, Outcome::NoConnection | Outcome::Reset)
-            && (server.budget.steps > 1 || may_set_aside)
-        {
-            server.budget.steps = server.budget.steps.saturating_sub(1);
+        // One broken connection is not the end of a server that has answered since the last one. Its last step
+        // goes by its share of failures, unless connections fail in a row.
+        let (refused, broke) = (outcome == Outcome::NoConnection, outcome == Outcome::Reset);
+        if refused || broke {
+            let in_row = server.answered <= std::mem::replace(&mut server.broke, now);
+            let last = may_set_aside && in_row && (refused || server.answered == 0);
+            if (refused || in_row) && (server.budget.steps > 1 || last) {
+                server.budget.steps = server.budget.steps.saturating_sub(1);
+            }
         }
         server.budget.trial_out &= !trial;
         if trial {
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -34,6 +34,17 @@
 const SPARES_OF_ALL: usize = 60;
 const SPARES: (usize, usize) = (4, 16);
 
+/// The shortest idle time that is told from others, and how many doublings of it.
+const AGE_LEAST: Micros = 50_000;
+const AGES: usize = 11;
+/// Time over which what was learned of idle times fades.
+const MEMORY: f64 = 30e6;
+/// Requests without a break that are supposed for each idle time: a few breaks prove little.
+const DOUBT: f64 = 8.0;
+/// Share of requests beyond that of fresh connections that may break: a new connection costs a host as much as a
+/// tenth of a call or more.
+const BREAKS_MOST: f64 = 0.1;
+
 /// The system's word for no descriptor left: in all, and for this process.
 const ENFILE: i32 = 23;
 const EMFILE: i32 = 24;
@@ -209,11 +220,44 @@
     source.downcast_ref::<io::Error>().is_some_and(|e| !kinds.contains(&e.kind()))
 }
 
+/// How often connections broke under a request, by how long they had been idle. Hosts tell how long they keep idle
+/// ones at the most; one that drops them sooner, and says nothing, shows it here alone.
+#[derive(Debug, Default)]
+struct Staleness {
+    /// Requests and breaks for each doubling of the idle time, the shortest first; old ones count less.
+    ages: [(f64, f64); AGES],
+    faded: Micros,
+}
+
+impl Staleness {
+    fn age(idle: Micros) -> usize {
+        (idle / AGE_LEAST).checked_ilog2().map_or(0, |doublings| doublings as usize + 1).min(AGES - 1)
+    }
+
+    fn used(&mut self, now: Micros, idle: Micros, broke: bool) {
+        let passed = now.saturating_sub(std::mem::replace(&mut self.faded, now));
+        let left = (-(passed as f64) / MEMORY).exp();
+        self.ages.iter_mut().for_each(|(used, broken)| (*used, *broken) = (*used * left, *broken * left));
+        let (used, broken) = &mut self.ages[Self::age(idle)];
+        (*used, *broken) = (*used + 1.0, *broken + f64::from(u8::from(broke)));
+    }
+
+    /// The idle time from which on connections break more often than a new one costs, against the freshest, which
+    /// break for other reasons. Longer is no better.
+    fn limit(&self) -> Micros {
+        let share = |&(used, broken): &(f64, f64)| broken / (used + DOUBT);
+        let fresh = share(&self.ages[0]);
+        let bad = (1..AGES).find(|&age| share(&self.ages[age]) > fresh + BREAKS_MOST);
+        bad.map_or(Micros::MAX, |age| AGE_LEAST << (age - 1))
+    }
+}
+
 /// The connections to all hosts.
 pub struct Hosts {
     idle: RefCell<HashMap<ServerId, Vec<Link>>>,
     /// The generation of each host to which something may go.
     current: RefCell<HashMap<ServerId, u64>>,
+    staleness: RefCell<Staleness>,
     room: Rc<Room>,
     descriptors: Rc<Descriptors>,
     clock: Clock,
@@ -233,6 +277,7 @@
         Rc::new(Hosts {
             idle: RefCell::new(HashMap::new()),
             current: RefCell::new(HashMap::new()),
+            staleness: RefCell::default(),
             room,
             descriptors,
             clock,
@@ -259,8 +304,9 @@
     /// Closes what has been idle for too long.
     pub fn sweep(&self) {
         let now = self.clock.now();
+        let most = self.idle_most();
         let mut idle = self.idle.borrow_mut();
-        idle.values_mut().for_each(|links| links.retain(|l| l.idle_since + self.idle_most > now));
+        idle.values_mut().for_each(|links| links.retain(|l| l.idle_since + most > now));
         idle.retain(|_, links| !links.is_empty());
     }
 
@@ -278,11 +324,16 @@
         }
     }
 
+    fn idle_most(&self) -> Micros {
+        self.idle_most.min(self.staleness.borrow().limit())
+    }
+
     /// The idle connection used last, if it is still open.
     async fn checkout(&self, target: &Target) -> Option<Link> {
+        let most = self.idle_most();
         loop {
             let mut link = self.idle.borrow_mut().get_mut(&target.server)?.pop()?;
-            let fresh = link.idle_since + self.idle_most > self.clock.now();
+            let fresh = link.idle_since + most > self.clock.now();
             if fresh && link.generation == target.generation && link.alive().await {
                 return Some(link);
             }
@@ -356,7 +407,13 @@
         return Outcome::NotSent.into();
     }
     let Some(message) = message(request, left()) else { return Outcome::NotSent.into() };
-    let (answer, body) = match link.exchange(message, &hosts.room).await {
+    let idle = (link.idle_since > 0).then(|| hosts.clock.now().saturating_sub(link.idle_since));
+    let exchanged = link.exchange(message, &hosts.room).await;
+    if let Some(idle) = idle {
+        let broke = matches!(exchanged, Err(Fault::Broken));
+        hosts.staleness.borrow_mut().used(hosts.clock.now(), idle, broke);
+    }
+    let (answer, body) = match exchanged {
         Ok(answer) => answer,
         // Its connection goes in either case. An answer that can't be used is a host's word all the same.
         Err(Fault::Spoilt) => return Outcome::Error.into(),
@@ -481,6 +538,27 @@
         }
     }
 
+    /// Hosts that dropped idle connections long before their time, without a word, cost every third call on one.
+    #[test]
+    fn connections_that_break_when_idle_are_not_used_at_that_age() {
+        let (now, calm) = (1_000_000, &mut Staleness::default());
+        for n in 0..100 {
+            // As often as those just used: that is not their age.
+            (0..AGES).for_each(|age| calm.used(now, AGE_LEAST << age >> 1, n % 10 == 0));
+        }
+        assert_eq!(calm.limit(), Micros::MAX);
+        let mut stale = Staleness::default();
+        for n in 0..40 {
+            stale.used(now, 10_000, n % 10 == 0);
+            stale.used(now, 70_000, n % 10 == 0);
+            stale.used(now, 150_000, n % 2 == 0);
+        }
+        assert_eq!(stale.limit(), 100_000);
+        // It is tried again when that is long ago.
+        stale.used(now + 300_000_000, 10_000, false);
+        assert_eq!(stale.limit(), Micros::MAX);
+    }
+
     #[test]
     fn what_may_not_start_any_more_is_not_sent() {
         let ended = attempt_at("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false);
--- a/src/state.rs
+++ b/src/state.rs
@@ -48,6 +48,8 @@
     /// When an attempt there last ended, and when it last served.
     pub(crate) heard: Micros,
     pub(crate) answered: Micros,
+    /// When a connection there last failed or broke.
+    pub(crate) broke: Micros,
     /// Recent share of failures.
     pub(crate) failing: f64,
     /// It is sent nothing before this: it has just refused as full.
@@ -143,7 +145,19 @@
     }
 }
 
+impl Budget {
+    /// May a trial go out?
+    pub(crate) fn trial_ready(&self, now: Micros) -> bool {
+        !self.trial_out && now >= self.backoff_end
+    }
+}
+
 impl Server {
+    /// Is it up, apart from its budget?
+    pub(crate) fn usable(&self, now: Micros) -> bool {
+        self.listed && self.budget.steps > 0 && now >= self.not_before
+    }
+
     /// A server as the list names it.
     pub(crate) fn new(entry: &Entry, weights: WeightSource, budget: Budget) -> Self {
         let &Entry { server: id, zone, cell, kind, started, weight, .. } = entry;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -219,6 +219,36 @@
     assert_eq!(used.len(), 2, "taken back");
 }
 
+/// Connections break here and there also where all is well; a host that goes on answering is not set aside for it,
+/// and one that does not is.
+#[test]
+fn a_server_that_has_answered_is_not_set_aside_for_one_reset() {
+    let set_aside = |actions: &[Action]| {
+        actions.iter().any(|a| matches!(a, Action::Log { text } if text.ends_with("set aside")))
+    };
+    let mut proxy = Proxy::new(settings(Repeat::SingleShot), 2);
+    let mut resets = 0;
+    for call in 1..200 {
+        let (id, actions) = proxy.call();
+        assert_eq!(sent(&actions).len(), 1);
+        proxy.now += MS;
+        // One in eleven breaks.
+        let breaks = call % 11 == 0;
+        resets += usize::from(breaks);
+        let actions = proxy.end(id, 0, if breaks { Outcome::Reset } else { Outcome::Served }, MS);
+        assert!(!set_aside(&actions), "after {resets} resets");
+    }
+    assert!(resets > 10);
+    let mut ended = false;
+    for _ in 0..40 {
+        let (id, actions) = proxy.call();
+        let breaks = sent(&actions)[0].1 == ServerId(1);
+        proxy.now += MS;
+        ended |= set_aside(&proxy.end(id, 0, if breaks { Outcome::Reset } else { Outcome::Served }, MS));
+    }
+    assert!(ended, "where all connections break");
+}
+
 #[test]
 fn with_every_server_at_zero_steps_calls_are_refused_with_advice() {
     let mut proxy = Proxy::new(settings(Repeat::Free), 2);
