--- a/src/balance.rs
+++ b/src/balance.rs
@@ -470,8 +470,7 @@
             (server.answers_since, server.changed) = (0, now);
         }
         let was_up = server.budget.steps > 0;
-        // One broken connection is not the end of a server that has answered since the last one. Its last step
-        // goes by its share of failures, unless connections fail in a row.
+        // One broken connection is not the end of a server that answers: its share of failures sets it aside.
         let (refused, broke) = (outcome == Outcome::NoConnection, outcome == Outcome::Reset);
         if refused || broke {
             let in_row = server.answered <= std::mem::replace(&mut server.broke, now);
