--- a/src/balance.rs
+++ b/src/balance.rs
@@ -427,8 +427,7 @@
             _ => true,
         };
         // A time-out proves less than an error: a crowded server may owe a lone call for that long. So does a
-        // reset: it tells of one connection, which may have been stale, and those of a server that is gone come
-        // in numbers.
+        // reset, which tells of one connection: those of a server that is gone come in numbers.
         let unclear = matches!(outcome, Outcome::TimedOut | Outcome::Reset);
         let weight = if unclear { FAIL_WEIGHT / 2.0 } else { FAIL_WEIGHT };
         server.failing += (f64::from(u8::from(failed)) - server.failing) * weight;
@@ -470,7 +469,7 @@
             (server.answers_since, server.changed) = (0, now);
         }
         let was_up = server.budget.steps > 0;
-        // One broken connection is not the end of a server that answers: its share of failures sets it aside.
+        // A broken connection is not the end of a server that answers: its failures are counted.
         let (refused, broke) = (outcome == Outcome::NoConnection, outcome == Outcome::Reset);
         if refused || broke {
             let in_row = server.answered <= std::mem::replace(&mut server.broke, now);
