Idle clients are closed, longest idle first, before they fill a third of the descriptors

Cause 1, by printing the phases of all client connections at a refusal: all 168 places held connections with their answer that had been idle for less than 2 s, so none could go (clients.rs, spare). Cause 2, by printing every final status: 7,444 answers 200 and none 503, so the other refusals were not ours; with more places (251) they grew from 40 to 55 %. Clients hold a third of the descriptors at most, and /_health questions on connections that stayed had used that up. Ruled out: CPU (0.18 s a second), memory (5 MB), hosts. Test: a_crowd_that_asks_once_and_stays_is_served.

--- a/src/main.rs
+++ b/src/main.rs
@@ -127,8 +127,8 @@
         room: bytes,
         open: RefCell::default(),
         advice,
-        most: room / 2,
-        beyond: room / 8,
+        most: (config.limits.sockets * 3 / 10).min(room / 2),
+        beyond: (config.limits.sockets / 40).max(2),
     });
     let sweep = async {
         loop {
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -15,9 +15,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-/// A connection without an open request may be closed from then on when another wants its place.
-const IDLE: Micros = 2_000_000;
-/// ... and one that has never asked from then on: a client asks as soon as it is connected.
+/// A connection that has never asked may be closed from then on when another wants its place: a client asks as
+/// soon as it is connected.
 const SILENT: Micros = 100_000;
 /// A connection that has not asked by then is closed in any case, and so is a request that is not in.
 pub const UNASKED: Micros = 2_300_000;
@@ -122,9 +121,10 @@
         self.behind.set(self.behind.get() + rest.len() as u64);
     }
 
-    /// May it go, as another wants its place? Not if its request is on the way.
+    /// May it go, as another wants its place? Not if its request is on the way. One that has its answer may go at
+    /// once, if none is idle longer: a crowd that asks once and stays would else keep out all who come.
     fn spare(&self, now: Micros) -> bool {
-        let least = if self.asked.get() { IDLE } else { SILENT };
+        let least = if self.asked.get() { 0 } else { SILENT };
         self.phase.get() == Phase::Idle && self.since.get() + least <= now && socket::quiet(&self.stream)
     }
 
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -35,6 +35,8 @@
 const STOP_ACCEPT: Duration = Duration::from_millis(450);
 /// ... and without an open call for this long, what is still connected has nothing to come.
 const QUIET: Duration = Duration::from_millis(100);
+/// How long a connection that is to go may take over what it still has to write.
+const LEAVE: Duration = Duration::from_millis(100);
 /// Pause of accepting when the system has no descriptor left, or all places are taken.
 const SHORT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -59,7 +61,8 @@
     /// When to come back, where the module gives no advice.
     pub advice: Micros,
     /// Connections of clients that are served. They must leave descriptors for the way to the hosts: else a
-    /// crowd of clients would be taken and none of them served.
+    /// crowd of clients would be taken and none of them served. The machine lets clients hold a third of the
+    /// descriptors at most: with idle ones beyond that, those that ask would find no connection.
     pub most: usize,
     /// Further ones that are taken to be refused and closed.
     pub beyond: usize,
@@ -160,7 +163,12 @@
             tokio::select! {
                 // How a client's connection ends concerns nobody: its calls are dropped with it.
                 _ = connection.as_mut() => break,
-                () = seat.leaves() => break,
+                () = seat.leaves() => {
+                    // The last answer may still be on its way out.
+                    connection.as_mut().graceful_shutdown();
+                    let _ = tokio::time::timeout(LEAVE, connection.as_mut()).await;
+                    break;
+                }
                 _ = closing.changed(), if !told => {
                     told = true;
                     connection.as_mut().graceful_shutdown();
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -301,6 +301,34 @@
     drop((stayed, silent));
 }
 
+/// A crowd that asks once on each connection and stays filled all places sooner than any could be taken for idle;
+/// three quarters of all calls were refused while the hosts had nothing to do.
+#[test]
+fn a_crowd_that_asks_once_and_stays_is_served() {
+    let (discovery, host) = (Discovery::start(), Host::serving("ok"));
+    let listen = "127.0.0.1:0".parse().expect("an address");
+    let proxy = Proxy::with(&config(listen, discovery.address, 128, &[up("s-1", &host)]));
+    let mut stayed = Vec::new();
+    for _ in 0..200 {
+        let mut client = proxy.client();
+        assert_eq!(client.call("safe", "2000m").status(), 200, "after {}", stayed.len());
+        stayed.push(client);
+    }
+    assert!(stayed[0].answer().is_none(), "the one idle longest has gone");
+    // Clients can hold no more than a third of the descriptors: idle ones must not use that up.
+    let open = |client: &Client| {
+        let stream = client.stream.get_ref();
+        stream.set_nonblocking(true).and_then(|()| stream.peek(&mut [0])).is_err()
+    };
+    let asked = Instant::now();
+    while stayed.iter().filter(|client| open(client)).count() > 128 / 3 {
+        assert!(asked.elapsed() < LONG, "too many stay open");
+        std::thread::sleep(SHORT / 30);
+    }
+    stayed[199].stream.get_ref().set_nonblocking(false).expect("a socket");
+    assert_eq!(stayed[199].call("safe", "2000m").status(), 200, "the last has not");
+}
+
 /// Whatever a client begins, it is owed an end soon: a close, or an error.
 #[test]
 fn what_does_not_come_to_an_end_is_closed_or_turned_away() {
