--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -629,6 +629,25 @@
         assert_eq!(driver.core.borrow().hosts[&ServerId(0)].started, unix / 1_000 * 1_000);
     }
 
+    /// On a day on which hosts are ever new, every one met was remembered for good; and what is still out at one that
+    /// has gone must concern nobody else, also when its name comes back.
+    #[tokio::test(flavor = "current_thread")]
+    async fn a_host_that_is_gone_is_forgotten_and_its_number_not_given_again() {
+        let driver = driver();
+        let list = |name: &str, status: &str| -> Vec<Endpoint> {
+            let text = format!(r#"[{{"name":"{name}","address":"127.0.0.1:9","status":"{status}"}}]"#);
+            serde_json::from_str(&text).expect("a list")
+        };
+        for n in 0..50 {
+            driver.members(ListKind::Full, &list(&format!("s{n}"), "up"));
+        }
+        let number = driver.core.borrow().numbers["s49"];
+        driver.members(ListKind::Delta, &list("s49", "removed"));
+        assert_eq!((driver.core.borrow().hosts.len(), driver.core.borrow().numbers.len()), (0, 0));
+        driver.members(ListKind::Delta, &list("s49", "up"));
+        assert_ne!(driver.core.borrow().numbers["s49"], number);
+    }
+
     /// More than the settings allow are turned away before the module sees them.
     #[tokio::test(flavor = "current_thread")]
     async fn calls_are_bounded_and_a_client_that_leaves_makes_room() {
