Packages by concern: decisions, proxy, adapter and testkit in one workspace

The tree was one package with the tests' stand-ins inside it; later subsystems need packages to stand on. Moves only, with paths and names following; the decisions no longer share a package with the sockets. The circle between the owner of calls and the connections to hosts is cut: the clock and what passes between them are modules of their own.

--- a/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -4,8 +4,10 @@
 
 mod wire;
 
-use badgerramp::settings;
-use badgerramp::{Action, Balancer, CallId, ClassId, Entry, Event, ListKind, Outcome, ServerId, TenantId};
+use badgerramp_decisions::settings;
+use badgerramp_decisions::{
+    Action, Balancer, CallId, ClassId, Entry, Event, ListKind, Outcome, ServerId, TenantId,
+};
 use std::collections::HashMap;
 use std::io::{self, BufRead, Write};
 use wire::{Batch, Command, Input, Reply};
--- a/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -1,7 +1,7 @@
 //! Messages of the wire, as they are read and written.
 
-use badgerramp::settings;
-use badgerramp::{CellId, Entry, Load, Outcome, ServerId, State};
+use badgerramp_decisions::settings;
+use badgerramp_decisions::{CellId, Entry, Load, Outcome, ServerId, State};
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 
--- a/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,7 +4,7 @@
 //! A client proxy makes one [`Balancer`], feeds it [`Event`]s and carries out the [`Action`]s:
 //!
 //! ```
-//! use badgerramp::{Action, Balancer, CallId, ClassId, Entry, Event, ListKind, ServerId, Settings, State};
+//! use badgerramp_decisions::{Action, Balancer, CallId, ClassId, Entry, Event, ListKind, ServerId, Settings, State};
 //!
 //! let mut balancer = Balancer::new(7, Settings::default());
 //! let mut actions = Vec::new();
@@ -35,5 +35,5 @@
 
 /// The README's example is compiled as a test too.
 #[cfg(doctest)]
-#[doc = include_str!("../README.md")]
+#[doc = include_str!("../../../README.md")]
 struct Readme;
--- a/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small driver of the balancer for tests: it plays the proxy and records what it is told to do.
 #![allow(dead_code)]
 
-use badgerramp::*;
+use badgerramp_decisions::*;
 
 pub const MS: Micros = 1_000;
 
--- a/tests/mechanism.rs
+++ b/crates/decisions/tests/mechanism.rs
@@ -1,7 +1,7 @@
 //! The mechanism of the design, each part by itself.
 
 mod common;
-use badgerramp::*;
+use badgerramp_decisions::*;
 use common::*;
 use std::collections::BTreeMap;
 
--- a/tests/random.rs
+++ b/crates/decisions/tests/random.rs
@@ -1,7 +1,7 @@
 //! Long odd-but-legal event sequences; the rules are checked on every action.
 
 mod common;
-use badgerramp::*;
+use badgerramp_decisions::*;
 use common::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
--- a/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -1,7 +1,7 @@
 //! The four rules, and the failures that were met: each test fails without the code that answers it.
 
 mod common;
-use badgerramp::*;
+use badgerramp_decisions::*;
 use common::*;
 
 const CELL: Repeat = Repeat::Guarded { scope: Scope::Cell, window: 400 * MS };
--- a/tests/sparse.rs
+++ b/crates/decisions/tests/sparse.rs
@@ -1,7 +1,7 @@
 //! What acts where balancers outnumber servers, and each balancer sees little: asking, groups, own zone, cold lots.
 
 mod common;
-use badgerramp::*;
+use badgerramp_decisions::*;
 use common::*;
 
 const HERE: ZoneId = ZoneId(1);
--- a/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -3,11 +3,12 @@
 
 mod net;
 
-use badgerramp::{settings, ListKind, Repeat};
+use badgerramp_decisions::{settings, ListKind, Repeat};
 use hyper::Method;
 use net::clients::Clients;
+use net::clock::Clock;
 use net::discovery;
-use net::driver::{Clock, Driver, List};
+use net::driver::{Driver, List};
 use net::front::{Class, Front};
 use net::hosts::Hosts;
 use net::{Descriptors, Room};
@@ -86,7 +87,7 @@
     socket.bind(config.listen).map_err(bind)?;
     let listener = socket.listen(BACKLOG).map_err(bind)?;
 
-    let method = |class: &badgerramp::Class| match class.repeat {
+    let method = |class: &badgerramp_decisions::Class| match class.repeat {
         Repeat::Free => Method::GET,
         Repeat::Guarded { .. } | Repeat::SingleShot => Method::POST,
     };
--- a/src/net/clients.rs
+++ b/crates/proxy/src/net/clients.rs
@@ -1,10 +1,10 @@
 //! The connections of clients: what each is about, and which may go when room is short. What passes on a
 //! connection is noted here, as the HTTP library tells of a request only when its whole head is in.
 
-use super::driver::Clock;
+use super::clock::Clock;
 use super::socket::{self, Socket};
 use super::Descriptor;
-use badgerramp::Micros;
+use badgerramp_decisions::Micros;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
--- a/src/net/discovery.rs
+++ b/crates/proxy/src/net/discovery.rs
@@ -2,7 +2,7 @@
 //! to ask again; calls never wait for it.
 
 use super::driver::{Driver, List};
-use badgerramp::ListKind;
+use badgerramp_decisions::ListKind;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
--- a/src/net/driver.rs
+++ b/crates/proxy/src/net/driver.rs
@@ -1,57 +1,24 @@
 //! The one owner of the [`Balancer`]: turns what happens into events, carries the actions out, and owns the
 //! timers, the calls and the maps between names and numbers. It never picks, retries or sheds by itself.
 
-use super::hosts::{self, Ended, Hosts, Target};
-use badgerramp::settings::{self, Facts};
-use badgerramp::{
+use super::clock::Clock;
+use super::exchange::{Ended, Request, Target};
+use super::hosts::{self, Hosts};
+use badgerramp_decisions::settings::{self, Facts};
+use badgerramp_decisions::{
     Action, Balancer, CallId, CellId, ClassId, Entry, Event, ListKind, Load, Micros, Outcome, ServerId,
     State, TenantId,
 };
 use bytes::Bytes;
 use hyper::header::HeaderValue;
-use hyper::http::{HeaderMap, Method, Uri};
 use serde::Deserialize;
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
 
-/// Monotonic microseconds that start at the Unix time of the process's start. So a host's start time, which
-/// is Unix time, is on this clock as it is, also where it lies before the start of this process.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    unix: Micros,
-    start: Instant,
-}
-
-impl Clock {
-    pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { unix: unix.as_micros() as Micros, start: Instant::now() }
-    }
-
-    pub fn now(&self) -> Micros {
-        self.unix + self.start.elapsed().as_micros() as Micros
-    }
-
-    /// The moment `at` as the timers of the runtime count.
-    pub fn instant(&self, at: Micros) -> tokio::time::Instant {
-        (self.start + Duration::from_micros(at.saturating_sub(self.unix))).into()
-    }
-}
-
-/// A request as the client sent it, kept while it may still go to a host.
-#[derive(Debug)]
-pub struct Request {
-    pub method: Method,
-    pub uri: Uri,
-    pub headers: HeaderMap,
-    pub body: Bytes,
-}
-
 /// What the module is told of a request.
 #[derive(Debug)]
 pub struct Intake {
@@ -577,8 +544,10 @@
 mod tests {
     use super::*;
     use crate::net::{Descriptors, Room};
-    use badgerramp::settings::Transport;
-    use badgerramp::Settings;
+    use badgerramp_decisions::settings::Transport;
+    use badgerramp_decisions::Settings;
+    use hyper::http::{HeaderMap, Method, Uri};
+    use std::time::{SystemTime, UNIX_EPOCH};
 
     fn driver() -> Driver {
         let clock = Clock::start();
--- a/src/net/front.rs
+++ b/crates/proxy/src/net/front.rs
@@ -1,10 +1,11 @@
 //! The client side: reads requests, hands them to the driver and writes the one final answer.
 
 use super::clients::{Clients, Noted, Seat, UNASKED};
-use super::driver::{Answer, Driver, Intake, Request};
+use super::driver::{Answer, Driver, Intake};
+use super::exchange::Request;
 use super::hosts::{Hosts, BODY_MOST};
 use super::{Descriptors, Room};
-use badgerramp::{CallId, ClassId, Micros};
+use badgerramp_decisions::{CallId, ClassId, Micros};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
--- a/src/net/hosts.rs
+++ b/crates/proxy/src/net/hosts.rs
@@ -1,11 +1,12 @@
 //! Attempts at hosts and the connections they go over. A connection is driven by the attempt that uses it:
 //! there is no task behind it, so dropping the attempt closes it, and nothing is ever sent twice.
 
-use super::driver::{Clock, Request};
+use super::clock::Clock;
+use super::exchange::{Ended, Request, Target};
 use super::socket::{self, Socket};
 use super::{Descriptor, Descriptors, Room};
-use badgerramp::settings::Transport;
-use badgerramp::{Load, Micros, Outcome, ServerId};
+use badgerramp_decisions::settings::Transport;
+use badgerramp_decisions::{Load, Micros, Outcome, ServerId};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -17,7 +18,6 @@
 use std::collections::HashMap;
 use std::future::{poll_fn, Future};
 use std::io;
-use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -49,29 +49,6 @@
 const ENFILE: i32 = 23;
 const EMFILE: i32 = 24;
 
-/// Where an attempt goes.
-#[derive(Clone, Copy, Debug)]
-pub struct Target {
-    pub server: ServerId,
-    pub address: SocketAddr,
-    pub generation: u64,
-}
-
-/// How an attempt ended.
-#[derive(Debug)]
-pub struct Ended {
-    pub outcome: Outcome,
-    pub load: Load,
-    /// The whole body of a served answer, and its type.
-    pub served: Option<(Bytes, Option<HeaderValue>)>,
-}
-
-impl From<Outcome> for Ended {
-    fn from(outcome: Outcome) -> Self {
-        Ended { outcome, load: Load::default(), served: None }
-    }
-}
-
 /// A stream that notes whether all that was to be written has been handed to the socket.
 struct Watched {
     socket: Socket,
--- a/src/net/mod.rs
+++ b/crates/proxy/src/net/mod.rs
@@ -1,8 +1,10 @@
 //! The program round the decisions: sockets, clock and timers. It decides nothing.
 
 pub mod clients;
+pub mod clock;
 pub mod discovery;
 pub mod driver;
+pub mod exchange;
 pub mod front;
 pub mod hosts;
 pub mod socket;
--- a/tests/peers/mod.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,5 +1,5 @@
 //! Small stub peers on loopback sockets: hosts, discovery and a client, and the program between them.
-#![allow(dead_code)]
+#![forbid(unsafe_code)]
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -264,7 +264,7 @@
 static RUNS: AtomicUsize = AtomicUsize::new(0);
 
 /// Starts the program with this text as its configuration, with so many descriptors at the most.
-pub fn spawn(config: &str, descriptors: Option<u32>) -> (Child, std::path::PathBuf) {
+pub fn spawn(program: &str, config: &str, descriptors: Option<u32>) -> (Child, std::path::PathBuf) {
     let name = format!("badgerramp-{}-{}.json", std::process::id(), RUNS.fetch_add(1, Ordering::SeqCst));
     let path = std::env::temp_dir().join(name);
     std::fs::write(&path, config).expect("a temporary file");
@@ -272,7 +272,7 @@
     let child = Command::new("sh")
         .arg("-c")
         .arg(format!("{limit}exec \"$0\""))
-        .arg(env!("CARGO_BIN_EXE_badgerramp"))
+        .arg(program)
         .env("RELAY_CONFIG", &path)
         .stderr(Stdio::piped())
         .spawn()
@@ -299,18 +299,18 @@
 }
 
 impl Proxy {
-    pub fn start(discovery: &Discovery, known: &[String]) -> Proxy {
+    pub fn start(program: &str, discovery: &Discovery, known: &[String]) -> Proxy {
         let listen = "127.0.0.1:0".parse().expect("an address");
-        Proxy::with(&config(listen, discovery.address, 1_024, known))
+        Proxy::with(program, &config(listen, discovery.address, 1_024, known))
     }
 
-    pub fn with(text: &str) -> Proxy {
-        Proxy::within(text, None)
+    pub fn with(program: &str, text: &str) -> Proxy {
+        Proxy::within(program, text, None)
     }
 
     /// Waits for the line that tells where it listens.
-    pub fn within(text: &str, descriptors: Option<u32>) -> Proxy {
-        let (mut child, config) = spawn(text, descriptors);
+    pub fn within(program: &str, text: &str, descriptors: Option<u32>) -> Proxy {
+        let (mut child, config) = spawn(program, text, descriptors);
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
         loop {
             let mut line = String::new();
