Calls carry their operator's terms: attempts, times, pauses, second copies, what goes again

Per-class and per-route timing needs a place in the decisions, or the sockets would decide. Event::Request carries Terms, which only narrow what class and site allow; Event::Reconfigure swaps settings while open calls keep theirs; the spread of a class's answer times is learned for second copies at a share of them. With default terms nothing changes: the old tests pass as they were; eleven new ones.

--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -143,6 +143,7 @@
                             tenant: input.user_group.and_then(|t| place(&instance.tenants, &t)).map(TenantId),
                             time_left: need(input.time_budget_us, verb, "time_budget_us")?,
                             resent: input.resent,
+                            terms: Terms::default(),
                         }
                     }
                     "DONE" => {
--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -74,6 +74,62 @@
     pub repeat: Repeat,
 }
 
+/// When a second copy of a call may go out while its first attempt is still out. Whether it may at all is up to
+/// the class ([`Repeat`]) and the site ([`Limits::second_copies`]).
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Hedge {
+    /// As late as can still be in time.
+    #[default]
+    Auto,
+    /// Never.
+    Never,
+    /// This long after the first attempt.
+    After(Micros),
+    /// After the time within which this share (0 to 1) of the class's answers come; as `Auto` until it is learned.
+    Share(f64),
+}
+
+/// After which outcomes a call may go again, where its class lets it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Resend {
+    /// After any.
+    #[default]
+    Any,
+    /// Only while every attempt provably never ran.
+    NeverRan,
+}
+
+/// What an operator sets for one call. It only narrows what class and site allow.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Most attempts.
+    pub attempts: u32,
+    /// Longest time of one attempt.
+    pub attempt_time: Micros,
+    /// Pause between the end of one attempt and the next.
+    pub backoff: Micros,
+    /// Second copies.
+    pub hedge: Hedge,
+    /// What may be sent again.
+    pub resend: Resend,
+    /// It is unsafe to repeat whatever its class says: what the class goes by is missing.
+    pub once: bool,
+}
+
+impl Default for Terms {
+    /// Nothing is narrowed.
+    fn default() -> Self {
+        Terms {
+            attempts: u32::MAX,
+            attempt_time: Micros::MAX,
+            backoff: 0,
+            hedge: Hedge::Auto,
+            resend: Resend::Any,
+            once: false,
+        }
+    }
+}
+
 /// A tenant's part of the service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Tenant {
@@ -180,7 +236,7 @@
     pub worst_window: f64,
 }
 
-/// What a balancer is told at start, for good.
+/// What a balancer is told at start, and by [`Event::Reconfigure`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// How many balancers send to these servers, this one included.
@@ -358,6 +414,8 @@
         time_left: Micros,
         /// The client says that it has tried before.
         resent: bool,
+        /// What the operator set for it.
+        terms: Terms,
     },
     /// An attempt is over.
     Outcome {
@@ -397,6 +455,13 @@
         /// Which.
         call: CallId,
     },
+    /// Other settings hold from now on. Calls that are open end under those that they came under.
+    Reconfigure {
+        /// All of them. A class keeps its place; one that has gone leaves its place to a copy of another.
+        settings: Box<Settings>,
+        /// Classes whose places meant something else before: nothing learned of those holds.
+        fresh: Vec<ClassId>,
+    },
     /// A time asked for by [`Action::Wake`] has come.
     Timer,
 }
--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -172,10 +172,9 @@
 impl Balancer {
     /// A balancer that draws all its random numbers from `seed`.
     pub fn new(seed: u64, settings: Settings) -> Self {
-        let pace = |c: &Class| Pace { mean: c.aim as f64 / 4.0, base: c.aim as f64 / 4.0, ..Pace::default() };
         Balancer {
             random: Pcg32::seed_from_u64(seed),
-            paces: settings.classes.iter().map(pace).collect(),
+            paces: settings.classes.iter().map(Pace::of).collect(),
             settings,
             servers: Vec::new(),
             calls: BTreeMap::new(),
@@ -199,8 +198,10 @@
             Event::Start => actions.extend(self.settings.ask.then_some(Action::Subscribe)),
             Event::Probed { server, outcome, load, .. } => self.probed(now, server, outcome, load, actions),
             Event::Members { kind, entries } => self.members(now, kind, &entries),
-            Event::Request { call, class, time_left, resent, .. } if !self.calls.contains_key(&call) => {
-                self.request(now, call, (class, time_left, !resent), actions);
+            Event::Request { call, class, time_left, resent, terms, .. }
+                if !self.calls.contains_key(&call) =>
+            {
+                self.request(now, call, (class, time_left, !resent), terms, actions);
             }
             Event::Request { .. } => {}
             Event::Outcome { call, attempt, outcome, elapsed, closed, load } => {
@@ -223,6 +224,7 @@
                 self.cancel_others(call, None, actions);
                 self.forget(call);
             }
+            Event::Reconfigure { settings, fresh } => self.reconfigure(*settings, &fresh),
             Event::Timer => self.timer_at = Micros::MAX,
         }
         self.wake_calls(now, actions);
@@ -271,6 +273,18 @@
         self.servers.retain(|s| s.listed || s.in_flight > 0);
     }
 
+    /// Classes that stay keep what was learned of them. Open calls carry their own class and terms with them.
+    fn reconfigure(&mut self, settings: Settings, fresh: &[ClassId]) {
+        let known = self.paces.len();
+        self.paces.extend(settings.classes.iter().skip(known).map(Pace::of));
+        for &ClassId(place) in fresh {
+            if let (Some(pace), Some(class)) = (self.paces.get_mut(place), settings.classes.get(place)) {
+                *pace = Pace::of(class);
+            }
+        }
+        self.settings = settings;
+    }
+
     // Calls.
 
     fn request(
@@ -278,14 +292,19 @@
         now: Micros,
         id: CallId,
         (class, left, lot): (ClassId, Micros, bool),
+        terms: Terms,
         actions: &mut Actions,
     ) {
         // A class that the settings do not name is unsafe.
         let unknown = Class { aim: left, deadline: left, ..Class::default() };
-        let spec = self.settings.classes.get(class.0).copied().unwrap_or(unknown);
+        let mut spec = self.settings.classes.get(class.0).copied().unwrap_or(unknown);
+        if terms.once {
+            spec.repeat = Repeat::SingleShot;
+        }
         let call = Call {
             class: spec,
             class_id: class.0,
+            terms,
             arrived: now,
             asked: now.saturating_sub(self.spent(class.0, &spec, left)),
             deadline: now.saturating_add(left),
@@ -374,7 +393,7 @@
         if closed || outcome == Outcome::Served {
             self.end(id);
             self.cancel_others(id, None, actions);
-        } else if self.calls.get(&id).is_some_and(|c| !c.ended && !c.held && c.out() == 0) {
+        } else if self.calls.get(&id).is_some_and(|c| !c.ended && !c.held && !c.rests && c.out() == 0) {
             self.again(now, id, outcome, actions);
         }
         self.forget(id);
@@ -519,16 +538,28 @@
     /// After an attempt that did not serve: again, or the end.
     fn again(&mut self, now: Micros, id: CallId, outcome: Outcome, actions: &mut Actions) {
         let call = &self.calls[&id];
-        let in_time = now as f64 + self.usual(call.class_id, call.class.aim) < call.aim_at() as f64;
-        let some = self.servers.iter().any(|s| s.listed && call.may_go(now, s, self.settings.tick));
-        let more = (call.attempts.len() as u32) < self.settings.limits.max_attempts;
+        let next = now.saturating_add(call.terms.backoff);
+        let in_time = next as f64 + self.usual(call.class_id, call.class.aim) < call.aim_at() as f64;
+        let some = self.servers.iter().any(|s| s.listed && call.may_go(next, s, self.settings.tick));
+        let allowed = call.terms.resend == Resend::Any || call.binding().is_none();
         let paid = self.retries >= 1.0 || outcome == Outcome::NoConnection;
-        if in_time && some && more && paid && !call.streaming {
-            self.retries = (self.retries - 1.0).max(0.0);
-            self.enqueue(now, id, true);
-        } else {
+        if !(in_time && some && allowed && self.more(call) && paid && !call.streaming) {
             self.give_up(id, 0, actions);
+            return;
         }
+        self.retries = (self.retries - 1.0).max(0.0);
+        match self.calls.get_mut(&id) {
+            Some(call) if call.terms.backoff > 0 => {
+                call.rests = true;
+                self.wakes.set(id, Some(next));
+            }
+            _ => self.enqueue(now, id, true),
+        }
+    }
+
+    /// May it have another attempt, by their number?
+    fn more(&self, call: &Call) -> bool {
+        (call.attempts.len() as u32) < self.settings.limits.max_attempts.min(call.terms.attempts)
     }
 
     fn give_up(&mut self, id: CallId, retry_after: Micros, actions: &mut Actions) {
@@ -783,19 +814,26 @@
         let Some(call) = self.calls.get_mut(&id) else { return };
         let (server, zone, cell, effect) = (server.id, server.zone, server.cell, Effect::Out);
         call.attempts.push(Attempt { server, zone, cell, sent: now, trial, crowd, effect });
-        let (copies, class_id) = (call.attempts.len(), call.class_id);
+        let (copies, class_id, terms) = (call.attempts.len(), call.class_id, call.terms);
         // An answer after the aim is worth little: its server is better used by others.
         let (aim, arrived) = (call.aim_at(), call.arrived);
         let (deadline, usual) = (call.deadline, self.usual(class_id, self.calls[&id].class.aim));
         let until = (aim < deadline && aim as f64 > now as f64 + usual).then_some(aim);
+        let most = Some(now.saturating_add(terms.attempt_time)).filter(|&at| at < deadline);
+        let until = until.into_iter().chain(most).min();
         actions.push(Action::Send { call: id, server, until });
         // A second copy as late as can be in time, but not before the first is slow.
         let copy_at = (aim as f64 - SPARE_TIMES * usual).max(arrived as f64 + 1.5 * usual);
-        let copy = copies == 1
-            && !self.sparse()
-            && self.settings.limits.second_copies
-            && copy_at + usual <= aim as f64;
-        self.wakes.set(id, copy.then_some((copy_at as Micros).max(now + 1)));
+        let auto = (!self.sparse() && copy_at + usual <= aim as f64).then_some(copy_at as Micros);
+        let share = |share| self.paces.get(class_id).and_then(|p| p.within(share));
+        let copy_at = match terms.hedge {
+            Hedge::Never => None,
+            Hedge::Auto => auto,
+            Hedge::After(wait) => Some(now.saturating_add(wait)),
+            Hedge::Share(part) => share(part).map_or(auto, |wait| Some(now.saturating_add(wait as Micros))),
+        };
+        let copy = copy_at.filter(|&at| copies == 1 && self.settings.limits.second_copies && at < deadline);
+        self.wakes.set(id, copy.map(|at| at.max(now + 1)));
     }
 
     fn drain_hold(&mut self, now: Micros, actions: &mut Actions) {
@@ -854,6 +892,8 @@
                 self.give_up(id, 0, actions);
             } else if !self.calls[&id].asks.is_empty() {
                 self.decide(now, id, actions);
+            } else if self.calls.get_mut(&id).is_some_and(|c| std::mem::take(&mut c.rests)) {
+                self.enqueue(now, id, true);
             } else {
                 self.second_copy(now, id, actions);
             }
@@ -863,7 +903,7 @@
     /// A second copy for a call that is late on a server that may have stalled.
     fn second_copy(&mut self, now: Micros, id: CallId, actions: &mut Actions) {
         let call = &self.calls[&id];
-        let more = (call.attempts.len() as u32) < self.settings.limits.max_attempts && call.out() == 1;
+        let more = self.more(call) && call.out() == 1;
         let spare = self.retries >= 1.0 && self.hold.is_empty() && !call.streaming;
         if !more || !spare {
             return;
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -81,6 +81,7 @@
 pub(crate) struct Call {
     pub(crate) class: Class,
     pub(crate) class_id: usize,
+    pub(crate) terms: Terms,
     pub(crate) arrived: Micros,
     /// When its client first asked, as far as can be told.
     pub(crate) asked: Micros,
@@ -97,6 +98,8 @@
     pub(crate) ask_next: Micros,
     pub(crate) found_full: u32,
     pub(crate) held: bool,
+    /// It pauses between two attempts.
+    pub(crate) rests: bool,
     pub(crate) streaming: bool,
     pub(crate) ended: bool,
 }
@@ -112,6 +115,51 @@
     /// The longest that clients wait for one try, and calls turned back whose clients may try again.
     pub(crate) patience: Micros,
     pub(crate) turned_back: u32,
+    spread: Spread,
+}
+
+/// How a class's answer times spread: counts by quarters of a doubling, halved when there are many, so that old ones
+/// fade.
+#[derive(Debug)]
+struct Spread {
+    counts: [u16; SPREAD_STEPS],
+    total: u16,
+}
+
+/// The shortest time that is told from others, and the steps above it: up to half a minute.
+const SPREAD_LEAST: f64 = 256.0;
+const SPREAD_STEPS: usize = 68;
+/// Counts at which they are halved, and those below which a share says nothing.
+const SPREAD_MOST: u16 = 512;
+const SPREAD_KNOWN: u16 = 20;
+
+impl Default for Spread {
+    fn default() -> Self {
+        Spread { counts: [0; SPREAD_STEPS], total: 0 }
+    }
+}
+
+impl Spread {
+    fn add(&mut self, elapsed: f64) {
+        let step = ((elapsed / SPREAD_LEAST).max(1.0).log2() * 4.0) as usize;
+        self.counts[step.min(SPREAD_STEPS - 1)] += 1;
+        self.total += 1;
+        if self.total >= SPREAD_MOST {
+            self.counts.iter_mut().for_each(|c| *c /= 2);
+            self.total = self.counts.iter().sum();
+        }
+    }
+
+    /// The time within which this share came, to the end of its step.
+    fn within(&self, share: f64) -> Option<f64> {
+        let wanted = f64::from(self.total) * share.clamp(0.0, 1.0);
+        let mut seen = 0.0;
+        let step = self.counts.iter().position(|&c| {
+            seen += f64::from(c);
+            c > 0 && seen >= wanted
+        });
+        step.filter(|_| self.total >= SPREAD_KNOWN).map(|s| SPREAD_LEAST * ((s + 1) as f64 / 4.0).exp2())
+    }
 }
 
 /// The servers of one machine kind in one zone, as one: a balancer of little traffic learns of no single one.
@@ -185,9 +233,20 @@
 }
 
 impl Pace {
+    /// The pace of a class of which nothing is known yet.
+    pub(crate) fn of(class: &Class) -> Self {
+        Pace { mean: class.aim as f64 / 4.0, base: class.aim as f64 / 4.0, ..Pace::default() }
+    }
+
+    /// The time within which this share of the answers comes; None while there were too few.
+    pub(crate) fn within(&self, share: f64) -> Option<f64> {
+        self.spread.within(share)
+    }
+
     /// Takes an answer in; the least drifts up to the mean, as fleets and work change.
     pub(crate) fn answered(&mut self, now: Micros, elapsed: f64) {
         self.seen = self.seen.saturating_add(1);
+        self.spread.add(elapsed);
         let sample = if self.seen > 8 { elapsed.min(8.0 * self.base) } else { elapsed };
         self.mean += (sample - self.mean) * (1.0 / f64::from(self.seen)).max(PACE_WEIGHT);
         let drift = (now.saturating_sub(self.at) as f64 / BASE_DRIFT).min(1.0);
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -53,7 +53,14 @@
         self.next += 1;
         let call = CallId(self.next);
         let class = ClassId(class);
-        let event = Event::Request { call, class, tenant: None, time_left: 1_200 * MS, resent: false };
+        let event = Event::Request {
+            call,
+            class,
+            tenant: None,
+            time_left: 1_200 * MS,
+            resent: false,
+            terms: Terms::default(),
+        };
         (call, self.event(event))
     }
 
--- a/crates/decisions/tests/random.rs
+++ b/crates/decisions/tests/random.rs
@@ -214,7 +214,8 @@
             let class = ClassId(if i % 2 == 0 { 0 } else { usize::MAX });
             let call = CallId(1_000 + i as u64);
             let tenant = Some(TenantId(i));
-            let event = Event::Request { call, class, tenant, time_left, resent: true };
+            let event =
+                Event::Request { call, class, tenant, time_left, resent: true, terms: Terms::default() };
             proxy.event(event.clone());
             proxy.event(event);
             for attempt in [0, 0, 7] {
--- a/crates/decisions/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -378,7 +378,14 @@
 /// A request whose client waits this long for this try.
 fn patient(proxy: &mut Proxy, id: u64, time_left: Micros) -> (CallId, Vec<Action>) {
     let call = CallId(id);
-    let event = Event::Request { call, class: ClassId(0), tenant: None, time_left, resent: false };
+    let event = Event::Request {
+        call,
+        class: ClassId(0),
+        tenant: None,
+        time_left,
+        resent: false,
+        terms: Terms::default(),
+    };
     (call, proxy.event(event))
 }
 
--- a/crates/decisions/tests/sparse.rs
+++ b/crates/decisions/tests/sparse.rs
@@ -177,7 +177,14 @@
         balancer.handle(1_000_001, Event::Start, &mut actions);
         balancer.handle(1_000_001, Event::Members { kind: ListKind::Full, entries }, &mut actions);
         let (call, class) = (CallId(1), ClassId(0));
-        let event = Event::Request { call, class, tenant: None, time_left: 900 * MS, resent: false };
+        let event = Event::Request {
+            call,
+            class,
+            tenant: None,
+            time_left: 900 * MS,
+            resent: false,
+            terms: Terms::default(),
+        };
         balancer.handle(1_000_002, event, &mut actions);
         cold += sent(&actions).iter().filter(|s| s.1 == ServerId(10)).count();
     }
@@ -195,7 +202,14 @@
         let mut cold = false;
         for n in 0..400 {
             let (call, class) = (CallId(10_000 + n), ClassId(0));
-            let event = Event::Request { call, class, tenant: None, time_left: 900 * MS, resent };
+            let event = Event::Request {
+                call,
+                class,
+                tenant: None,
+                time_left: 900 * MS,
+                resent,
+                terms: Terms::default(),
+            };
             let actions = proxy.event(event);
             cold |= sent(&actions).iter().any(|s| s.1 == ServerId(4));
             proxy.now += MS;
--- /dev/null
+++ b/crates/decisions/tests/terms.rs
@@ -0,0 +1,174 @@
+//! What an operator sets for one call: attempts, times, second copies, and what may go again.
+
+mod common;
+use badgerramp_decisions::*;
+use common::*;
+
+fn with_copies(repeat: Repeat) -> Settings {
+    let limits = Limits { second_copies: true, max_attempts: 5, ..Settings::default().limits };
+    Settings { limits, ..settings(repeat) }
+}
+
+fn call_with(proxy: &mut Proxy, number: u64, terms: Terms) -> (CallId, Vec<Action>) {
+    let call = CallId(1_000 + number);
+    let (class, time_left) = (ClassId(0), 1_200 * MS);
+    (call, proxy.event(Event::Request { call, class, tenant: None, time_left, resent: false, terms }))
+}
+
+fn until(actions: &[Action]) -> Option<Micros> {
+    actions.iter().find_map(|a| if let Action::Send { until, .. } = a { *until } else { None })
+}
+
+fn wake(actions: &[Action]) -> Micros {
+    let after = actions.iter().find_map(|a| if let Action::Wake { after } = a { Some(*after) } else { None });
+    after.expect("a timer")
+}
+
+#[test]
+fn attempts_are_as_many_as_the_call_is_given() {
+    for most in 1..=4 {
+        let mut proxy = Proxy::new(settings(Repeat::Free), 6);
+        let (call, actions) = call_with(&mut proxy, 0, Terms { attempts: most, ..Terms::default() });
+        assert_eq!(sent(&actions).len(), 1);
+        let mut count = 1;
+        while count <= 5 {
+            let actions = proxy.end(call, count - 1, Outcome::Error, 1);
+            if refused(&actions, call) {
+                break;
+            }
+            count += sent(&actions).len() as u32;
+        }
+        assert_eq!(count, most);
+    }
+}
+
+/// The site's own limit holds whatever a call is given.
+#[test]
+fn a_call_widens_nothing() {
+    let limits = Limits { max_attempts: 1, second_copies: false, ..Settings::default().limits };
+    let mut proxy = Proxy::new(Settings { limits, ..settings(Repeat::Free) }, 4);
+    let terms = Terms { attempts: 9, hedge: Hedge::After(10 * MS), ..Terms::default() };
+    let (call, actions) = call_with(&mut proxy, 0, terms);
+    assert_eq!(sent(&actions).len(), 1);
+    assert!(sent(&proxy.wait(100 * MS)).is_empty(), "no second copy");
+    assert!(refused(&proxy.end(call, 0, Outcome::Error, 1), call), "no second attempt");
+}
+
+#[test]
+fn an_attempt_ends_in_its_own_time_or_the_aims() {
+    let mut proxy = Proxy::new(settings(Repeat::Free), 4);
+    let (_, actions) = call_with(&mut proxy, 0, Terms { attempt_time: 70 * MS, ..Terms::default() });
+    assert_eq!(until(&actions), Some(proxy.now + 70 * MS));
+    let (_, actions) = call_with(&mut proxy, 1, Terms { attempt_time: 900 * MS, ..Terms::default() });
+    assert_eq!(until(&actions), Some(proxy.now + 500 * MS), "its aim comes first");
+}
+
+#[test]
+fn a_backoff_is_kept_and_the_call_goes_on_after_it() {
+    let mut proxy = Proxy::new(settings(Repeat::Free), 4);
+    let (call, _) = call_with(&mut proxy, 0, Terms { backoff: 40 * MS, ..Terms::default() });
+    let actions = proxy.end(call, 0, Outcome::Error, 1);
+    assert!(sent(&actions).is_empty(), "it pauses");
+    assert!(sent(&proxy.wait(39 * MS)).is_empty(), "still");
+    assert_eq!(sent(&proxy.wait(MS)).len(), 1);
+    // One that could not be served in time after its pause is given up before it.
+    let (late, _) = call_with(&mut proxy, 1, Terms { backoff: 490 * MS, ..Terms::default() });
+    assert!(refused(&proxy.end(late, 0, Outcome::Error, 1), late));
+}
+
+#[test]
+fn a_client_that_leaves_ends_a_pause() {
+    let mut proxy = Proxy::new(settings(Repeat::Free), 4);
+    let (call, _) = call_with(&mut proxy, 0, Terms { backoff: 40 * MS, ..Terms::default() });
+    proxy.end(call, 0, Outcome::Error, 1);
+    proxy.event(Event::Gone { call });
+    assert!(sent(&proxy.wait(100 * MS)).is_empty());
+}
+
+#[test]
+fn a_second_copy_goes_when_it_is_set_to_and_never_for_what_may_not_repeat() {
+    for (repeat, copies) in [(Repeat::Free, 1), (Repeat::SingleShot, 0)] {
+        let mut proxy = Proxy::new(with_copies(repeat), 4);
+        let terms = Terms { hedge: Hedge::After(60 * MS), ..Terms::default() };
+        let (_, actions) = call_with(&mut proxy, 0, terms);
+        assert_eq!(wake(&actions), 60 * MS);
+        assert!(sent(&proxy.wait(59 * MS)).is_empty());
+        assert_eq!(sent(&proxy.wait(MS)).len(), copies, "{repeat:?}");
+        let (_, _) = call_with(&mut proxy, 1, Terms { hedge: Hedge::Never, ..Terms::default() });
+        assert!(sent(&proxy.wait(499 * MS)).is_empty(), "none is wanted");
+    }
+}
+
+#[test]
+fn a_second_copy_follows_the_usual_answer_times() {
+    let mut proxy = Proxy::new(with_copies(Repeat::Free), 4);
+    for n in 0..100 {
+        // Nine of ten answers come in 20 ms, the others in 100.
+        proxy.serve(if n % 10 == 9 { 100 * MS } else { 20 * MS }).expect("it is sent");
+    }
+    let mut after = |number, share| {
+        let (call, _) =
+            call_with(&mut proxy, number, Terms { hedge: Hedge::Share(share), ..Terms::default() });
+        let asked = proxy.now;
+        while sent(&proxy.wait(MS)).is_empty() {
+            assert!(proxy.now < asked + 500 * MS, "no second copy");
+        }
+        let after = proxy.now - asked;
+        proxy.event(Event::Gone { call });
+        after
+    };
+    let (common, rare) = (after(0, 0.8), after(1, 0.99));
+    assert!((20 * MS..30 * MS).contains(&common), "{common}");
+    assert!((100 * MS..130 * MS).contains(&rare), "{rare}");
+}
+
+#[test]
+fn what_may_have_run_is_kept_back_where_only_the_rest_may_go_again() {
+    let terms = Terms { resend: Resend::NeverRan, ..Terms::default() };
+    let mut proxy = Proxy::new(settings(Repeat::Free), 6);
+    let (call, _) = call_with(&mut proxy, 0, terms);
+    assert_eq!(sent(&proxy.end(call, 0, Outcome::NoConnection, 1)).len(), 1);
+    assert!(refused(&proxy.end(call, 1, Outcome::Error, 1), call));
+}
+
+/// The key that a guarded class goes by is missing: no host could tell its repeat.
+#[test]
+fn a_call_without_its_key_is_unsafe_whatever_its_class() {
+    let guarded = Repeat::Guarded { scope: Scope::All, window: 400 * MS };
+    let mut proxy = Proxy::new(with_copies(guarded), 6);
+    let terms = Terms { once: true, hedge: Hedge::After(10 * MS), ..Terms::default() };
+    let (call, _) = call_with(&mut proxy, 0, terms);
+    assert!(sent(&proxy.wait(100 * MS)).is_empty(), "no second copy");
+    let actions = proxy.end(call, 0, Outcome::Reset, 1);
+    assert!(failed(&actions, call) && sent(&actions).is_empty());
+}
+
+#[test]
+fn open_calls_end_under_the_settings_they_came_under() {
+    let mut proxy = Proxy::new(settings(Repeat::Free), 4);
+    let (call, _) = proxy.call();
+    let mut changed = settings(Repeat::SingleShot);
+    changed.classes.push(Class { aim: 100 * MS, deadline: 200 * MS, ..changed.classes[0] });
+    proxy.event(Event::Reconfigure { settings: Box::new(changed), fresh: vec![ClassId(0)] });
+    assert_eq!(sent(&proxy.end(call, 0, Outcome::Error, 1)).len(), 1, "it was harmless when it came");
+    let (call, _) = proxy.call();
+    assert!(failed(&proxy.end(call, 0, Outcome::Error, 1), call), "this one is not");
+    let (call, actions) = proxy.call_of(1);
+    assert_eq!(sent(&actions).len(), 1, "a class that is new");
+    assert!(failed(&proxy.end(call, 0, Outcome::Error, 1), call));
+}
+
+/// Calls that wait in the hold when their class goes are answered all the same.
+#[test]
+fn held_calls_outlive_their_class() {
+    let mut proxy = Proxy::new(settings(Repeat::Free), 0);
+    let (call, _) = proxy.call();
+    let mut changed = settings(Repeat::SingleShot);
+    changed.classes[0].aim = 50 * MS;
+    proxy.event(Event::Reconfigure { settings: Box::new(changed), fresh: vec![ClassId(0)] });
+    let actions = proxy.list(ListKind::Full, vec![ready(1)]);
+    assert_eq!(sent(&actions).iter().filter(|s| s.0 == call).count(), 1);
+    let actions = proxy.end(call, 0, Outcome::Error, 1);
+    assert!(!failed(&actions, call), "still of the class it came in");
+    assert_eq!(sent(&actions).len(), 1, "which may go again");
+}
--- a/crates/proxy/src/net/driver.rs
+++ b/crates/proxy/src/net/driver.rs
@@ -7,7 +7,7 @@
 use badgerramp_decisions::settings::{self, Facts};
 use badgerramp_decisions::{
     Action, Balancer, CallId, CellId, ClassId, Entry, Event, ListKind, Load, Micros, Outcome, ServerId,
-    State, TenantId,
+    State, TenantId, Terms,
 };
 use bytes::Bytes;
 use hyper::header::HeaderValue;
@@ -26,6 +26,7 @@
     pub tenant: Option<String>,
     pub deadline: Micros,
     pub resent: bool,
+    pub terms: Terms,
 }
 
 /// The one final answer.
@@ -203,6 +204,7 @@
             tenant: intake.tenant.and_then(|t| place(&core.tenants, &t)).map(TenantId),
             time_left: deadline.saturating_sub(self.clock.now()),
             resent: intake.resent,
+            terms: intake.terms,
         };
         drop(core);
         self.event(event);
@@ -626,6 +628,7 @@
             tenant: None,
             deadline: driver.clock.now() + 60_000_000,
             resent: false,
+            terms: Terms::default(),
         };
         let held: Vec<_> = (0..9).map(|_| driver.request(intake(), request()).expect("room")).collect();
         assert!(driver.request(intake(), request()).is_none());
--- a/crates/proxy/src/net/front.rs
+++ b/crates/proxy/src/net/front.rs
@@ -216,6 +216,7 @@
             class,
             tenant: text(&parts.headers, "x-tenant-id"),
             deadline: clock.now() + time.saturating_sub(MARGIN).max(1),
+            terms: badgerramp_decisions::Terms::default(),
             resent: { parts.headers.get("x-retried").is_some_and(|v| v.as_bytes() == b"1") },
         };
         let (method, uri, headers) = (parts.method, parts.uri, parts.headers);
