--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -6,7 +6,7 @@
 
 use badgerramp_decisions::settings;
 use badgerramp_decisions::{
-    Action, Balancer, CallId, ClassId, Entry, Event, ListKind, Outcome, ServerId, TenantId,
+    Action, Balancer, CallId, ClassId, Entry, Event, ListKind, Outcome, ServerId, TenantId, Terms,
 };
 use std::collections::HashMap;
 use std::io::{self, BufRead, Write};
