Routes: a table over path segments and patterns, sources of keys, answers and timing

An operator says by path, method and headers which class a request has; looking it up must not grow with the file. Package badgerramp-route: a tree over segments for exact paths and prefixes, one linear-time set for patterns, bounded in size; one normal form of paths; routes that an earlier one takes wholly are told.

--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator's file.
--- /dev/null
+++ b/crates/route/tests/table.rs
@@ -0,0 +1,246 @@
+//! The table against plain reading of its rules: the first route that takes a request wins.
+
+use badgerramp_decisions::{Hedge, Resend};
+use badgerramp_route::*;
+use http::header::{HeaderMap, HeaderName, HeaderValue};
+use http::Method;
+use proptest::prelude::*;
+use std::sync::Arc;
+
+fn timing() -> Timing {
+    let (hedge, resend) = (Hedge::Never, Resend::NeverRan);
+    Timing { connect: 1, attempt: 1, total: 1, attempts: 1, backoff: 0, hedge, resend }
+}
+
+fn route(path: PathPattern, methods: &[&str], headers: &[(&str, Option<&str>)]) -> Route {
+    let header = |&(name, value): &(&str, Option<&str>)| HeaderPattern {
+        name: HeaderName::try_from(name).expect("a name"),
+        value: value.map(|v| HeaderValue::from_str(v).expect("a value")),
+    };
+    Route {
+        name: String::new(),
+        path,
+        methods: methods.iter().map(|m| m.parse().expect("a method")).collect(),
+        headers: headers.iter().map(header).collect(),
+        class: 0,
+        tenant: None,
+        key: None,
+        timing: timing(),
+        answers: Arc::new(Answers::standard()),
+    }
+}
+
+fn exact(path: &str) -> PathPattern {
+    PathPattern::Exact(path.to_owned())
+}
+
+fn prefix(path: &str) -> PathPattern {
+    PathPattern::Prefix(path.to_owned())
+}
+
+fn regex(text: &str) -> PathPattern {
+    PathPattern::Regex(pattern(text).expect("a pattern"))
+}
+
+/// The place of the route that takes a request.
+fn found(table: &Table, method: &Method, path: &str, headers: &HeaderMap) -> Option<usize> {
+    let route = table.find(method, path, headers).expect("a normal form")?;
+    table.routes().iter().position(|r| std::ptr::eq(r, route))
+}
+
+fn get(table: &Table, path: &str) -> Option<usize> {
+    found(table, &Method::GET, path, &HeaderMap::new())
+}
+
+fn table(paths: Vec<PathPattern>) -> Table {
+    Table::new(paths.into_iter().map(|p| route(p, &[], &[])).collect()).expect("a table")
+}
+
+#[test]
+fn a_prefix_ends_at_a_segment() {
+    let t = table(vec![prefix("/fees"), prefix("/doors/"), exact("/")]);
+    for (path, taken) in [
+        ("/fees", Some(0)),
+        ("/fees/", Some(0)),
+        ("/fees/a/b", Some(0)),
+        ("/fee", None),
+        ("/feesx", None),
+        ("/doors", None),
+        ("/doors/", Some(1)),
+        ("/doors/7", Some(1)),
+        ("/", Some(2)),
+        ("//", Some(2)),
+        ("/x/../fees//7", Some(0)),
+        ("/%66ees", Some(0)),
+        ("/doors%2F7", None),
+    ] {
+        assert_eq!(get(&t, path), taken, "{path}");
+    }
+}
+
+#[test]
+fn the_first_in_the_file_wins_whatever_its_kind() {
+    let t = table(vec![regex("/a/[0-9]+"), exact("/a/b"), prefix("/a"), exact("/a/c"), regex("/a.*")]);
+    for (path, taken) in
+        [("/a/7", Some(0)), ("/a/b", Some(1)), ("/a/c", Some(2)), ("/ab", Some(4)), ("/b", None)]
+    {
+        assert_eq!(get(&t, path), taken, "{path}");
+    }
+    assert_eq!(t.shadows(), [Shadow { later: 3, earlier: 2 }]);
+}
+
+/// A pattern is held against the whole path: one that closes the group it is put in must not get round that.
+#[test]
+fn a_pattern_matches_from_beginning_to_end() {
+    let t = table(vec![regex("/a|/b")]);
+    assert_eq!(
+        (get(&t, "/a"), get(&t, "/b"), get(&t, "/ab"), get(&t, "/c/b")),
+        (Some(0), Some(0), None, None)
+    );
+    assert!(pattern("/a)|(.*").is_err());
+    assert!(pattern("(a{500}){500}").is_err_and(|f| f.0.contains("bytes")), "bounded in size");
+}
+
+/// A pattern that costs other engines years runs in time linear in the path.
+#[test]
+fn a_costly_pattern_is_harmless() {
+    let t = table(vec![regex("/(a+)+b"), regex("/(.*)*x(.*)*y")]);
+    let path = format!("/{}", "a".repeat(PATH_MOST - 1));
+    assert_eq!(get(&t, &path), None);
+}
+
+#[test]
+fn patterns_are_bounded_together() {
+    let many = (0..400).map(|n| regex(&format!("/{n}/[a-z]{{2000}}"))).collect::<Vec<_>>();
+    let routes = many.into_iter().map(|p| route(p, &[], &[])).collect();
+    assert_eq!(Table::new(routes).err(), Some(TableFault::PatternsTooBig));
+}
+
+#[test]
+fn methods_and_headers_narrow() {
+    let json = [("content-type", Some("application/json"))];
+    let t = Table::new(vec![
+        route(prefix("/a"), &["POST", "PUT"], &json),
+        route(prefix("/a"), &["POST"], &[("x-branch", None)]),
+        route(prefix("/a"), &["POST"], &[]),
+    ])
+    .expect("a table");
+    let headers = |all: &[(&'static str, &'static str)]| -> HeaderMap {
+        all.iter().map(|&(n, v)| (HeaderName::from_static(n), HeaderValue::from_static(v))).collect()
+    };
+    let post = |all| found(&t, &Method::POST, "/a", &headers(all));
+    assert_eq!(post(&[("content-type", "application/json")]), Some(0));
+    assert_eq!(post(&[("content-type", "text/plain"), ("x-branch", "CR-1")]), Some(1));
+    assert_eq!(post(&[("content-type", "text/plain")]), Some(2));
+    assert_eq!(get(&t, "/a"), None);
+    assert!(t.shadows().is_empty());
+}
+
+#[test]
+fn routes_that_never_match_are_told() {
+    let get = |path| route(path, &["GET"], &[]);
+    let any = |path| route(path, &[], &[]);
+    for (earlier, later, shadowed) in [
+        (any(prefix("/")), any(regex("/x+")), true),
+        (any(prefix("/")), get(exact("/x")), true),
+        (get(prefix("/")), any(exact("/x")), false),
+        (any(prefix("/a")), any(prefix("/a/")), true),
+        (any(prefix("/a/")), any(prefix("/a")), false),
+        (any(prefix("/a/")), any(prefix("/a/b")), true),
+        (any(exact("/a")), any(prefix("/a")), false),
+        (any(exact("/a")), any(exact("/a")), true),
+        (any(regex("/[a-c]")), any(exact("/b")), true),
+        (any(regex("/[a-c]")), any(exact("/d")), false),
+        (any(regex("/[a-c]")), get(regex("/[a-c]")), true),
+        (any(regex("/[a-c]")), any(prefix("/b")), false),
+        (route(prefix("/a"), &[], &[("x-a", None)]), any(exact("/a")), false),
+        (route(prefix("/a"), &[], &[("x-a", None)]), route(exact("/a"), &[], &[("x-a", Some("1"))]), true),
+        (
+            route(prefix("/a"), &[], &[("x-a", Some("2"))]),
+            route(exact("/a"), &[], &[("x-a", Some("1"))]),
+            false,
+        ),
+    ] {
+        let shown = format!("{:?} then {:?}", earlier.path, later.path);
+        let t = Table::new(vec![earlier, later]).expect("a table");
+        let wanted: &[Shadow] = if shadowed { &[Shadow { later: 1, earlier: 0 }] } else { &[] };
+        assert_eq!(t.shadows(), wanted, "{shown}");
+    }
+}
+
+/// The rules read one by one, without any index.
+fn plainly(routes: &[Route], method: &Method, path: &str, headers: &HeaderMap) -> Option<usize> {
+    routes.iter().position(|r| {
+        let takes_path = match &r.path {
+            PathPattern::Exact(p) => p == path,
+            PathPattern::Prefix(p) if p.ends_with('/') => path.starts_with(p.as_str()),
+            PathPattern::Prefix(p) => {
+                path.strip_prefix(p.as_str()).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+            }
+            PathPattern::Regex(p) => p.is_match(path),
+        };
+        takes_path
+            && (r.methods.is_empty() || r.methods.contains(method))
+            && r.headers
+                .iter()
+                .all(|h| headers.get(&h.name).is_some_and(|v| h.value.as_ref().is_none_or(|w| w == v)))
+    })
+}
+
+fn any_path() -> impl Strategy<Value = String> {
+    prop_oneof![Just("/".to_owned()), "(/[ab]){1,3}/?"]
+}
+
+fn any_route() -> impl Strategy<Value = Route> {
+    let path = prop_oneof![
+        any_path().prop_map(PathPattern::Exact),
+        any_path().prop_map(PathPattern::Prefix),
+        prop_oneof![Just("/.*"), Just("/a/[ab]"), Just("(/a)*/?"), Just("/b+.*")].prop_map(regex),
+    ];
+    let methods = prop_oneof![Just(vec![]), Just(vec!["GET"]), Just(vec!["POST"]), Just(vec!["GET", "POST"])];
+    let headers =
+        prop_oneof![3 => Just(vec![]), 1 => Just(vec![("x-a", None)]), 1 => Just(vec![("x-a", Some("1"))])];
+    (path, methods, headers).prop_map(|(path, methods, headers)| route(path, &methods, &headers))
+}
+
+proptest! {
+    #[test]
+    fn the_table_finds_what_plain_reading_finds(
+        routes in prop::collection::vec(any_route(), 0..12),
+        path in any_path(),
+        post in any::<bool>(),
+        value in prop_oneof![Just(None), Just(Some("1")), Just(Some("2"))],
+    ) {
+        let method = if post { Method::POST } else { Method::GET };
+        let headers: HeaderMap =
+            value.map(|v| (HeaderName::from_static("x-a"), HeaderValue::from_static(v))).into_iter().collect();
+        let table = Table::new(routes.clone()).expect("a table");
+        prop_assert_eq!(found(&table, &method, &path, &headers), plainly(&routes, &method, &path, &headers));
+    }
+
+    /// What is told never to match never does, and the route that is named takes it.
+    #[test]
+    fn a_route_told_never_to_match_never_does(
+        routes in prop::collection::vec(any_route(), 2..8),
+        paths in prop::collection::vec(any_path(), 40),
+    ) {
+        let table = Table::new(routes.clone()).expect("a table");
+        for path in &paths {
+            for (method, value) in [(Method::GET, None), (Method::POST, Some("1")), (Method::PUT, Some("2"))] {
+                let headers: HeaderMap = value
+                    .map(|v| (HeaderName::from_static("x-a"), HeaderValue::from_static(v)))
+                    .into_iter()
+                    .collect();
+                let taken = plainly(&routes, &method, path, &headers);
+                prop_assert!(table.shadows().iter().all(|s| Some(s.later) != taken));
+                for shadow in table.shadows() {
+                    let alone = std::slice::from_ref(&routes[shadow.later]);
+                    if plainly(alone, &method, path, &headers).is_some() {
+                        let by = std::slice::from_ref(&routes[shadow.earlier]);
+                        prop_assert!(plainly(by, &method, path, &headers).is_some());
+                    }
+                }
+            }
+        }
+    }
+}
