--- a/crates/proxy/src/net/driver.rs
+++ b/crates/proxy/src/net/driver.rs
@@ -2,15 +2,13 @@
 //! timers, the calls and the maps between names and numbers. It never picks, retries or sheds by itself.
 
 use super::clock::Clock;
-use super::exchange::{Ended, Request, Target};
+use super::exchange::{Ended, Reply, Request, Target};
 use super::hosts::{self, Hosts};
 use badgerramp_decisions::settings::{self, Facts};
 use badgerramp_decisions::{
     Action, Balancer, CallId, CellId, ClassId, Entry, Event, ListKind, Load, Micros, Outcome, ServerId,
-    State, TenantId, Terms,
+    Settings, State, TenantId, Terms,
 };
-use bytes::Bytes;
-use hyper::header::HeaderValue;
 use serde::Deserialize;
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
@@ -32,14 +30,12 @@
 /// The one final answer.
 #[derive(Debug)]
 pub enum Answer {
-    Served {
-        body: Bytes,
-        content_type: Option<HeaderValue>,
-    },
+    Served(Reply),
     Refused {
         retry_after: Micros,
     },
-    Failed,
+    /// What the last host said that could be read, if any.
+    Failed(Option<Reply>),
     /// The time was up before the module had ended the call.
     Overdue,
 }
@@ -64,6 +60,22 @@
     since_ms: u64,
 }
 
+impl Endpoint {
+    /// One that the operator's file names. `since_ms` is as in the list: Unix time in milliseconds, 0 for long ago.
+    pub fn fixed(endpoint: &badgerramp_config::Endpoint, since_ms: u64) -> Self {
+        Endpoint {
+            name: endpoint.name.clone(),
+            address: endpoint.address.to_string(),
+            zone: endpoint.zone.clone(),
+            kind: endpoint.kind.clone(),
+            group: endpoint.group,
+            status: "up".to_owned(),
+            weight: endpoint.weight,
+            since_ms,
+        }
+    }
+}
+
 /// The list, or what changed of it.
 #[derive(Debug, Deserialize)]
 pub struct List {
@@ -98,10 +110,13 @@
 #[derive(Debug)]
 struct Call {
     request: Rc<Request>,
+    class: ClassId,
     deadline: Micros,
     /// Taken when the final answer is given.
     answer: Option<oneshot::Sender<Answer>>,
     attempts: Vec<Attempt>,
+    /// The last answer of a host that did not serve, if it is to be passed on.
+    last: Option<Reply>,
 }
 
 /// What is due at a moment. The order matters: at a deadline the attempts time out first, so that the module
@@ -117,6 +132,8 @@
     balancer: Balancer,
     tenants: Vec<String>,
     max_open: usize,
+    /// Whether what a host answers with an error is passed on where nothing better comes.
+    keep_errors: bool,
     calls: HashMap<CallId, Call>,
     open: usize,
     next_call: u64,
@@ -144,11 +161,12 @@
 }
 
 impl Driver {
-    pub fn new(seed: u64, facts: Facts, clock: Clock, sockets: Rc<Hosts>) -> Self {
+    pub fn new(seed: u64, facts: Facts, keep_errors: bool, clock: Clock, sockets: Rc<Hosts>) -> Self {
         let core = Core {
             balancer: Balancer::new(seed, facts.settings),
             tenants: facts.tenants,
             max_open: facts.transport.max_open,
+            keep_errors,
             calls: HashMap::new(),
             open: 0,
             next_call: 0,
@@ -183,6 +201,17 @@
         self.core.borrow().open
     }
 
+    /// Other settings hold for what comes from now on.
+    pub fn reconfigure(&self, settings: Settings, fresh: Vec<ClassId>, max_open: usize) {
+        self.core.borrow_mut().max_open = max_open;
+        self.event(Event::Reconfigure { settings: Box::new(settings), fresh });
+    }
+
+    /// Is a call of this class open, or an attempt of one still out?
+    pub fn in_use(&self, class: ClassId) -> bool {
+        self.core.borrow().calls.values().any(|c| c.class == class)
+    }
+
     /// Takes a request on. None: more are open than the settings allow.
     pub fn request(&self, intake: Intake, request: Request) -> Option<(CallId, oneshot::Receiver<Answer>)> {
         let (sender, receiver) = oneshot::channel();
@@ -194,7 +223,14 @@
         core.next_call += 1;
         core.open += 1;
         let deadline = intake.deadline;
-        let entry = Call { request: Rc::new(request), deadline, answer: Some(sender), attempts: Vec::new() };
+        let entry = Call {
+            request: Rc::new(request),
+            class: intake.class,
+            deadline,
+            answer: Some(sender),
+            attempts: Vec::new(),
+            last: None,
+        };
         core.calls.insert(call, entry);
         core.timers.insert((deadline, Due::Backstop(call)));
         let place = |all: &[String], name: &str| all.iter().position(|n| n == name);
@@ -339,7 +375,10 @@
         match action {
             Action::Send { call, server, until } => self.send(core, now, (call, server, until)),
             Action::Refuse { call, retry_after } => core.close(call, Some(Answer::Refused { retry_after })),
-            Action::Fail { call } => core.close(call, Some(Answer::Failed)),
+            Action::Fail { call } => {
+                let last = core.calls.get_mut(&call).and_then(|c| c.last.take());
+                core.close(call, Some(Answer::Failed(last)));
+            }
             Action::Cancel { call, attempt } => {
                 core.outcome(now, call, attempt, Outcome::CalledOff.into());
             }
@@ -521,13 +560,17 @@
             task.abort();
         }
         let elapsed = now.saturating_sub(attempt.sent);
-        let Ended { outcome, load, served } = ended;
-        if let Some((body, content_type)) = served {
-            if let Some(sender) = call.answer.take() {
-                self.open -= 1;
-                self.timers.remove(&(call.deadline, Due::Backstop(id)));
-                let _ = sender.send(Answer::Served { body, content_type });
+        let Ended { outcome, load, reply } = ended;
+        match reply {
+            Some(reply) if outcome == Outcome::Served => {
+                if let Some(sender) = call.answer.take() {
+                    self.open -= 1;
+                    self.timers.remove(&(call.deadline, Due::Backstop(id)));
+                    let _ = sender.send(Answer::Served(reply));
+                }
             }
+            Some(reply) if outcome == Outcome::Error && self.keep_errors => call.last = Some(reply),
+            _ => {}
         }
         let closed = call.answer.is_none();
         self.events.push_back(Event::Outcome { call: id, attempt: number, outcome, elapsed, closed, load });
@@ -547,7 +590,6 @@
     use super::*;
     use crate::net::{Descriptors, Room};
     use badgerramp_decisions::settings::Transport;
-    use badgerramp_decisions::Settings;
     use hyper::http::{HeaderMap, Method, Uri};
     use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -556,12 +598,14 @@
         let transport = Transport { max_open: 9, conn_idle: 60_000_000, connect_timeout: 9_000_000 };
         let sockets = Hosts::new(transport, 1, (Descriptors::new(9), Room::new(1 << 20)), clock);
         let facts = Facts { settings: Settings::default(), classes: vec![], tenants: vec![], transport };
-        Driver::new(7, facts, clock, sockets)
+        Driver::new(7, facts, false, clock, sockets)
     }
 
     fn request() -> Request {
         let (uri, headers) = (Uri::from_static("/a"), HeaderMap::new());
-        Request { method: Method::GET, uri, headers, body: Bytes::new() }
+        let answers = std::sync::Arc::new(badgerramp_route::Answers::platform());
+        let manner = Rc::new(super::super::exchange::Manner { connect: 1, answers, body_most: 1 });
+        Request { method: Method::GET, uri, headers, body: bytes::Bytes::new(), manner }
     }
 
     /// The module ends each call by itself; should it ever forget one, the client still gets its answer.
@@ -571,8 +615,9 @@
         let deadline = driver.clock.now() + 30_000;
         let (sender, receiver) = oneshot::channel();
         let call = CallId(99);
+        let (request, class) = (Rc::new(request()), ClassId(0));
         let forgotten =
-            Call { request: Rc::new(request()), deadline, answer: Some(sender), attempts: Vec::new() };
+            Call { request, class, deadline, answer: Some(sender), attempts: Vec::new(), last: None };
         driver.core.borrow_mut().calls.insert(call, forgotten);
         driver.core.borrow_mut().open += 1;
         driver.core.borrow_mut().timers.insert((deadline, Due::Backstop(call)));
--- a/crates/proxy/src/net/exchange.rs
+++ b/crates/proxy/src/net/exchange.rs
@@ -1,11 +1,13 @@
 //! What passes between the owner of the calls and the connections to hosts: a request, where an attempt goes, and
 //! how it ended.
 
-use badgerramp_decisions::{Load, Outcome, ServerId};
+use badgerramp_decisions::{Load, Micros, Outcome, ServerId};
+use badgerramp_route::Answers;
 use bytes::Bytes;
-use hyper::header::HeaderValue;
-use hyper::http::{HeaderMap, Method, Uri};
+use hyper::http::{HeaderMap, Method, StatusCode, Uri};
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
 
 /// A request as the client sent it, kept while it may still go to a host.
 #[derive(Debug)]
@@ -14,6 +16,18 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Bytes,
+    pub manner: Rc<Manner>,
+}
+
+/// How attempts are made and their answers read; set by class or route.
+#[derive(Clone, Debug)]
+pub struct Manner {
+    /// A connection that is not up by then has failed.
+    pub connect: Micros,
+    /// What an answer means.
+    pub answers: Arc<Answers>,
+    /// Most bytes of an answer's body.
+    pub body_most: usize,
 }
 
 /// Where an attempt goes.
@@ -24,17 +38,25 @@
     pub generation: u64,
 }
 
+/// A host's answer, whole.
+#[derive(Debug)]
+pub struct Reply {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub struct Ended {
     pub outcome: Outcome,
     pub load: Load,
-    /// The whole body of a served answer, and its type.
-    pub served: Option<(Bytes, Option<HeaderValue>)>,
+    /// What came back, if it could be read.
+    pub reply: Option<Reply>,
 }
 
 impl From<Outcome> for Ended {
     fn from(outcome: Outcome) -> Self {
-        Ended { outcome, load: Load::default(), served: None }
+        Ended { outcome, load: Load::default(), reply: None }
     }
 }
--- a/crates/proxy/src/net/front.rs
+++ b/crates/proxy/src/net/front.rs
@@ -1,20 +1,21 @@
 //! The client side: reads requests, hands them to the driver and writes the one final answer.
 
+use super::admit::{hop_by_hop, Admitted, Rules, Turned};
 use super::clients::{Clients, Noted, Seat, UNASKED};
 use super::driver::{Answer, Driver, Intake};
-use super::exchange::Request;
-use super::hosts::{Hosts, BODY_MOST};
+use super::exchange::{Reply, Request};
+use super::hosts::Hosts;
 use super::{Descriptors, Room};
-use badgerramp_decisions::{CallId, ClassId, Micros};
+use badgerramp_decisions::{CallId, Micros};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
-use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::body::{Body, Incoming};
+use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::convert::Infallible;
 use std::future::Future;
@@ -26,10 +27,6 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// Taken off the client's time, so that the final answer reaches it before that is up.
-const MARGIN: Micros = 2_000;
-/// Longest time of a client that is believed.
-const TIME_MOST: Micros = 600_000_000;
 /// Most bytes of a request's head.
 const HEAD_MOST: usize = 32 * 1024;
 /// At a stop, connections are accepted for at least this long, and until none has come for a while.
@@ -41,26 +38,21 @@
 /// Pause of accepting when the system has no descriptor left, or all places are taken.
 const SHORT_PAUSE: Duration = Duration::from_millis(10);
 
-/// A class as the settings name it, and the method its requests bear.
-#[derive(Debug)]
-pub struct Class {
-    pub name: String,
-    pub method: Method,
-}
-
 pub struct Front {
     pub driver: Driver,
     pub hosts: Rc<Hosts>,
     pub descriptors: Rc<Descriptors>,
     pub clients: Clients,
-    /// In the order of their numbers.
-    pub classes: Vec<Class>,
+    /// How requests are read; replaced whole.
+    pub rules: RefCell<Rc<Rules>>,
+    /// Answers pass with status and headers, and advice is in whole seconds, as HTTP has them.
+    pub plain_http: bool,
     /// Bytes of bodies that may be held.
     pub room: Rc<Room>,
     /// Ids of the requests that are open.
     pub open: RefCell<HashSet<HeaderValue>>,
-    /// When to come back, where the module gives no advice.
-    pub advice: Micros,
+    /// When to come back, where the module gives no advice; 0: none is given.
+    pub advice: Cell<Micros>,
     /// Connections of clients that are served. They must leave descriptors for the way to the hosts: else a
     /// crowd of clients would be taken and none of them served. The machine lets clients hold a third of the
     /// descriptors at most: with idle ones beyond that, those that ask would find no connection.
@@ -186,106 +178,101 @@
         since: Micros,
     ) -> Response<Full<Bytes>> {
         let clock = self.driver.clock();
-        let (parts, body) = request.into_parts();
+        let (mut parts, body) = request.into_parts();
         if parts.uri.path() == "/_health" && matches!(parts.method, Method::GET | Method::HEAD) {
             return plain(StatusCode::OK, "ok");
         }
-        let Form { class, id, time, length } = match self.form(&parts) {
-            Ok(form) => form,
-            Err((status, text)) => return bad(status, text),
-        };
-        let Some(_open) = Open::enter(&self.open, id) else {
-            return bad(StatusCode::CONFLICT, "a request with this X-Request-ID is open");
+        let rules = Rc::clone(&self.rules.borrow());
+        let Admitted { class, tenant, id, time, length, body_most, terms, manner } =
+            match rules.admit(&mut parts) {
+                Ok(admitted) => admitted,
+                Err(turned) => return self.turned(turned),
+            };
+        let _open = match id.map(|id| Open::enter(&self.open, id)) {
+            Some(None) => return bad(StatusCode::CONFLICT, "a request with this X-Request-ID is open"),
+            entered => entered,
         };
-        let Some(_held) = self.room.take(length) else { return self.refused(0) };
-        let body = Limited::new(body, BODY_MOST).collect();
+        let Some(_held) = self.room.take(length.unwrap_or(body_most)) else { return self.refused(0) };
+        let body = Limited::new(body, body_most).collect();
         let late = clock.instant(since.saturating_add(UNASKED));
         let body = match tokio::time::timeout_at(late, body).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(fault)) if fault.is::<LengthLimitError>() => {
-                return bad(StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB");
+                return bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
             }
             Ok(Err(_)) => return bad(StatusCode::BAD_REQUEST, "broken body"),
             Err(_) => return bad(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
         };
-        seat.whole(length);
-        if seat.surplus() {
-            return bad(StatusCode::BAD_REQUEST, "more bytes than the request has");
+        if let Some(length) = length.filter(|_| !self.plain_http) {
+            // Plain HTTP lets a client send its next request ahead.
+            seat.whole(length);
+            if seat.surplus() {
+                return bad(StatusCode::BAD_REQUEST, "more bytes than the request has");
+            }
         }
-        let intake = Intake {
-            class,
-            tenant: text(&parts.headers, "x-tenant-id"),
-            deadline: clock.now() + time.saturating_sub(MARGIN).max(1),
-            terms: badgerramp_decisions::Terms::default(),
-            resent: { parts.headers.get("x-retried").is_some_and(|v| v.as_bytes() == b"1") },
-        };
+        let resent = parts.headers.get("x-retried").is_some_and(|v| v.as_bytes() == b"1");
+        let intake = Intake { class, tenant, deadline: clock.now() + time, resent, terms };
         let (method, uri, headers) = (parts.method, parts.uri, parts.headers);
-        let Some((call, answer)) = self.driver.request(intake, Request { method, uri, headers, body }) else {
+        let request = Request { method, uri, headers, body, manner };
+        let Some((call, answer)) = self.driver.request(intake, request) else {
             return self.refused(0);
         };
         let _gone = Gone { driver: &self.driver, call };
         match answer.await {
-            Ok(Answer::Served { body, content_type }) => {
-                let mut response = Response::new(Full::new(body));
-                if let Some(content_type) = content_type {
-                    response.headers_mut().insert(header::CONTENT_TYPE, content_type);
-                }
-                response
-            }
+            Ok(Answer::Served(reply)) => self.reply(reply),
             Ok(Answer::Refused { retry_after }) => self.refused(retry_after),
-            Ok(Answer::Failed) => plain(StatusCode::BAD_GATEWAY, "failed"),
+            // To a client these two mean that trying again is harmless, which no failure promises.
+            Ok(Answer::Failed(Some(reply))) if ![429, 503].contains(&reply.status.as_u16()) => {
+                self.reply(reply)
+            }
+            Ok(Answer::Failed(_)) => plain(StatusCode::BAD_GATEWAY, "failed"),
             Ok(Answer::Overdue) | Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
         }
     }
 
-    /// Has the head of a request the form that clients of ours give it? What has not never reaches a host.
-    fn form(&self, parts: &hyper::http::request::Parts) -> Result<Form, (StatusCode, &'static str)> {
-        let Some(path) = parts.uri.path().strip_prefix('/').filter(|_| parts.uri.authority().is_none())
-        else {
-            return Err((StatusCode::BAD_REQUEST, "odd path"));
-        };
-        let name = path.split('/').next().unwrap_or_default();
-        let Some(number) = self.classes.iter().position(|c| c.name == name) else {
-            return Err((StatusCode::NOT_FOUND, "no such class"));
-        };
-        if self.classes[number].method != parts.method {
-            return Err((StatusCode::METHOD_NOT_ALLOWED, "not the method of this class"));
-        }
-        let headers = &parts.headers;
-        let time = match single(headers, "x-timeout").map(|v| v.to_str().ok().and_then(timeout)) {
-            Some(Some(time)) => time,
-            _ => return Err((StatusCode::BAD_REQUEST, "X-Timeout missing or odd")),
-        };
-        let id = match single(headers, "x-request-id") {
-            Some(id) if !id.is_empty() => id.clone(),
-            _ => return Err((StatusCode::BAD_REQUEST, "X-Request-ID missing or odd")),
-        };
-        // The library drops the length of a request that bears a transfer coding too, so that the two can't be
-        // compared here: a request tells its length, and nothing else of its framing.
-        if headers.contains_key(header::TRANSFER_ENCODING) {
-            return Err((StatusCode::LENGTH_REQUIRED, "no transfer coding"));
+    /// What a host answered, in the client's framing.
+    fn reply(&self, reply: Reply) -> Response<Full<Bytes>> {
+        let Reply { status, mut headers, body } = reply;
+        let mut response = Response::new(Full::new(body));
+        if !self.plain_http {
+            if let Some(content_type) = headers.remove(header::CONTENT_TYPE) {
+                response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+            }
+            return response;
         }
-        let length =
-            single(headers, header::CONTENT_LENGTH.as_str()).and_then(|v| v.to_str().ok()?.parse().ok());
-        let length = match length {
-            Some(length) => length,
-            None if parts.method == Method::GET => 0,
-            None => return Err((StatusCode::LENGTH_REQUIRED, "a length is wanted")),
-        };
-        if parts.method == Method::GET && length > 0 {
-            return Err((StatusCode::BAD_REQUEST, "no body with this method"));
+        // An answer to HEAD tells the length that a GET would have; the library drops it where nothing may tell one.
+        let length = headers.remove(header::CONTENT_LENGTH);
+        hop_by_hop(&mut headers);
+        if let Some(length) = length.filter(|_| response.body().is_end_stream()) {
+            headers.insert(header::CONTENT_LENGTH, length);
         }
-        if length > BODY_MOST {
-            return Err((StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB"));
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        response
+    }
+
+    fn turned(&self, turned: Turned) -> Response<Full<Bytes>> {
+        let mut response = Response::new(Full::from(turned.text));
+        *response.status_mut() = turned.status;
+        if turned.close {
+            close(&mut response);
         }
-        Ok(Form { class: ClassId(number), id, time, length })
+        response
     }
 
     /// A refusal tells the client when to come back, in seconds.
     fn refused(&self, retry_after: Micros) -> Response<Full<Bytes>> {
         let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
-        let wait = if retry_after == 0 { self.advice } else { retry_after };
-        let seconds = format!("{}.{:03}", wait / 1_000_000, wait / 1_000 % 1_000);
+        let wait = if retry_after == 0 { self.advice.get() } else { retry_after };
+        if wait == 0 {
+            // The operator wants none.
+            return response;
+        }
+        let seconds = match self.plain_http {
+            // RFC 9110, 10.2.3: whole seconds.
+            true => wait.div_ceil(1_000_000).to_string(),
+            false => format!("{}.{:03}", wait / 1_000_000, wait / 1_000 % 1_000),
+        };
         if let Ok(value) = HeaderValue::from_str(&seconds) {
             response.headers_mut().insert(header::RETRY_AFTER, value);
         }
@@ -293,20 +280,6 @@
     }
 }
 
-/// What the head of a request says.
-struct Form {
-    class: ClassId,
-    id: HeaderValue,
-    time: Micros,
-    length: usize,
-}
-
-/// The only value of a header.
-fn single<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a HeaderValue> {
-    let mut all = headers.get_all(name).iter();
-    all.next().filter(|_| all.next().is_none())
-}
-
 /// The id of a request while it is open.
 struct Open<'a> {
     all: &'a RefCell<HashSet<HeaderValue>>,
@@ -340,26 +313,6 @@
     }
 }
 
-fn text(headers: &HeaderMap, name: &str) -> Option<String> {
-    headers.get(name)?.to_str().ok().map(str::to_owned)
-}
-
-/// A number and a unit: `m` milliseconds or `u` microseconds.
-fn timeout(text: &str) -> Option<Micros> {
-    let text = text.trim();
-    let (number, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
-    let scale = match unit {
-        "m" => 1_000,
-        "u" => 1,
-        _ => return None,
-    };
-    if !number.bytes().all(|b| b.is_ascii_digit()) {
-        return None;
-    }
-    let time = number.parse::<Micros>().ok()?.saturating_mul(scale);
-    (time > 0).then_some(time.min(TIME_MOST))
-}
-
 fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::from(text));
     *response.status_mut() = status;
--- a/crates/proxy/src/net/hosts.rs
+++ b/crates/proxy/src/net/hosts.rs
@@ -2,17 +2,18 @@
 //! there is no task behind it, so dropping the attempt closes it, and nothing is ever sent twice.
 
 use super::clock::Clock;
-use super::exchange::{Ended, Request, Target};
+use super::exchange::{Ended, Reply, Request, Target};
 use super::socket::{self, Socket};
 use super::{Descriptor, Descriptors, Room};
 use badgerramp_decisions::settings::Transport;
 use badgerramp_decisions::{Load, Micros, Outcome, ServerId};
+use badgerramp_route::Verdict;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::{Response, StatusCode};
+use hyper::{Method, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -25,8 +26,6 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Most bytes of a body, either way.
-pub const BODY_MOST: usize = 64 * 1024;
 /// Most bytes of an answer's head, and of what is read of a body at once.
 const HEAD_MOST: usize = 16 * 1024;
 /// Connections that all client proxies may keep idle at a host between them, and the bounds of a part.
@@ -108,12 +107,17 @@
         &mut self,
         request: hyper::Request<Full<Bytes>>,
         room: &Rc<Room>,
+        body_most: usize,
     ) -> Result<(Response<()>, Bytes), Fault> {
         self.handed_over.set(false);
+        let bodiless = request.method() == Method::HEAD;
         let mut exchange = pin!(async {
             let answer = self.sender.send_request(request).await.map_err(|e| Fault::of(&e))?;
             let (parts, body) = answer.into_parts();
-            let body = whole(&parts.headers, parts.status, body, room).await?;
+            // RFC 9110, 6.4.1: whatever the headers say, nothing follows them.
+            let none = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&parts.status);
+            let most = if bodiless || none { 0 } else { body_most };
+            let body = whole(&parts.headers, body, room, most).await?;
             Ok((Response::from_parts(parts, ()), body))
         });
         let connection = &mut self.connection;
@@ -156,23 +160,25 @@
 /// one framed in two ways may be anything. What can't be used is not read to its end.
 async fn whole(
     headers: &HeaderMap,
-    status: StatusCode,
     body: Incoming,
     room: &Rc<Room>,
+    body_most: usize,
 ) -> Result<Bytes, Fault> {
+    if body_most == 0 && body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
     let chunked = headers.contains_key(header::TRANSFER_ENCODING);
     let length = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
     let most = match length {
         Some(length) if headers.contains_key(header::CONTENT_LENGTH) && !chunked => length,
-        None if chunked && !headers.contains_key(header::CONTENT_LENGTH) && body_ends(headers) => BODY_MOST,
-        _ if status == StatusCode::NO_CONTENT => 0,
+        None if chunked && !headers.contains_key(header::CONTENT_LENGTH) && body_ends(headers) => body_most,
         _ => return Err(Fault::Spoilt),
     };
-    if most > BODY_MOST {
+    if most > body_most {
         return Err(Fault::Spoilt);
     }
     let _held = room.take(most).ok_or(Fault::Spoilt)?;
-    match Limited::new(body, BODY_MOST).collect().await {
+    match Limited::new(body, body_most).collect().await {
         Ok(body) => Ok(body.to_bytes()),
         Err(fault) => Err(fault.downcast_ref().map_or(Fault::Spoilt, |e: &hyper::Error| {
             if e.is_incomplete_message() || std::error::Error::source(e).is_some_and(broke) {
@@ -238,7 +244,6 @@
     room: Rc<Room>,
     descriptors: Rc<Descriptors>,
     clock: Clock,
-    connect_timeout: Duration,
     idle_most: Micros,
     spares: usize,
 }
@@ -258,7 +263,6 @@
             room,
             descriptors,
             clock,
-            connect_timeout: Duration::from_micros(transport.connect_timeout),
             // Well ahead of the host, which may close it any time from then on.
             idle_most: transport.conn_idle / 4 * 3,
             spares,
@@ -317,14 +321,14 @@
         }
     }
 
-    async fn connect(&self, target: &Target) -> Result<Link, Outcome> {
+    async fn connect(&self, target: &Target, most: Micros) -> Result<Link, Outcome> {
         let descriptor = match self.descriptors.take() {
             Some(descriptor) => descriptor,
             // Our own want of sockets says nothing of the host: not sent, rather than no connection.
             None if self.evict() => self.descriptors.take().ok_or(Outcome::NotSent)?,
             None => return Err(Outcome::NotSent),
         };
-        let connect = tokio::time::timeout(self.connect_timeout, TcpStream::connect(target.address));
+        let connect = tokio::time::timeout(Duration::from_micros(most), TcpStream::connect(target.address));
         let stream = match connect.await {
             Ok(Ok(stream)) => stream,
             Ok(Err(fault)) if matches!(fault.raw_os_error(), Some(ENFILE | EMFILE)) => {
@@ -374,7 +378,7 @@
 ) -> Ended {
     let mut link = match hosts.checkout(&target).await {
         Some(link) => link,
-        None => match hosts.connect(&target).await {
+        None => match hosts.connect(&target, request.manner.connect).await {
             Ok(link) => link,
             Err(outcome) => return outcome.into(),
         },
@@ -385,7 +389,7 @@
     }
     let Some(message) = message(request, left()) else { return Outcome::NotSent.into() };
     let idle = (link.idle_since > 0).then(|| hosts.clock.now().saturating_sub(link.idle_since));
-    let exchanged = link.exchange(message, &hosts.room).await;
+    let exchanged = link.exchange(message, &hosts.room, request.manner.body_most).await;
     if let Some(idle) = idle {
         let broke = matches!(exchanged, Err(Fault::Broken));
         hosts.staleness.borrow_mut().used(hosts.clock.now(), idle, broke);
@@ -402,21 +406,17 @@
         hosts.keep(target.server, link).await;
     }
     let load = loads(answer.headers());
-    let turned_away = answer.headers().get("x-not-processed").is_some_and(|v| v.as_bytes() == b"1");
-    match answer.status() {
-        StatusCode::OK => {
-            let content_type = answer.headers().get(header::CONTENT_TYPE).cloned();
-            Ended { outcome: Outcome::Served, load, served: Some((body, content_type)) }
-        }
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => {
-            Ended { outcome: Outcome::TurnedAway, load, served: None }
-        }
-        _ => Ended { outcome: Outcome::Error, load, served: None },
-    }
+    let outcome = match request.manner.answers.verdict(answer.status(), answer.headers()) {
+        Verdict::Served => Outcome::Served,
+        Verdict::NeverRan => Outcome::TurnedAway,
+        Verdict::Error => Outcome::Error,
+    };
+    let (parts, ()) = answer.into_parts();
+    Ended { outcome, load, reply: Some(Reply { status: parts.status, headers: parts.headers, body }) }
 }
 
 /// Headers that concern one connection only (RFC 9110, 7.6.1), and those that are written anew.
-fn passes(name: &HeaderName) -> bool {
+pub fn passes(name: &HeaderName) -> bool {
     let own = [
         "connection",
         "content-length",
@@ -472,7 +472,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use hyper::http::{Method, Uri};
+    use crate::net::exchange::Manner;
+    use hyper::http::Uri;
     use std::io::{Read, Write};
     use std::net::TcpListener;
 
@@ -493,12 +494,10 @@
         };
         let hosts = Hosts::new(transport, 1, (Descriptors::new(9), Room::new(1 << 20)), Clock::start());
         let target = Target { server: ServerId(0), address, generation: 0 };
-        let request = Request {
-            method: Method::GET,
-            uri: Uri::from_static("/a"),
-            headers: HeaderMap::new(),
-            body: Bytes::new(),
-        };
+        let (method, uri, headers) = (Method::GET, Uri::from_static("/a"), HeaderMap::new());
+        let answers = std::sync::Arc::new(badgerramp_route::Answers::platform());
+        let manner = Rc::new(Manner { connect: 9_000_000, answers, body_most: 1 << 16 });
+        let request = Request { method, uri, headers, body: Bytes::new(), manner };
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
         runtime.block_on(attempt(&hosts, target, &request, || 1_000, || may_start))
     }
--- a/crates/proxy/src/net/mod.rs
+++ b/crates/proxy/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The program round the decisions: sockets, clock and timers. It decides nothing.
 
+pub mod admit;
 pub mod clients;
 pub mod clock;
 pub mod discovery;
--- /dev/null
+++ b/crates/proxy/src/program.rs
@@ -0,0 +1,176 @@
+//! What both uses of the program share: listener, decisions, timers, signals, exit.
+
+use crate::net::admit::Rules;
+use crate::net::clients::Clients;
+use crate::net::clock::Clock;
+use crate::net::discovery;
+use crate::net::driver::{Driver, Endpoint};
+use crate::net::front::Front;
+use crate::net::hosts::Hosts;
+use crate::net::{Descriptors, Room};
+use badgerramp_config::{clients_borne, Mistakes, DESCRIPTORS_RESERVED};
+use badgerramp_decisions::settings::Facts;
+use badgerramp_decisions::{ListKind, Micros};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpSocket;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
+
+/// Connections waiting to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Why the program ends.
+#[derive(Debug)]
+pub enum Fault {
+    /// An operator's file is not good.
+    Mistakes(Mistakes),
+    /// Anything else.
+    Other(String),
+}
+
+impl From<String> for Fault {
+    fn from(fault: String) -> Self {
+        Fault::Other(fault)
+    }
+}
+
+impl From<Mistakes> for Fault {
+    fn from(mistakes: Mistakes) -> Self {
+        Fault::Mistakes(mistakes)
+    }
+}
+
+/// Where the list of hosts comes from.
+pub enum Members {
+    /// The list service, and the list as it was last had.
+    Discovery { address: SocketAddr, known: Vec<Endpoint>, index: Option<u64> },
+    /// The operator's file.
+    Fixed(Vec<Endpoint>),
+}
+
+/// All that a start needs.
+pub struct Setup {
+    pub listen: SocketAddr,
+    pub seed: u64,
+    pub facts: Facts,
+    pub descriptors: usize,
+    pub memory: usize,
+    pub members: Members,
+    pub rules: Rules,
+    /// When a client may come back that is refused without the module's advice; 0: none is given.
+    pub advice: Micros,
+    /// Answers pass with status and headers.
+    pub plain_http: bool,
+}
+
+/// What a reload may change of the running program.
+pub struct Running {
+    pub driver: Driver,
+    pub front: Rc<Front>,
+    pub clock: Clock,
+    discovery: watch::Sender<SocketAddr>,
+}
+
+impl Running {
+    /// Moves to this list service, if it is another one.
+    pub fn follow(&self, address: SocketAddr) {
+        self.discovery.send_if_modified(|old| std::mem::replace(old, address) != address);
+    }
+}
+
+/// Runs until a stop is asked for. `reload` is called at each SIGHUP; what it fails with is logged, and must have
+/// changed nothing.
+pub fn run(setup: Setup, reload: impl FnMut(&Running) -> Result<(), String>) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+    tokio::task::LocalSet::new().block_on(&runtime, serve(setup, reload))
+}
+
+async fn serve(setup: Setup, mut reload: impl FnMut(&Running) -> Result<(), String>) -> Result<(), String> {
+    // First of all: until then either signal kills.
+    let mut hangups = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
+    let bind = |e| format!("listen on {}: {e}", setup.listen);
+    let socket = if setup.listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+    let socket = socket.map_err(|e| format!("socket: {e}"))?;
+    socket.set_reuseaddr(true).map_err(bind)?;
+    socket.bind(setup.listen).map_err(bind)?;
+    let listener = socket.listen(BACKLOG).map_err(bind)?;
+
+    let clock = Clock::start();
+    let room = setup.descriptors.saturating_sub(DESCRIPTORS_RESERVED).max(8);
+    let descriptors = Descriptors::new(room);
+    // The rest is for buffers, which are bounded by the number of connections.
+    let bytes = Room::new(setup.memory / 4);
+    let counted = (Rc::clone(&descriptors), Rc::clone(&bytes));
+    let hosts = Hosts::new(setup.facts.transport, setup.facts.settings.balancers, counted, clock);
+    let driver = Driver::new(setup.seed, setup.facts, setup.plain_http, clock, Rc::clone(&hosts));
+    driver.start();
+    let (address, index) = match setup.members {
+        Members::Discovery { address, known, index } => {
+            driver.members(ListKind::Cached, &known);
+            (Some(address), index)
+        }
+        Members::Fixed(list) => {
+            driver.members(ListKind::Full, &list);
+            (None, None)
+        }
+    };
+    let mut timers = tokio::task::spawn_local({
+        let driver = driver.clone();
+        async move { driver.timers().await }
+    });
+    let (moved, moves) = watch::channel(address.unwrap_or(setup.listen));
+    let driver_of_watch = driver.clone();
+    let mut watch = tokio::task::spawn_local(async move {
+        match address {
+            Some(_) => discovery::run(driver_of_watch, moves, index).await,
+            None => std::future::pending().await,
+        }
+    });
+    if let Ok(address) = listener.local_addr() {
+        eprintln!("badgerramp: listening on {address}");
+    }
+    let front = Rc::new(Front {
+        driver: driver.clone(),
+        hosts: Rc::clone(&hosts),
+        descriptors,
+        clients: Clients::default(),
+        rules: RefCell::new(Rc::new(setup.rules)),
+        plain_http: setup.plain_http,
+        room: bytes,
+        open: RefCell::default(),
+        advice: Cell::new(setup.advice),
+        most: clients_borne(setup.descriptors),
+        beyond: (setup.descriptors / 40).max(2),
+    });
+    let running = Running { driver, front: Rc::clone(&front), clock, discovery: moved };
+    let reloads = async {
+        while hangups.recv().await.is_some() {
+            if let Err(fault) = reload(&running) {
+                eprintln!("badgerramp: the old configuration stays: {fault}");
+            }
+        }
+    };
+    let sweep = async {
+        loop {
+            tokio::time::sleep(Duration::from_millis(250)).await;
+            hosts.sweep();
+            front.clients.sweep(clock.now());
+        }
+    };
+    let stop = async move {
+        term.recv().await;
+    };
+    tokio::select! {
+        () = Rc::clone(&front).serve(listener, stop) => Ok(()),
+        // Without these calls would stay unanswered: better a crash that is seen.
+        ended = &mut timers => Err(format!("the timers ended: {ended:?}")),
+        ended = &mut watch => Err(format!("discovery ended: {ended:?}")),
+        () = reloads => Err("the reader of the configuration ended".to_owned()),
+        () = sweep => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/sidecar.rs
@@ -0,0 +1,200 @@
+//! The program as a sidecar that stands alone: the operator's file is all it has.
+
+use crate::net::admit::{Rules, Sidecar};
+use crate::net::driver::Endpoint;
+use crate::program::{self, Fault, Members, Running, Setup};
+use badgerramp_config::{Config, Use};
+use badgerramp_decisions::settings::{Facts, Transport};
+use badgerramp_decisions::{ClassId, ListKind, Settings};
+use std::collections::HashMap;
+use std::hash::{BuildHasher, RandomState};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+
+/// Where each class's number stands: a class keeps its number over reloads, and the place of one that has gone is
+/// given again only when no call of it is open.
+#[derive(Debug, Default, PartialEq)]
+struct Places(Vec<Option<String>>);
+
+impl Places {
+    /// The numbers of the classes of a file, and those among them that meant something else or nothing before.
+    fn assign(&mut self, names: &[&str], in_use: impl Fn(ClassId) -> bool) -> (Vec<ClassId>, Vec<ClassId>) {
+        for place in &mut self.0 {
+            if place.as_deref().is_some_and(|name| !names.contains(&name)) {
+                *place = None;
+            }
+        }
+        let mut fresh = Vec::new();
+        let mut numbers = Vec::new();
+        for &name in names {
+            let known = self.0.iter().position(|p| p.as_deref() == Some(name));
+            let place = known.unwrap_or_else(|| {
+                let free = (0..self.0.len()).find(|&n| self.0[n].is_none() && !in_use(ClassId(n)));
+                let place = free.unwrap_or_else(|| {
+                    self.0.push(None);
+                    self.0.len() - 1
+                });
+                self.0[place] = Some(name.to_owned());
+                fresh.push(ClassId(place));
+                place
+            });
+            numbers.push(ClassId(place));
+        }
+        (numbers, fresh)
+    }
+
+    /// The settings of a file with its classes at their places. A place that no class has is a copy of one that is
+    /// there: it must not weigh in what is reckoned over all classes.
+    fn settings(&self, config: &Config, numbers: &[ClassId]) -> Settings {
+        let mut settings = config.settings();
+        let given = std::mem::take(&mut settings.classes);
+        let filler = given.first().copied().unwrap_or_default();
+        settings.classes = vec![filler; self.0.len()];
+        for (&ClassId(place), class) in numbers.iter().zip(given) {
+            settings.classes[place] = class;
+        }
+        settings
+    }
+}
+
+fn load(path: &Path) -> Result<Config, Fault> {
+    let config = badgerramp_config::load(path)?;
+    if config.usage != Use::Alone {
+        return Err(Fault::Other(format!(
+            "{}: `platform = true` is for `badgerramp --operator`",
+            path.display()
+        )));
+    }
+    Ok(config)
+}
+
+/// A number that differs with each start.
+fn seed() -> u64 {
+    RandomState::new().hash_one(std::process::id())
+}
+
+/// Since when each endpoint of the file is known, in Unix milliseconds: those of the start for long.
+#[derive(Default)]
+struct Known(HashMap<(String, SocketAddr), u64>);
+
+impl Known {
+    /// The list of a file; what is new in it counts as started at `now`.
+    fn list(&mut self, config: &Config, now: u64) -> Vec<Endpoint> {
+        let old = std::mem::take(&mut self.0);
+        let mut list = Vec::new();
+        for endpoint in &config.upstream.endpoints {
+            let key = (endpoint.name.clone(), endpoint.address);
+            let since = old.get(&key).copied().unwrap_or(now);
+            list.push(Endpoint::fixed(endpoint, since));
+            self.0.insert(key, since);
+        }
+        list
+    }
+}
+
+/// What can't change while the program runs.
+fn check_same(old: &Config, new: &Config) -> Result<(), String> {
+    let same = [
+        ("listen", old.listen == new.listen),
+        ("limits.memory", old.limits.memory == new.limits.memory),
+        ("limits.descriptors", old.limits.descriptors == new.limits.descriptors),
+        ("upstream.idle", old.upstream.idle == new.upstream.idle),
+        ("upstream.discovery", old.upstream.discovery.is_some() == new.upstream.discovery.is_some()),
+    ];
+    let changed: Vec<&str> = same.into_iter().filter(|(_, same)| !same).map(|(key, _)| key).collect();
+    if changed.is_empty() {
+        Ok(())
+    } else {
+        Err(format!("a running program can't change {}: start it anew", changed.join(", ")))
+    }
+}
+
+/// The system's limit must bear what the file promises.
+fn check_descriptors(wanted: usize) -> Result<(), String> {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    match limit {
+        Some(limit) if limit < wanted as u64 => Err(format!(
+            "limits.descriptors: the file promises {wanted}, but the system gives this process {limit}"
+        )),
+        _ => Ok(()),
+    }
+}
+
+/// Runs the program.
+pub fn run(path: PathBuf) -> Result<(), Fault> {
+    let config = load(&path)?;
+    check_descriptors(config.limits.descriptors)?;
+    let (mut places, mut known) = (Places::default(), Known::default());
+    let names: Vec<&str> = config.classes.iter().map(|c| c.name.as_str()).collect();
+    let (numbers, _) = places.assign(&names, |_| false);
+    let transport = Transport {
+        max_open: config.limits.open_calls,
+        conn_idle: config.upstream.idle,
+        // Each route has its own.
+        connect_timeout: 0,
+    };
+    let settings = places.settings(&config, &numbers);
+    let classes = config.classes.iter().map(|c| c.name.clone()).collect();
+    let facts = Facts { settings, classes, tenants: Vec::new(), transport };
+    let members = match config.upstream.discovery {
+        Some(address) => Members::Discovery { address, known: Vec::new(), index: None },
+        None => Members::Fixed(known.list(&config, 0)),
+    };
+    let setup = Setup {
+        listen: config.listen,
+        seed: seed(),
+        facts,
+        descriptors: config.limits.descriptors,
+        memory: config.limits.memory,
+        members,
+        advice: config.limits.retry_after,
+        rules: Rules::Sidecar(Box::new(Sidecar::new(config, numbers, seed()))),
+        plain_http: true,
+    };
+    let reload = move |running: &Running| {
+        let config = load(&path).map_err(|fault| match fault {
+            Fault::Mistakes(mistakes) => mistakes.line(),
+            Fault::Other(fault) => fault,
+        })?;
+        let old = Rc::clone(&running.front.rules.borrow());
+        let Rules::Sidecar(old) = &*old else { return Err("this is no sidecar".to_owned()) };
+        check_same(old.config(), &config)?;
+        // From here on nothing fails.
+        let names: Vec<&str> = config.classes.iter().map(|c| c.name.as_str()).collect();
+        let (numbers, fresh) = places.assign(&names, |class| running.driver.in_use(class));
+        let settings = places.settings(&config, &numbers);
+        running.driver.reconfigure(settings, fresh, config.limits.open_calls);
+        match config.upstream.discovery {
+            Some(address) => running.follow(address),
+            None => {
+                // One that is added now may have been started just now: until its cold time is over it gets little.
+                let list = known.list(&config, running.clock.now() / 1_000);
+                running.driver.members(ListKind::Full, &list);
+            }
+        }
+        running.front.advice.set(config.limits.retry_after);
+        *running.front.rules.borrow_mut() =
+            Rc::new(Rules::Sidecar(Box::new(Sidecar::new(config, numbers, seed()))));
+        eprintln!("badgerramp: the new configuration holds");
+        Ok(())
+    };
+    Ok(program::run(setup, reload)?)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_class_keeps_its_number_and_one_in_use_is_not_given_again() {
+        let mut places = Places::default();
+        let ids = |all: &[usize]| all.iter().map(|&n| ClassId(n)).collect::<Vec<_>>();
+        assert_eq!(places.assign(&["a", "b"], |_| false), (ids(&[0, 1]), ids(&[0, 1])));
+        // `a` goes with calls open: its place stays empty.
+        assert_eq!(places.assign(&["c", "b"], |class| class == ClassId(0)), (ids(&[2, 1]), ids(&[2])));
+        // Now they have ended.
+        assert_eq!(places.assign(&["b", "d", "c"], |_| false), (ids(&[1, 0, 2]), ids(&[0])));
+        assert_eq!(places.assign(&["c", "b", "d"], |_| true), (ids(&[2, 1, 0]), ids(&[])));
+    }
+}
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -203,7 +203,7 @@
         &self.shadows
     }
 
-    /// The first route that takes such a request.
+    /// The first route that takes such a request, and its place.
     ///
     /// # Errors
     /// If the path has no normal form.
@@ -212,7 +212,7 @@
         method: &Method,
         path: &str,
         headers: &HeaderMap,
-    ) -> Result<Option<&Route>, PathFault> {
+    ) -> Result<Option<(usize, &Route)>, PathFault> {
         let path = normalize(path)?;
         let mut best = usize::MAX;
         // The lists are in order: the first that takes the request is the list's best.
@@ -228,7 +228,7 @@
             let found = matched.iter().map(|p| self.pattern_routes[p]).take_while(|&r| r < best);
             best = found.into_iter().find(|&r| self.routes[r].takes(method, headers)).unwrap_or(best);
         }
-        Ok(self.routes.get(best))
+        Ok(self.routes.get(best).map(|route| (best, route)))
     }
 
     /// Visits the lists of all places whose exact paths or prefixes take this path. The flag tells exact ones.
--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -45,8 +45,7 @@
 
 /// The place of the route that takes a request.
 fn found(table: &Table, method: &Method, path: &str, headers: &HeaderMap) -> Option<usize> {
-    let route = table.find(method, path, headers).expect("a normal form")?;
-    table.routes().iter().position(|r| std::ptr::eq(r, route))
+    table.find(method, path, headers).expect("a normal form").map(|(place, _)| place)
 }
 
 fn get(table: &Table, path: &str) -> Option<usize> {
