--- /dev/null
+++ b/crates/testkit/src/program.rs
@@ -0,0 +1,167 @@
+//! The program under test, as a process of its own.
+
+use crate::client::Client;
+use crate::discovery::{list, Discovery};
+use crate::message::Message;
+use crate::{LONG, SHORT};
+use std::ffi::OsStr;
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+
+/// The program under test. It is killed at the end of the test if it still runs.
+pub struct Proxy {
+    pub address: SocketAddr,
+    pub child: Child,
+    pub log: BufReader<ChildStderr>,
+    config: PathBuf,
+}
+
+static RUNS: AtomicUsize = AtomicUsize::new(0);
+
+/// A temporary file of its own with this text.
+pub fn file(ending: &str, text: &str) -> PathBuf {
+    let name = format!("badgerramp-{}-{}.{ending}", std::process::id(), RUNS.fetch_add(1, Ordering::SeqCst));
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, text).expect("a temporary file");
+    path
+}
+
+/// Starts a program. Nothing of this process's RELAY_ variables reaches it.
+pub fn start(program: &str, arguments: &[&OsStr], variables: &[(&str, &Path)], most: Option<u32>) -> Child {
+    let limit = most.map(|most| format!("ulimit -n {most}; ")).unwrap_or_default();
+    let mut command = Command::new("sh");
+    command.arg("-c").arg(format!("{limit}exec \"$0\" \"$@\"")).arg(program).args(arguments);
+    for name in ["RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY", "RELAY_CONFIG"] {
+        command.env_remove(name);
+    }
+    for (name, value) in variables {
+        command.env(name, value);
+    }
+    command.stderr(Stdio::piped()).spawn().expect("the program starts")
+}
+
+/// Starts the program with this text as its configuration, with so many descriptors at the most.
+pub fn spawn(program: &str, config: &str, descriptors: Option<u32>) -> (Child, PathBuf) {
+    let path = file("json", config);
+    let child = start(program, &[], &[("RELAY_CONFIG", &path)], descriptors);
+    (child, path)
+}
+
+pub const SETTINGS: &str = r#"{"balancers":1,"tick_us":1000,"discovery":"ask","locality":"a",
+"classes":[{"name":"safe","objective_us":1500000,"deadline_us":3000000,"worth":1,"idempotency":"free"},
+{"name":"keyed","objective_us":1500000,"deadline_us":3000000,"worth":1,"idempotency":"guarded","dedup_scope":"all",
+"repeat_window_us":3000000},
+{"name":"unsafe","objective_us":1500000,"deadline_us":3000000,"worth":1,"idempotency":"single_shot"}],
+"limits":{"cancel":true,"max_attempts":3,"second_copies":false,"retry_after":true,"max_retry_after_us":700000,
+"conn_idle_us":60000000,"connect_timeout_us":1000000,"max_open":1000},
+"invariants":{"cold_from":0.3,"cold_us":7000000,"tip_after_us":2000000,"ask_every_us":1600000},
+"report":{"how":"inline","columns":["active","waiting"]}}"#;
+
+pub fn config(listen: SocketAddr, discovery: SocketAddr, sockets: usize, known: &[String]) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+"limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{},"settings":{SETTINGS}}}"#,
+        list(41, true, known)
+    )
+}
+
+impl Proxy {
+    pub fn start(program: &str, discovery: &Discovery, known: &[String]) -> Proxy {
+        let listen = "127.0.0.1:0".parse().expect("an address");
+        Proxy::with(program, &config(listen, discovery.address, 1_024, known))
+    }
+
+    pub fn with(program: &str, text: &str) -> Proxy {
+        Proxy::within(program, text, None)
+    }
+
+    /// On the platform, with so many descriptors at the most.
+    pub fn within(program: &str, text: &str, descriptors: Option<u32>) -> Proxy {
+        let (child, config) = spawn(program, text, descriptors);
+        Proxy::listening(child, config)
+    }
+
+    /// As a sidecar: with the text of an operator's file, and nothing else. Words of `before` come first.
+    pub fn sidecar(program: &str, before: &[&str], text: &str) -> Proxy {
+        let path = file("toml", text);
+        let mut arguments: Vec<&OsStr> = before.iter().map(OsStr::new).collect();
+        arguments.extend([OsStr::new("run"), path.as_os_str()]);
+        let child = start(program, &arguments, &[], None);
+        Proxy::listening(child, path)
+    }
+
+    /// Waits for the line that tells where it listens.
+    pub fn listening(mut child: Child, config: PathBuf) -> Proxy {
+        let mut log = BufReader::new(child.stderr.take().expect("piped"));
+        let mut seen = String::new();
+        loop {
+            let before = seen.len();
+            assert!(log.read_line(&mut seen).expect("text") > 0, "it ended before it listened: {seen}");
+            if let Some((_, address)) = seen[before..].split_once("listening on ") {
+                let address = address.trim().parse().expect("an address");
+                return Proxy { address, child, log, config };
+            }
+        }
+    }
+
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    fn signal(&self, signal: &str) {
+        let done = Command::new("kill").arg(signal).arg(self.child.id().to_string()).status();
+        assert!(done.expect("kill").success());
+    }
+
+    /// Replaces the configuration and has the program read it.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(&self.config, text).expect("a temporary file");
+        self.signal("-HUP");
+    }
+
+    /// The next line of its log that has these words; those before it are passed over.
+    pub fn logged(&mut self, words: &str) -> String {
+        loop {
+            let mut line = String::new();
+            assert!(self.log.read_line(&mut line).expect("text") > 0, "it ended");
+            if line.contains(words) {
+                return line;
+            }
+        }
+    }
+
+    /// Waits for its end; true if that came in time and was no failure.
+    pub fn ended(&mut self) -> bool {
+        let asked = std::time::Instant::now();
+        while asked.elapsed() < LONG {
+            if let Some(status) = self.child.try_wait().expect("a child") {
+                return status.success();
+            }
+            thread::sleep(SHORT / 30);
+        }
+        false
+    }
+
+    pub fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.address).expect("it listens");
+        stream.set_read_timeout(Some(LONG)).expect("a time-out");
+        Client { stream: BufReader::new(stream) }
+    }
+
+    /// One call on a connection of its own.
+    pub fn call(&self, class: &str, time: &str) -> Message {
+        self.client().call(class, time)
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
