--- a/crates/proxy/tests/proxy.rs
+++ b/crates/proxy/tests/proxy.rs
@@ -481,7 +481,7 @@
 fn a_new_configuration_moves_discovery_and_a_bad_one_changes_nothing() {
     let (old, new) = (Discovery::start(), Discovery::start());
     let (one, two) = (Host::serving("1"), Host::serving("2"));
-    let mut proxy = Proxy::start(PROGRAM, &old, &[up("s-1", &one)]);
+    let proxy = Proxy::start(PROGRAM, &old, &[up("s-1", &one)]);
     assert!(old.asked().contains("index=41&"));
     let moved = config(proxy.address, new.address, 1_024, &[]);
     for bad in ["", "{", &moved.replace("\"cold_from\"", "\"warm\"")] {
--- a/crates/proxy/tests/sidecar.rs
+++ b/crates/proxy/tests/sidecar.rs
@@ -457,7 +457,7 @@
 fn a_bad_reload_changes_nothing_and_says_why_in_one_line() {
     let host = Host::serving("ok");
     let good = file(&[host.address], &[]);
-    let mut proxy = Proxy::sidecar(PROGRAM, &[], &good);
+    let proxy = Proxy::sidecar(PROGRAM, &[], &good);
     for (bad, reason) in [
         (
             good.replace("effect = \"unsafe\"\n", "effect = \"unsafe\"\nsecond_copy = \"auto\"\n"),
@@ -492,7 +492,7 @@
         Reply::Write(answer("200 OK", "", "ok"))
     });
     let good = file(&[host.address], &[]);
-    let mut proxy = Proxy::sidecar(PROGRAM, &[], &good);
+    let proxy = Proxy::sidecar(PROGRAM, &[], &good);
     let mut slow = proxy.client();
     slow.write(&get("/safe"));
     came.recv_timeout(LONG).expect("the call at the host");
@@ -520,7 +520,7 @@
     let listed = format!("endpoints = [{{ name = \"s-0\", address = \"{}\", group = 1 }}]", host.address);
     let good = endpoints.replace(&listed, &format!("discovery = \"{}\"", discovery.address));
     assert!(good.contains("discovery = "));
-    let mut proxy = Proxy::sidecar(PROGRAM, &[], &good);
+    let proxy = Proxy::sidecar(PROGRAM, &[], &good);
     assert!(discovery.asked().starts_with("GET /catalog/members HTTP/1.1"));
     let mut waits = proxy.client();
     waits.write(&get("/safe"));
@@ -538,7 +538,7 @@
 #[test]
 fn endpoints_move_with_a_reload() {
     let (old, new) = (Host::serving("old"), Host::serving("new"));
-    let mut proxy = Proxy::sidecar(PROGRAM, &[], &file(&[old.address], &[]));
+    let proxy = Proxy::sidecar(PROGRAM, &[], &file(&[old.address], &[]));
     assert_eq!(proxy.client().ask(&get("/safe")).body, b"old");
     proxy.reload(&file(&[new.address], &[]));
     proxy.logged("the new configuration holds");
@@ -559,7 +559,7 @@
     )
     .replace("[class.keyed]", "[class.renamed]")
     .replace("class = \"keyed\"", "class = \"renamed\"");
-    let mut proxy = Proxy::sidecar(PROGRAM, &[], &one);
+    let proxy = Proxy::sidecar(PROGRAM, &[], &one);
     let kind = |class: &str, keyed| Kind {
         class: class.to_owned(),
         waits: Duration::from_secs(3),
--- a/crates/testkit/src/program.rs
+++ b/crates/testkit/src/program.rs
@@ -10,13 +10,14 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{channel, Receiver};
 use std::thread;
 
 /// The program under test. It is killed at the end of the test if it still runs.
 pub struct Proxy {
     pub address: SocketAddr,
     pub child: Child,
-    pub log: BufReader<ChildStderr>,
+    log: Receiver<String>,
     config: PathBuf,
 }
 
@@ -96,15 +97,15 @@
 
     /// Waits for the line that tells where it listens.
     pub fn listening(mut child: Child, config: PathBuf) -> Proxy {
-        let mut log = BufReader::new(child.stderr.take().expect("piped"));
+        let log = lines(child.stderr.take().expect("piped"));
         let mut seen = String::new();
         loop {
-            let before = seen.len();
-            assert!(log.read_line(&mut seen).expect("text") > 0, "it ended before it listened: {seen}");
-            if let Some((_, address)) = seen[before..].split_once("listening on ") {
+            let Ok(line) = log.recv_timeout(LONG) else { panic!("it does not listen: {seen}") };
+            if let Some((_, address)) = line.split_once("listening on ") {
                 let address = address.trim().parse().expect("an address");
                 return Proxy { address, child, log, config };
             }
+            seen += &line;
         }
     }
 
@@ -124,10 +125,9 @@
     }
 
     /// The next line of its log that has these words; those before it are passed over.
-    pub fn logged(&mut self, words: &str) -> String {
+    pub fn logged(&self, words: &str) -> String {
         loop {
-            let mut line = String::new();
-            assert!(self.log.read_line(&mut line).expect("text") > 0, "it ended");
+            let line = self.log.recv_timeout(LONG).unwrap_or_else(|_| panic!("it never says {words:?}"));
             if line.contains(words) {
                 return line;
             }
@@ -158,6 +158,17 @@
     }
 }
 
+/// The lines of a log, also those that nobody looks at: a full pipe would hold the program up.
+fn lines(log: ChildStderr) -> Receiver<String> {
+    let (sender, receiver) = channel();
+    thread::spawn(move || {
+        for line in BufReader::new(log).lines().map_while(Result::ok) {
+            let _ = sender.send(line + "\n");
+        }
+    });
+    receiver
+}
+
 impl Drop for Proxy {
     fn drop(&mut self) {
         let _ = self.child.kill();
