--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -45,17 +45,6 @@
 const ROUTES_MOST: usize = 100_000;
 /// Part of the memory that one body may take.
 const BODY_PART: u64 = 16;
-/// Times of how long an attempt is done on the platform where the file says nothing: no limit of its own.
-pub(crate) const UNLIMITED: Timing = Timing {
-    connect: Micros::MAX,
-    attempt: Micros::MAX,
-    total: Micros::MAX,
-    attempts: u32::MAX,
-    backoff: 0,
-    hedge: decisions::Hedge::Auto,
-    resend: decisions::Resend::Any,
-};
-
 /// What a file is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Use {
@@ -613,7 +602,7 @@
             }
             let timing = match usage {
                 Use::Alone => draft.timing(&facts),
-                Use::Platform => UNLIMITED,
+                Use::Platform => Timing::UNLIMITED,
             };
             let by_default = guarded.then(|| Source::Header(HeaderName::from_static("idempotency-key")));
             let answers = if own.says() { Arc::new(draft.answers()) } else { Arc::clone(&answers[place]) };
--- a/crates/config/src/platform.rs
+++ b/crates/config/src/platform.rs
@@ -1,6 +1,6 @@
 //! A file beside the platform's settings: held against them, it may only narrow.
 
-use crate::file::{Config, UNLIMITED};
+use crate::file::Config;
 use crate::mistake::Mistakes;
 use crate::read::{known_names, Notes, Span};
 use crate::timing::{show_hedge, Draft};
@@ -16,7 +16,7 @@
 /// All that the file would widen, and classes that the platform does not have.
 pub fn narrow(config: &Config, facts: &Facts) -> Result<(Vec<Timing>, Table), Mistakes> {
     let mut notes = Notes::default();
-    let mut timings = vec![UNLIMITED; facts.classes.len()];
+    let mut timings = vec![Timing::UNLIMITED; facts.classes.len()];
     let known: Vec<&str> = facts.classes.iter().map(String::as_str).collect();
     let mut places = Vec::new();
     for (class, (span, draft)) in config.classes.iter().zip(&config.source.classes) {
@@ -56,7 +56,7 @@
     draft: &Draft,
 ) -> Timing {
     let class = &facts.settings.classes[place];
-    let mut timing = UNLIMITED;
+    let mut timing = Timing::UNLIMITED;
     let mut wider = |key: &str, at: &Span, found: String, allowed: String| {
         let reason = format!("this would widen what the platform sets for {name:?}");
         let mistake = notes.add((key, at), reason, found, allowed);
--- a/crates/proxy/src/net/admit.rs
+++ b/crates/proxy/src/net/admit.rs
@@ -97,15 +97,7 @@
         let make = |timing: Option<Timing>| {
             let connect = timing.map_or(plain, |t| t.connect.min(plain));
             let manner = Manner { connect, answers: Arc::clone(&answers), body_most: PLATFORM_BODY };
-            let timing = timing.unwrap_or(Timing {
-                connect,
-                attempt: Micros::MAX,
-                total: Micros::MAX,
-                attempts: u32::MAX,
-                backoff: 0,
-                hedge: badgerramp_decisions::Hedge::Auto,
-                resend: badgerramp_decisions::Resend::Any,
-            });
+            let timing = timing.unwrap_or(Timing::UNLIMITED);
             Narrowed { timing, manner: Rc::new(manner) }
         };
         let timings = narrowed.as_ref().map(|n| &n.0);
--- a/crates/route/src/timing.rs
+++ b/crates/route/src/timing.rs
@@ -22,6 +22,17 @@
 }
 
 impl Timing {
+    /// No limit of its own: what site and class allow holds as it is.
+    pub const UNLIMITED: Timing = Timing {
+        connect: Micros::MAX,
+        attempt: Micros::MAX,
+        total: Micros::MAX,
+        attempts: u32::MAX,
+        backoff: 0,
+        hedge: Hedge::Auto,
+        resend: Resend::Any,
+    };
+
     /// What the decisions are told of a call. `once`: the key that its class goes by is missing.
     pub fn terms(&self, once: bool) -> Terms {
         Terms {
