--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -1,13 +1,14 @@
 //! The schema of the file, and what is checked over more than one key.
 
-use crate::mistake::Mistakes;
-use crate::read::{known_names, show, Notes, Section, Set, Span, Value};
 use crate::timing::{self, Draft, Facts};
-use crate::values::{show_duration, show_size};
 use crate::{clients_borne, ANSWER_ROOM};
 use badgerramp_decisions::{
     self as decisions, settings, CellId, Entry, Micros, Repeat, Scope, ServerId, State,
 };
+use badgerramp_reading::values::{show_duration, show_size};
+use badgerramp_reading::{
+    document, known_names, show, DeTable, DeValue, Mistakes, Notes, Section, Set, Span, Value,
+};
 use badgerramp_route::{
     normalize, pattern, Answers, HeaderPattern, PathPattern, Route, Source, Table, Timing, PATTERN_BYTES,
 };
@@ -15,7 +16,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use toml::de::{DeTable, DeValue};
 
 const FILE: [&str; 8] =
     ["platform", "listen", "limits", "upstream", "defaults", "class", "route", "no_route"];
@@ -213,22 +213,11 @@
 
 pub(crate) fn parse(name: &str, text: &str) -> Result<Config, Mistakes> {
     let mut notes = Notes::default();
-    let (file, faults) = DeTable::parse_recoverable(text);
-    for fault in &faults {
-        let span = fault.span().unwrap_or(0..0);
-        let line = text.get(span.clone()).filter(|t| !t.trim().is_empty()).unwrap_or("this place");
-        let found = line.lines().next().unwrap_or_default().trim().to_owned();
-        let allowed = match fault.message() {
-            "duplicate key" => "each key once in its table, and each table once",
-            _ => "TOML",
-        };
-        notes.add(("the file", &span), fault.message().replace('\n', ", "), found, allowed);
-    }
-    if !faults.is_empty() {
-        // What follows on a mistake of form is guesswork.
+    let table = document(&mut notes, text);
+    if !notes.0.is_empty() {
         return Err(Mistakes::new(name, text, notes.0));
     }
-    let config = Reading { notes: &mut notes }.file(name, text, file.get_ref());
+    let config = Reading { notes: &mut notes }.file(name, text, &table);
     match config {
         Some(config) if notes.0.is_empty() => Ok(config),
         _ => Err(Mistakes::new(name, text, notes.0)),
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -13,14 +13,12 @@
 #![warn(missing_docs)]
 
 mod file;
-mod mistake;
 mod platform;
-mod read;
 mod timing;
 mod values;
 
+pub use badgerramp_reading::{Mistake, Mistakes};
 pub use file::{Class, Config, Endpoint, Limits, NoRoute, Upstream, Use};
-pub use mistake::{Mistake, Mistakes};
 pub use platform::narrow;
 
 use std::path::Path;
--- a/crates/config/src/platform.rs
+++ b/crates/config/src/platform.rs
@@ -1,13 +1,12 @@
 //! A file beside the platform's settings: held against them, it may only narrow.
 
 use crate::file::Config;
-use crate::mistake::Mistakes;
-use crate::read::{known_names, Notes, Span};
 use crate::timing::{show_hedge, Draft};
-use crate::values::show_duration;
 use crate::ANSWER_ROOM;
 use badgerramp_decisions::settings::Facts;
 use badgerramp_decisions::Hedge;
+use badgerramp_reading::values::show_duration;
+use badgerramp_reading::{known_names, Mistakes, Notes, Span};
 use badgerramp_route::{Table, Timing};
 
 /// The timing of each class of the platform, in its order, and the routes with the platform's classes.
--- a/crates/config/src/timing.rs
+++ b/crates/config/src/timing.rs
@@ -1,13 +1,12 @@
 //! Timing and answers as they stand in `[defaults]`, a class and a route: laid over one another, then held against the
 //! rules.
 
-use crate::read::{Notes, Section, Set, Span};
-use crate::values::{self, show_duration};
-use crate::{mistake::Mistake, ANSWER_ROOM};
+use crate::{values, ANSWER_ROOM};
 use badgerramp_decisions::{Hedge, Micros, Repeat, Resend};
+use badgerramp_reading::values::show_duration;
+use badgerramp_reading::{show, DeValue, Mistake, Notes, Section, Set, Span};
 use badgerramp_route::{Answers, Proof, StatusSet, Timing};
 use http::{HeaderName, HeaderValue};
-use toml::de::DeValue;
 
 /// Keys that may stand in all three places.
 pub(crate) const KEYS: [&str; 9] =
@@ -308,7 +307,7 @@
             _ => String::new(),
         };
         if values::statuses(&text, &mut set).is_none() {
-            let found = crate::read::show(value.get_ref());
+            let found = show(value.get_ref());
             notes.add((key, &value.span()), "these are no statuses", found, STATUSES);
         }
     }
@@ -333,7 +332,7 @@
     let mut proofs = Vec::new();
     for (key, value) in &list {
         let DeValue::Table(table) = value.get_ref() else {
-            let found = crate::read::show(value.get_ref());
+            let found = show(value.get_ref());
             notes.add((key, &value.span()), "this is no proof", found, FORM);
             continue;
         };
--- a/crates/config/src/values.rs
+++ b/crates/config/src/values.rs
@@ -1,28 +1,8 @@
-//! Values that are written as text: spans of time, sizes, statuses, second copies.
+//! Values that are written as text: statuses and second copies.
 
-use badgerramp_decisions::{Hedge, Micros};
+use badgerramp_decisions::Hedge;
+use badgerramp_reading::values::duration;
 use badgerramp_route::StatusSet;
-use std::time::Duration;
-
-/// A span of time, in microseconds.
-pub(crate) fn duration(text: &str) -> Option<Micros> {
-    humantime::parse_duration(text.trim()).ok().and_then(|d| Micros::try_from(d.as_micros()).ok())
-}
-
-pub(crate) fn show_duration(micros: Micros) -> String {
-    humantime::format_duration(Duration::from_micros(micros)).to_string()
-}
-
-/// A number of bytes.
-pub(crate) fn size(text: &str) -> Option<u64> {
-    // A number without a unit would be taken for bytes: a slip of the pen by a factor of a million.
-    let unit = text.trim().ends_with(['b', 'B']);
-    text.trim().parse::<bytesize::ByteSize>().ok().filter(|_| unit).map(|s| s.as_u64())
-}
-
-pub(crate) fn show_size(bytes: u64) -> String {
-    bytesize::ByteSize::b(bytes).display().iec().to_string()
-}
 
 /// `200`, `2xx` or `200-204`.
 pub(crate) fn statuses(text: &str, into: &mut StatusSet) -> Option<()> {
@@ -65,11 +45,6 @@
 
     #[test]
     fn values_are_read_or_refused() {
-        assert_eq!(duration("1200ms"), Some(1_200_000));
-        assert_eq!(duration("1s 200ms"), Some(1_200_000));
-        assert_eq!((duration("5"), duration("-5ms"), duration("5 parsecs")), (None, None, None));
-        assert_eq!(size("64KiB"), Some(65_536));
-        assert_eq!((size("64"), size("many MB")), (None, None));
         let set = |text| {
             let mut set = StatusSet::default();
             statuses(text, &mut set).map(|()| (200..=599).filter(|&s| set.contains(s)).count())
--- a/crates/config/src/mistake.rs
+++ b/crates/reading/src/mistake.rs
@@ -32,13 +32,15 @@
 }
 
 impl Mistakes {
-    pub(crate) fn new(name: &str, text: &str, mut list: Vec<Mistake>) -> Self {
+    /// Those of this text, sorted; the same at the same place is told once.
+    pub fn new(name: &str, text: &str, mut list: Vec<Mistake>) -> Self {
         list.sort_by(|a, b| (a.span.start, &a.key, &a.reason).cmp(&(b.span.start, &b.key, &b.reason)));
         list.dedup_by(|a, b| (&a.span, &a.reason) == (&b.span, &b.reason));
         Mistakes { name: name.to_owned(), text: text.to_owned(), list }
     }
 
-    pub(crate) fn unreadable(name: &str, why: &str) -> Self {
+    /// A file that could not be read at all.
+    pub fn unreadable(name: &str, why: &str) -> Self {
         let mistake = Mistake {
             span: 0..0,
             key: "the file".to_owned(),
@@ -50,6 +52,16 @@
         Mistakes { name: name.to_owned(), text: String::new(), list: vec![mistake] }
     }
 
+    /// The file's name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// The file's text.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
     /// One after the other.
     pub fn iter(&self) -> impl Iterator<Item = &Mistake> {
         self.list.iter()
--- a/crates/config/src/read.rs
+++ b/crates/reading/src/section.rs
@@ -1,28 +1,35 @@
-//! Reading of single keys out of the parsed text. What is wrong is noted, and reading goes on.
+//! Single keys out of the parsed text.
 
 use crate::mistake::Mistake;
 use crate::values;
-use badgerramp_decisions::Micros;
 use std::ops::{Range, RangeInclusive};
 use toml::de::{DeTable, DeValue};
 use toml::Spanned;
 
-pub(crate) type Span = Range<usize>;
+/// A place in the text, in bytes.
+pub type Span = Range<usize>;
 
 /// A value and where it was set.
 #[derive(Clone, Debug)]
-pub(crate) struct Set<T> {
-    pub(crate) value: T,
-    pub(crate) span: Span,
-    pub(crate) key: String,
+pub struct Set<T> {
+    /// The value.
+    pub value: T,
+    /// Where it stands.
+    pub span: Span,
+    /// The whole key.
+    pub key: String,
 }
 
 /// Notes mistakes.
 #[derive(Debug, Default)]
-pub(crate) struct Notes(pub(crate) Vec<Mistake>);
+pub struct Notes(
+    /// So far.
+    pub Vec<Mistake>,
+);
 
 impl Notes {
-    pub(crate) fn add(
+    /// Notes a mistake; what else it has to do with can be added to what this returns.
+    pub fn add(
         &mut self,
         (key, span): (&str, &Span),
         reason: impl Into<String>,
@@ -44,18 +51,19 @@
 
 /// One table of the file.
 #[derive(Clone, Debug)]
-pub(crate) struct Section<'t> {
+pub struct Section<'t> {
     table: &'t DeTable<'t>,
     /// The key of the table itself; empty for the file.
-    pub(crate) key: String,
+    pub key: String,
     /// Where the table is named.
-    pub(crate) span: Span,
+    pub span: Span,
 }
 
-pub(crate) type Value<'t> = Spanned<DeValue<'t>>;
+/// A value and its place.
+pub type Value<'t> = Spanned<DeValue<'t>>;
 
 /// A value as its writer sees it.
-pub(crate) fn show(value: &DeValue<'_>) -> String {
+pub fn show(value: &DeValue<'_>) -> String {
     match value {
         DeValue::String(text) => format!("{text:?}"),
         DeValue::Integer(number) => number.to_string(),
@@ -68,13 +76,13 @@
 }
 
 /// The known name that is nearest to one that is not known.
-pub(crate) fn nearest<'n>(name: &str, known: impl IntoIterator<Item = &'n str>) -> Option<&'n str> {
+pub fn nearest<'n>(name: &str, known: impl IntoIterator<Item = &'n str>) -> Option<&'n str> {
     let scored = known.into_iter().map(|k| (strsim::jaro_winkler(name, k), k));
     scored.filter(|(score, _)| *score > 0.8).max_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, k)| k)
 }
 
 /// `did you mean "x"? known: a, b, x`.
-pub(crate) fn known_names(name: &str, known: &[&str]) -> String {
+pub fn known_names(name: &str, known: &[&str]) -> String {
     let list = if known.len() > 24 { format!("one of {} names", known.len()) } else { known.join(", ") };
     match nearest(name, known.iter().copied()) {
         Some(near) => format!("did you mean {near:?}? known: {list}"),
@@ -84,12 +92,8 @@
 }
 
 impl<'t> Section<'t> {
-    pub(crate) fn new(
-        notes: &mut Notes,
-        table: &'t DeTable<'t>,
-        (key, span): (&str, Span),
-        known: &[&str],
-    ) -> Self {
+    /// A table that was read; keys that are not known are noted.
+    pub fn new(notes: &mut Notes, table: &'t DeTable<'t>, (key, span): (&str, Span), known: &[&str]) -> Self {
         let section = Section { table, key: key.to_owned(), span };
         for (name, _) in table.iter().filter(|(name, _)| !known.contains(&&**name.get_ref())) {
             let place = (section.of(name.get_ref()), name.span());
@@ -104,7 +108,7 @@
     }
 
     /// The whole key of one in this table.
-    pub(crate) fn of(&self, name: &str) -> String {
+    pub fn of(&self, name: &str) -> String {
         let plain = !name.is_empty() && name.chars().all(|c| c.is_ascii_alphanumeric() || "-_".contains(c));
         let name = if plain { name.to_owned() } else { format!("{name:?}") };
         if self.key.is_empty() {
@@ -114,27 +118,30 @@
         }
     }
 
-    pub(crate) fn has(&self, name: &str) -> bool {
+    /// Is this key there?
+    pub fn has(&self, name: &str) -> bool {
         self.table.contains_key(name)
     }
 
-    pub(crate) fn get(&self, name: &str) -> Option<&'t Value<'t>> {
+    /// The value of a key.
+    pub fn get(&self, name: &str) -> Option<&'t Value<'t>> {
         self.table.get(name)
     }
 
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (&'t str, Span, &'t Value<'t>)> {
+    /// All keys, their places and values, in their order.
+    pub fn iter(&self) -> impl Iterator<Item = (&'t str, Span, &'t Value<'t>)> {
         self.table.iter().map(|(name, value)| (&**name.get_ref(), name.span(), value))
     }
 
     /// Notes that a key is wanted and not there.
-    pub(crate) fn want(&self, notes: &mut Notes, name: &str, allowed: &str) {
+    pub fn want(&self, notes: &mut Notes, name: &str, allowed: &str) {
         if !self.has(name) {
             notes.add((&self.of(name), &self.span), "this key is wanted", "nothing", allowed);
         }
     }
 
     /// Reads a key by `take`, which tells the value or None; then `allowed` is what it may be.
-    pub(crate) fn read<T>(
+    pub fn read<T>(
         &self,
         notes: &mut Notes,
         name: &str,
@@ -150,19 +157,15 @@
         Some(Set { value: taken, span: value.span(), key })
     }
 
-    pub(crate) fn text(&self, notes: &mut Notes, name: &str) -> Option<Set<String>> {
+    /// A text that is not empty.
+    pub fn text(&self, notes: &mut Notes, name: &str) -> Option<Set<String>> {
         self.read(notes, name, ("this is not a text", "a text in quotes"), |v| {
             v.as_str().filter(|t| !t.is_empty()).map(str::to_owned)
         })
     }
 
-    /// A name that may stand in logs and keys.
-    pub(crate) fn duration(
-        &self,
-        notes: &mut Notes,
-        name: &str,
-        range: RangeInclusive<Micros>,
-    ) -> Option<Set<Micros>> {
+    /// A span of time within a range, in microseconds.
+    pub fn duration(&self, notes: &mut Notes, name: &str, range: RangeInclusive<u64>) -> Option<Set<u64>> {
         let allowed = format!(
             "a time with its unit, like \"250ms\" or \"1s 500ms\", from {} to {}",
             values::show_duration(*range.start()),
@@ -173,7 +176,8 @@
         self.within(notes, read, &range, &allowed)
     }
 
-    pub(crate) fn size(&self, notes: &mut Notes, name: &str, range: RangeInclusive<u64>) -> Option<Set<u64>> {
+    /// A number of bytes within a range.
+    pub fn size(&self, notes: &mut Notes, name: &str, range: RangeInclusive<u64>) -> Option<Set<u64>> {
         let allowed = format!(
             "a size with its unit, like \"64KiB\", from {} to {}",
             values::show_size(*range.start()),
@@ -184,12 +188,8 @@
         self.within(notes, read, &range, &allowed)
     }
 
-    pub(crate) fn integer(
-        &self,
-        notes: &mut Notes,
-        name: &str,
-        range: RangeInclusive<u64>,
-    ) -> Option<Set<u64>> {
+    /// A whole number within a range.
+    pub fn integer(&self, notes: &mut Notes, name: &str, range: RangeInclusive<u64>) -> Option<Set<u64>> {
         let allowed = format!("a whole number from {} to {}", range.start(), range.end());
         let read = self.read(notes, name, ("this is not a whole number", &allowed), |v| {
             v.as_integer().and_then(|n| u64::from_str_radix(n.as_str(), n.radix()).ok())
@@ -197,12 +197,8 @@
         self.within(notes, read, &range, &allowed)
     }
 
-    pub(crate) fn number(
-        &self,
-        notes: &mut Notes,
-        name: &str,
-        range: RangeInclusive<f64>,
-    ) -> Option<Set<f64>> {
+    /// A number within a range.
+    pub fn number(&self, notes: &mut Notes, name: &str, range: RangeInclusive<f64>) -> Option<Set<f64>> {
         let allowed = format!("a number from {} to {}", range.start(), range.end());
         let read = self.read(notes, name, ("this is not a number", &allowed), |v| match v {
             DeValue::Float(number) => number.as_str().parse().ok().filter(|n: &f64| n.is_finite()),
@@ -228,7 +224,7 @@
     }
 
     /// One of a few words.
-    pub(crate) fn word<T: Copy>(&self, notes: &mut Notes, name: &str, words: &[(&str, T)]) -> Option<Set<T>> {
+    pub fn word<T: Copy>(&self, notes: &mut Notes, name: &str, words: &[(&str, T)]) -> Option<Set<T>> {
         let known: Vec<&str> = words.iter().map(|w| w.0).collect();
         let value = self.get(name)?;
         let allowed = match value.get_ref().as_str() {
@@ -242,7 +238,7 @@
     }
 
     /// A table in this one.
-    pub(crate) fn section(&self, notes: &mut Notes, name: &str, known: &[&str]) -> Option<Section<'t>> {
+    pub fn section(&self, notes: &mut Notes, name: &str, known: &[&str]) -> Option<Section<'t>> {
         let (key, value) = self.table.get_key_value(name)?;
         let path = self.of(name);
         match value.get_ref() {
@@ -260,12 +256,7 @@
     }
 
     /// A list in this one; its parts with their keys.
-    pub(crate) fn list(
-        &self,
-        notes: &mut Notes,
-        name: &str,
-        of: &str,
-    ) -> Option<Vec<(String, &'t Value<'t>)>> {
+    pub fn list(&self, notes: &mut Notes, name: &str, of: &str) -> Option<Vec<(String, &'t Value<'t>)>> {
         let value = self.get(name)?;
         let path = self.of(name);
         match value.get_ref() {
