The configuration tool: write, check, explain, init; the chain's description as an example

Files written by hand drift apart, and one wrong line may send a charge twice. Package badgerramp-config-tool writes every application's file from one description (includes, inheritance, own timing) with the place of each value, and checks them together: one class, one listener, clients that wait and retry, what an upstream bears and honours, paths by which a charge could be sent again.

--- /dev/null
+++ b/crates/config-tool/src/explain.rs
@@ -0,0 +1,280 @@
+//! What a file makes of a request and why, and the longest course that a call of a class may take.
+
+use badgerramp_config::{Config, Figure, ANSWER_ROOM};
+use badgerramp_decisions::{Hedge, Micros, Repeat, Resend};
+use badgerramp_reading::values::show_duration;
+use badgerramp_route::{normalize, PathPattern, Route, Source, Timing};
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use serde::Serialize;
+use std::fmt::Write;
+
+/// One figure and where it comes from.
+#[derive(Debug, PartialEq, Eq, Serialize)]
+pub struct Told {
+    /// Its key.
+    pub name: String,
+    /// Its value.
+    pub value: String,
+    /// Why it has that.
+    pub from: String,
+}
+
+/// What is told of a request.
+#[derive(Debug, PartialEq, Eq, Serialize)]
+pub struct Request {
+    /// The path in its normal form.
+    pub path: String,
+    /// The route that takes it, and its line; none: the answer without a route.
+    pub route: Option<(String, usize)>,
+    /// Routes before it, and what about each does not fit.
+    pub passed_over: Vec<(String, String)>,
+    /// Its class, and what that means.
+    pub class: Option<(String, String)>,
+    /// What is said of its key.
+    pub key: Option<String>,
+    /// Its timing.
+    pub timing: Vec<Told>,
+}
+
+/// A request out of words like `POST /x` and `Name: value`.
+///
+/// # Errors
+/// What is odd about them.
+pub fn request_of(request: &str, headers: &[String]) -> Result<(Method, String, HeaderMap), String> {
+    let (method, target) =
+        request.trim().split_once(' ').ok_or("a request is a method and a path, like 'POST /x'")?;
+    let method = method.parse::<Method>().map_err(|_| format!("{method:?} is no method"))?;
+    let path = target.trim().split(['?', '#']).next().unwrap_or_default().to_owned();
+    let mut map = HeaderMap::new();
+    for header in headers {
+        let (name, value) =
+            header.split_once(':').ok_or_else(|| format!("{header:?} is no header: 'Name: value'"))?;
+        let name = HeaderName::from_bytes(name.trim().as_bytes())
+            .map_err(|_| format!("{name:?} is no header name"))?;
+        let value =
+            HeaderValue::from_str(value.trim()).map_err(|_| format!("{value:?} is no header value"))?;
+        map.append(name, value);
+    }
+    Ok((method, path, map))
+}
+
+fn line(config: &Config, start: usize) -> usize {
+    config.text().get(..start).unwrap_or_default().matches('\n').count() + 1
+}
+
+fn told(config: &Config, figures: Vec<Figure>) -> Vec<Told> {
+    let from = |figure: &Figure| match &figure.set {
+        Some((key, span)) => format!("{key}, line {}", line(config, span.start)),
+        None => "not set".to_owned(),
+    };
+    figures.iter().map(|f| Told { name: f.name.to_owned(), value: f.value.clone(), from: from(f) }).collect()
+}
+
+fn effect(repeat: Repeat) -> String {
+    match repeat {
+        Repeat::Free => "safe: it may run again".to_owned(),
+        Repeat::SingleShot => "unsafe: it goes again only if every attempt provably never ran".to_owned(),
+        Repeat::Guarded { window, .. } => {
+            format!("keyed: it may go again within its group, for {}", show_duration(window))
+        }
+    }
+}
+
+/// Why a route does not take a request; None: it does.
+fn misfit(route: &Route, method: &Method, path: &str, headers: &HeaderMap) -> Option<String> {
+    let fits = match &route.path {
+        PathPattern::Exact(own) => own == path,
+        PathPattern::Prefix(own) if own.ends_with('/') => path.starts_with(own.as_str()),
+        PathPattern::Prefix(own) => {
+            path.strip_prefix(own.as_str()).is_some_and(|r| r.is_empty() || r.starts_with('/'))
+        }
+        PathPattern::Regex(own) => own.is_match(path),
+    };
+    if !fits {
+        return Some("its path".to_owned());
+    }
+    if !route.methods.is_empty() && !route.methods.contains(method) {
+        return Some("its methods".to_owned());
+    }
+    let wanted = route
+        .headers
+        .iter()
+        .find(|h| !headers.get_all(&h.name).iter().any(|v| h.value.as_ref().is_none_or(|w| w == v)));
+    wanted.map(|h| format!("header {}", h.name))
+}
+
+/// What a file makes of a request.
+///
+/// # Errors
+/// If its path has no normal form: the sidecar answers 400 then.
+pub fn request(config: &Config, method: &Method, path: &str, headers: &HeaderMap) -> Result<Request, String> {
+    let normal = normalize(path).map_err(|fault| format!("answered 400: {fault}"))?;
+    let found =
+        config.routes.find(method, path, headers).map_err(|fault| format!("answered 400: {fault}"))?;
+    let upto = found.map_or(config.routes.routes().len(), |f| f.0);
+    let passed = config.routes.routes()[..upto].iter().filter_map(|r| {
+        // Routes of other paths are told only where nothing was found.
+        let why = misfit(r, method, &normal, headers)?;
+        (found.is_none() || why != "its path").then(|| (r.name.clone(), why))
+    });
+    let mut told_of = Request {
+        path: normal.to_string(),
+        route: None,
+        passed_over: passed.collect(),
+        class: None,
+        key: None,
+        timing: Vec::new(),
+    };
+    if let Some((place, route)) = found {
+        let class = &config.classes[route.class];
+        let guarded = matches!(class.class.repeat, Repeat::Guarded { .. });
+        told_of.route = Some((route.name.clone(), line(config, config.route_span(place).start)));
+        told_of.class = Some((class.name.clone(), effect(class.class.repeat)));
+        told_of.key = route.key.as_ref().filter(|_| guarded).map(|source| {
+            let place = match source {
+                Source::Header(name) => format!("header {name}"),
+                Source::Cookie(name) => format!("cookie {name}"),
+            };
+            match source.read(headers) {
+                Some(key) => format!("{key:?}, from {place}"),
+                None => format!("missing or not one alone in {place}: never sent twice"),
+            }
+        });
+        told_of.timing = told(config, config.route_figures(place));
+    }
+    Ok(told_of)
+}
+
+impl Request {
+    /// For people.
+    pub fn human(&self, config: &Config) -> String {
+        let mut text = format!("path    {} (normal form)\n", self.path);
+        for (route, why) in &self.passed_over {
+            let _ = writeln!(text, "        not {route:?}: {why}");
+        }
+        match (&self.route, &self.class) {
+            (Some((route, line)), Some((class, means))) => {
+                let _ = writeln!(text, "route   {route:?}, {}:{line}", config.name());
+                let _ = writeln!(text, "class   {class}; {means}");
+            }
+            _ => {
+                let _ = writeln!(text, "route   none: answered {}", config.no_route.status);
+            }
+        }
+        if let Some(key) = &self.key {
+            let _ = writeln!(text, "key     {key}");
+        }
+        for told in &self.timing {
+            let _ = writeln!(text, "        {:<12} {:<14} {}", told.name, told.value, told.from);
+        }
+        text
+    }
+}
+
+/// One step of a course.
+#[derive(Debug, PartialEq, Eq, Serialize)]
+pub struct Step {
+    /// Microseconds after the request's last byte, at the latest.
+    pub at_us: Micros,
+    /// What happens.
+    pub what: String,
+}
+
+/// The longest course of one route of a class.
+#[derive(Debug, PartialEq, Eq, Serialize)]
+pub struct Course {
+    /// The route; none: the class by itself.
+    pub route: Option<String>,
+    /// Step by step.
+    pub steps: Vec<Step>,
+}
+
+/// The longest courses of a class: by itself and by each route that overrides it.
+///
+/// # Errors
+/// If the file has no such class.
+pub fn class(config: &Config, name: &str) -> Result<Vec<Course>, String> {
+    let Some(place) = config.classes.iter().position(|c| c.name == name) else {
+        let known: Vec<&str> = config.classes.iter().map(|c| c.name.as_str()).collect();
+        return Err(format!("no class {name:?}: {}", badgerramp_reading::known_names(name, &known)));
+    };
+    let class = &config.classes[place];
+    let course = |timing: &Timing| steps(timing, class.class.repeat, class.class.deadline);
+    let mut courses = vec![Course { route: None, steps: course(&class.timing) }];
+    for route in config.routes.routes().iter().filter(|r| r.class == place && r.timing != class.timing) {
+        courses.push(Course { route: Some(route.name.clone()), steps: course(&route.timing) });
+    }
+    Ok(courses)
+}
+
+fn steps(timing: &Timing, repeat: Repeat, deadline: Micros) -> Vec<Step> {
+    let mut steps = Vec::new();
+    let mut add = |at_us: Micros, what: String| steps.push(Step { at_us, what });
+    let only_proven = repeat == Repeat::SingleShot || timing.resend == Resend::NeverRan;
+    let mut at = 0;
+    for number in 1..=timing.attempts {
+        if at >= timing.total {
+            break;
+        }
+        let condition = match (number, repeat) {
+            (1, _) => "",
+            _ if only_proven => ", if all before it provably never ran",
+            (_, Repeat::Guarded { .. }) => ", if it is keyed, within its group",
+            _ => ", if none before it was served",
+        };
+        if let Repeat::Guarded { window, .. } = repeat {
+            if number > 1 && at >= window {
+                add(at, "the window is over: nothing goes out that may have run".to_owned());
+                break;
+            }
+        }
+        add(
+            at,
+            format!(
+                "attempt {number} goes out{condition}; its connection is up within {}",
+                show_duration(timing.connect)
+            ),
+        );
+        if number == 1 {
+            match timing.hedge {
+                Hedge::Never => {}
+                Hedge::Auto => add(at, "a second copy may follow, as late as can be in time".to_owned()),
+                Hedge::After(wait) => {
+                    add(at + wait, "a second copy goes out, if no answer has come".to_owned())
+                }
+                Hedge::Share(share) => {
+                    add(
+                        at,
+                        format!(
+                            "a second copy may follow once {}% of answers would have come",
+                            share * 100.0
+                        ),
+                    );
+                }
+            }
+        }
+        let end = at.saturating_add(timing.attempt).min(timing.total);
+        add(end, format!("attempt {number} has ended"));
+        at = end.saturating_add(timing.backoff);
+    }
+    add(timing.total, "the final answer has gone out at the latest".to_owned());
+    add(
+        deadline,
+        format!("the client gives up; {} were kept for the answer's way", show_duration(ANSWER_ROOM)),
+    );
+    steps
+}
+
+impl Course {
+    /// For people.
+    pub fn human(&self) -> String {
+        let mut text = match &self.route {
+            Some(route) => format!("by route {route:?}\n"),
+            None => "by the class itself\n".to_owned(),
+        };
+        for step in &self.steps {
+            let _ = writeln!(text, "  {:>14}  {}", show_duration(step.at_us), step.what);
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/config-tool/src/main.rs
@@ -0,0 +1,220 @@
+//! The command line of the configuration tool.
+#![forbid(unsafe_code)]
+
+use badgerramp_config_tool::commands::{self, Plan};
+use badgerramp_config_tool::finding::Report;
+use badgerramp_config_tool::{explain, STARTING};
+use clap::{Parser, Subcommand, ValueEnum};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Writes every application's file from one description, and checks them together.
+///
+/// Exits 0 if all is good, 1 with what is wrong, 2 for bad usage.
+#[derive(Parser)]
+#[command(name = "badgerramp-config", version)]
+struct Cli {
+    /// How findings are told.
+    #[arg(long, value_enum, default_value_t = Format::Human, global = true)]
+    format: Format,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum Format {
+    Human,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Write a starting description, with comments; - for standard output.
+    Init {
+        /// The file; it must not be there yet.
+        file: PathBuf,
+    },
+    /// Write all files of a description, if nothing is wrong with any of them.
+    Write {
+        /// The description.
+        description: PathBuf,
+        /// The folder that they go to.
+        #[arg(long)]
+        out: PathBuf,
+        /// Show what would change, and change nothing.
+        #[arg(long)]
+        dry_run: bool,
+        /// Also over files that were changed by hand.
+        #[arg(long)]
+        force: bool,
+    },
+    /// Check folders that were written, or single files, by themselves and together.
+    Check {
+        /// A folder that is in use: tell what a change from it would do, and refuse what is unsafe while both run.
+        #[arg(long, value_name = "OLD_DIR")]
+        against: Option<PathBuf>,
+        /// Folders or files.
+        #[arg(required = true)]
+        paths: Vec<PathBuf>,
+    },
+    /// Tell what a file makes of a request, or the longest course of a class.
+    Explain {
+        /// The file.
+        file: PathBuf,
+        /// A method and a path, like 'POST /x'.
+        #[arg(long, required_unless_present = "class", conflicts_with = "class")]
+        request: Option<String>,
+        /// A header of the request, like 'Name: value'.
+        #[arg(long, requires = "request")]
+        header: Vec<String>,
+        /// The name of a class.
+        #[arg(long)]
+        class: Option<String>,
+    },
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let format = cli.format;
+    match cli.command {
+        Command::Init { file } => init(&file),
+        Command::Write { description, out, dry_run, force } => {
+            write(&description, &out, (dry_run, force), format)
+        }
+        Command::Check { against, paths } => check(against.as_deref(), &paths, format),
+        Command::Explain { file, request, header, class } => explain(&file, request, &header, class, format),
+    }
+}
+
+fn failed(text: impl std::fmt::Display) -> ExitCode {
+    eprintln!("badgerramp-config: {text}");
+    ExitCode::FAILURE
+}
+
+/// Tells a report; its exit says whether it is good.
+fn tell(report: &Report, format: Format) -> ExitCode {
+    match format {
+        Format::Human => print!("{}", report.human()),
+        Format::Json => println!("{}", report.json()),
+    }
+    if report.good() {
+        return ExitCode::SUCCESS;
+    }
+    let counts: Vec<String> =
+        commands::counts(report).iter().map(|(code, n)| format!("{n} {code}")).collect();
+    failed(format!("{} found: {}", report.findings.len(), counts.join(", ")))
+}
+
+fn init(file: &Path) -> ExitCode {
+    if file == Path::new("-") {
+        print!("{STARTING}");
+        return ExitCode::SUCCESS;
+    }
+    let made = std::fs::File::create_new(file)
+        .and_then(|mut f| std::io::Write::write_all(&mut f, STARTING.as_bytes()));
+    match made {
+        Ok(()) => {
+            println!(
+                "{}: written; next: badgerramp-config write {} --out sidecars",
+                file.display(),
+                file.display()
+            );
+            ExitCode::SUCCESS
+        }
+        Err(fault) => failed(format!("{}: {fault}", file.display())),
+    }
+}
+
+fn write(description: &Path, out: &Path, (dry_run, force): (bool, bool), format: Format) -> ExitCode {
+    let written = match commands::compose(description) {
+        Ok(written) => written,
+        Err(report) => return tell(&report, format),
+    };
+    let plan = commands::plan(&written, out);
+    let Plan { write, remove, by_hand, diff } = &plan;
+    if dry_run {
+        print!("{diff}");
+    }
+    if !by_hand.is_empty() && !force {
+        return failed(format!(
+            "changed by hand since they were written, or not written by this program: {}; nothing was written. \
+             Carry the change into the description, or write with --force",
+            by_hand.join(", ")
+        ));
+    }
+    if !dry_run {
+        if let Err(fault) = commands::carry_out(&plan, out) {
+            return failed(format!("{}: {fault}", out.display()));
+        }
+    }
+    if format == Format::Json {
+        return tell(&written.report, format);
+    }
+    let done = if dry_run { "would be" } else { "were" };
+    println!(
+        "{} of {} files {done} written, {} removed, in {}",
+        write.len(),
+        written.files.len(),
+        remove.len(),
+        out.display()
+    );
+    tell(&written.report, format)
+}
+
+fn check(against: Option<&Path>, paths: &[PathBuf], format: Format) -> ExitCode {
+    let report = match (against, paths) {
+        (None, paths) => commands::check(&paths.iter().map(PathBuf::as_path).collect::<Vec<_>>()).0,
+        (Some(old), [new]) if new.is_dir() => commands::check_against(old, new),
+        (Some(_), _) => {
+            eprintln!("badgerramp-config: --against takes one folder to check");
+            return ExitCode::from(2);
+        }
+    };
+    tell(&report, format)
+}
+
+fn explain(
+    file: &Path,
+    request: Option<String>,
+    headers: &[String],
+    class: Option<String>,
+    format: Format,
+) -> ExitCode {
+    let config = match badgerramp_config::load(file) {
+        Ok(config) => config,
+        Err(mistakes) => {
+            eprint!("{mistakes}");
+            return failed(format!("{} mistakes", mistakes.count()));
+        }
+    };
+    let text = match (request, class) {
+        (Some(request), _) => match explain::request_of(&request, headers) {
+            Ok((method, path, headers)) => {
+                explain::request(&config, &method, &path, &headers).map(|told| match format {
+                    Format::Human => told.human(&config),
+                    Format::Json => json(&told),
+                })
+            }
+            Err(fault) => {
+                eprintln!("badgerramp-config: {fault}");
+                return ExitCode::from(2);
+            }
+        },
+        (None, Some(class)) => explain::class(&config, &class).map(|courses| match format {
+            Format::Human => courses.iter().map(explain::Course::human).collect(),
+            Format::Json => json(&courses),
+        }),
+        (None, None) => return ExitCode::from(2),
+    };
+    match text {
+        Ok(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(fault) => failed(fault),
+    }
+}
+
+fn json(value: &impl serde::Serialize) -> String {
+    serde_json::to_string_pretty(value).unwrap_or_else(|e| format!("{{\"fault\":\"{e}\"}}")) + "\n"
+}
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -155,6 +155,8 @@
     pub name: String,
     /// What the decisions are told of it.
     pub class: decisions::Class,
+    /// Its timing, where a route does not override it.
+    pub timing: Timing,
 }
 
 /// The answer where no route takes a request.
@@ -166,7 +168,71 @@
     pub text: String,
 }
 
+/// One figure of a timing: what it is and where it was set.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Figure {
+    /// Its key.
+    pub name: &'static str,
+    /// Its value, as it may be written.
+    pub value: String,
+    /// The whole key that set it, and where that stands; None: the file says nothing of it.
+    pub set: Option<(String, Span)>,
+}
+
 impl Config {
+    /// The name of the file.
+    pub fn name(&self) -> &str {
+        &self.source.name
+    }
+
+    /// The text of the file.
+    pub fn text(&self) -> &str {
+        &self.source.text
+    }
+
+    /// Where a class is named.
+    pub fn class_span(&self, place: usize) -> Span {
+        self.source.classes.get(place).map_or(0..0, |c| c.0.clone())
+    }
+
+    /// Where a route is named.
+    pub fn route_span(&self, place: usize) -> Span {
+        self.source.routes.get(place).map_or(0..0, |r| r.0.clone())
+    }
+
+    /// Where the value of a key stands: names of tables and of the key, numbers for places in a list.
+    pub fn place(&self, path: &[&str]) -> Option<Span> {
+        let mut notes = Notes::default();
+        let table = document(&mut notes, &self.source.text);
+        let (first, rest) = path.split_first()?;
+        let mut value = table.get(*first)?;
+        for name in rest {
+            value = match value.get_ref() {
+                DeValue::Table(table) => table.get(*name)?,
+                DeValue::Array(list) => list.get(name.parse::<usize>().ok()?)?,
+                _ => return None,
+            };
+        }
+        Some(value.span())
+    }
+
+    /// The timing of a class, figure by figure.
+    pub fn class_figures(&self, place: usize) -> Vec<Figure> {
+        let Some(((_, draft), class)) = self.source.classes.get(place).zip(self.classes.get(place)) else {
+            return Vec::new();
+        };
+        draft.figures(&class.timing)
+    }
+
+    /// The timing of a route, figure by figure.
+    pub fn route_figures(&self, place: usize) -> Vec<Figure> {
+        let Some(((_, draft), route)) = self.source.routes.get(place).zip(self.routes.routes().get(place))
+        else {
+            return Vec::new();
+        };
+        draft.figures(&route.timing)
+    }
+
     /// What the decisions are told of a file that stands alone.
     pub fn settings(&self) -> decisions::Settings {
         let upstream = &self.upstream;
@@ -254,7 +320,7 @@
         }
         let listen = address(self.notes, &top, "listen");
         let limits = self.limits(&top);
-        let upstream = self.upstream(&top);
+        let upstream = top.section(self.notes, "upstream", &UPSTREAM).map(|section| self.upstream(&section));
         let defaults = match top.section(self.notes, "defaults", &timing::KEYS) {
             Some(section) => Draft::read(self.notes, &section),
             None => Draft::default(),
@@ -274,12 +340,16 @@
         };
         let class = |c: ClassDraft| {
             let (aim, deadline) = match usage {
-                Use::Alone => (c.aim?.value, c.deadline?.value),
+                Use::Alone => (c.aim.as_ref()?.value, c.deadline.as_ref()?.value),
                 Use::Platform => (0, 0),
             };
             let repeat = c.repeat.unwrap_or_default();
             let class = decisions::Class { aim, deadline, worth: c.worth, late_value: c.late_worth, repeat };
-            Some(Class { name: c.name, class })
+            let timing = match usage {
+                Use::Alone => c.draft.timing(&c.facts()),
+                Use::Platform => Timing::UNLIMITED,
+            };
+            Some(Class { name: c.name, class, timing })
         };
         let classes = classes.into_iter().map(class).collect::<Option<Vec<_>>>()?;
         Some(Config {
@@ -348,11 +418,10 @@
         Some(limits)
     }
 
-    fn upstream(&mut self, top: &Section<'_>) -> Option<Upstream> {
-        let section = top.section(self.notes, "upstream", &UPSTREAM)?;
+    fn upstream(&mut self, section: &Section<'_>) -> Upstream {
         let plain = nowhere();
         let notes = &mut *self.notes;
-        let discovery = address(notes, &section, "discovery");
+        let discovery = address(notes, section, "discovery");
         match (section.has("endpoints"), section.has("discovery")) {
             (false, false) => {
                 let allowed = "`endpoints`, or the address of a list service in `discovery`";
@@ -389,8 +458,8 @@
         if let Some(time) = section.duration(notes, "fall_time", 1_000..=600_000_000) {
             rules.fall_time = time.value;
         }
-        let endpoints = self.endpoints(&section);
-        Some(Upstream { endpoints, discovery, zone, proxies, idle, rules })
+        let endpoints = self.endpoints(section);
+        Upstream { endpoints, discovery, zone, proxies, idle, rules }
     }
 
     fn endpoints(&mut self, section: &Section<'_>) -> Vec<Endpoint> {
@@ -671,6 +740,12 @@
     }
 }
 
+/// Reads the table of an upstream on its own, as it stands in other files too.
+pub fn read_upstream(notes: &mut Notes, parent: &Section<'_>, name: &str) -> Option<Upstream> {
+    let section = parent.section(notes, name, &UPSTREAM)?;
+    Some(Reading { notes }.upstream(&section))
+}
+
 /// Where a route is shown that has no name.
 fn first_line(value: &Value<'_>) -> Span {
     let span = value.span();
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -18,7 +18,7 @@
 mod values;
 
 pub use badgerramp_reading::{Mistake, Mistakes};
-pub use file::{Class, Config, Endpoint, Limits, NoRoute, Upstream, Use};
+pub use file::{read_upstream, Class, Config, Endpoint, Figure, Limits, NoRoute, Upstream, Use};
 pub use platform::narrow;
 
 use std::path::Path;
@@ -35,6 +35,15 @@
     (descriptors * 3 / 10).min(room / 2)
 }
 
+/// Connections that all proxies may keep idle at an endpoint between them, and the bounds of a part.
+const KEPT_OF_ALL: usize = 60;
+const KEPT: (usize, usize) = (4, 16);
+
+/// How many idle connections one of so many proxies keeps to an endpoint at the most; those in use come on top.
+pub fn connections_kept(proxies: u32) -> usize {
+    (KEPT_OF_ALL / proxies.max(1) as usize).clamp(KEPT.0, KEPT.1)
+}
+
 /// Reads and checks a file's text; `name` is what its mistakes call it.
 ///
 /// # Errors
--- a/crates/config/src/timing.rs
+++ b/crates/config/src/timing.rs
@@ -1,6 +1,7 @@
 //! Timing and answers as they stand in `[defaults]`, a class and a route: laid over one another, then held against the
 //! rules.
 
+use crate::file::Figure;
 use crate::{values, ANSWER_ROOM};
 use badgerramp_decisions::{Hedge, Micros, Repeat, Resend};
 use badgerramp_reading::values::show_duration;
@@ -115,6 +116,35 @@
         }
     }
 
+    /// The figures of a timing and where each was set.
+    pub(crate) fn figures(&self, timing: &Timing) -> Vec<Figure> {
+        fn at<T>(set: &Option<Set<T>>) -> Option<(String, Span)> {
+            set.as_ref().map(|s| (s.key.clone(), s.span.clone()))
+        }
+        let time = |name, value, set: &Option<Set<Micros>>| Figure {
+            name,
+            value: if value == Micros::MAX { "no limit".to_owned() } else { show_duration(value) },
+            set: at(set),
+        };
+        let resend = match timing.resend {
+            Resend::Any => "\"failed\"",
+            Resend::NeverRan => "\"never-ran\"",
+        };
+        let attempts = match timing.attempts {
+            u32::MAX => "no limit".to_owned(),
+            most => most.to_string(),
+        };
+        vec![
+            time("connect", timing.connect, &self.connect),
+            time("attempt", timing.attempt, &self.attempt),
+            time("total", timing.total, &self.total),
+            Figure { name: "attempts", value: attempts, set: at(&self.attempts) },
+            time("backoff", timing.backoff, &self.backoff),
+            Figure { name: "second_copy", value: show_hedge(timing.hedge), set: at(&self.second_copy) },
+            Figure { name: "retry", value: resend.to_owned(), set: at(&self.retry) },
+        ]
+    }
+
     pub(crate) fn answers(&self) -> Answers {
         let mut answers = Answers::standard();
         if let Some(served) = &self.served {
--- a/crates/proxy/src/net/hosts.rs
+++ b/crates/proxy/src/net/hosts.rs
@@ -28,11 +28,6 @@
 
 /// Most bytes of an answer's head, and of what is read of a body at once.
 const HEAD_MOST: usize = 16 * 1024;
-/// Connections that all client proxies may keep idle at a host between them, and the bounds of a part.
-/// A host holds 76 in all; those in use come on top.
-const SPARES_OF_ALL: usize = 60;
-const SPARES: (usize, usize) = (4, 16);
-
 /// The shortest idle time that is told from others, and how many doublings of it.
 const AGE_LEAST: Micros = 50_000;
 const AGES: usize = 11;
@@ -255,7 +250,7 @@
         (descriptors, room): (Rc<Descriptors>, Rc<Room>),
         clock: Clock,
     ) -> Rc<Self> {
-        let spares = (SPARES_OF_ALL / balancers.max(1) as usize).clamp(SPARES.0, SPARES.1);
+        let spares = badgerramp_config::connections_kept(balancers);
         Rc::new(Hosts {
             idle: RefCell::new(HashMap::new()),
             current: RefCell::new(HashMap::new()),
--- a/crates/reading/src/section.rs
+++ b/crates/reading/src/section.rs
@@ -10,7 +10,7 @@
 pub type Span = Range<usize>;
 
 /// A value and where it was set.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Set<T> {
     /// The value.
     pub value: T,
