--- a/crates/config-tool/src/commands.rs
+++ b/crates/config-tool/src/commands.rs
@@ -3,7 +3,7 @@
 use crate::description::{self, Description};
 use crate::finding::{Finding, Place, Report};
 use crate::manifest::{self, digest, digests, file_name, read_folder};
-use crate::render::{render, to_description, Rendered};
+use crate::render::{render, to_description, Rendered, Sources};
 use crate::rollout;
 use crate::set::{Application, Described, Set};
 use badgerramp_config::read_upstream;
@@ -28,6 +28,7 @@
     let mut report = description::load(path)?;
     let description = Description::read(&mut report);
     let sources = report.files.len();
+    let named = Sources::new(&report);
     let mut proxies: HashMap<&str, u64> = HashMap::new();
     for facts in description.apps.iter().filter_map(|a| a.facts.as_ref()) {
         *proxies.entry(&facts.upstream.value).or_default() += u64::from(facts.instances);
@@ -41,7 +42,7 @@
             .and_then(|f| description.upstreams.iter().find(|u| u.name == f.upstream.value));
         let sidecars =
             app.facts.as_ref().and_then(|f| proxies.get(f.upstream.value.as_str())).copied().unwrap_or(1);
-        let file = render(&report, &description, app, upstream, sidecars);
+        let file = render(&named, &description, app, upstream, sidecars);
         // Without its upstream each file would be told to want one; that is told once, below.
         if app.facts.is_none() || upstream.is_some() {
             let facts = app.facts.clone().map(|f| (app.place.file, f));
--- a/crates/config-tool/src/render.rs
+++ b/crates/config-tool/src/render.rs
@@ -16,8 +16,37 @@
     own: Place,
 }
 
+/// The files of a description, with the beginnings of their lines: a place is shown for each key of each application.
+pub struct Sources {
+    names: Vec<String>,
+    lines: Vec<Vec<usize>>,
+}
+
+impl Sources {
+    /// The files that a report holds so far.
+    pub fn new(report: &Report) -> Self {
+        // The description's own name comes with the path it was asked for by; the others are named from its folder.
+        let name = |(n, (name, _)): (usize, &(String, String))| match n {
+            0 => name.rsplit('/').next().unwrap_or(name).to_owned(),
+            _ => name.clone(),
+        };
+        let lines = |(_, text): &(String, String)| text.match_indices('\n').map(|(at, _)| at).collect();
+        Sources {
+            names: report.files.iter().enumerate().map(name).collect(),
+            lines: report.files.iter().map(lines).collect(),
+        }
+    }
+
+    /// Where a value came from, as a comment tells it.
+    fn shown(&self, place: &Place) -> String {
+        let line =
+            self.lines.get(place.file).map_or(0, |ends| ends.partition_point(|&end| end < place.start)) + 1;
+        format!("{}:{line}", self.names.get(place.file).map_or("", String::as_str))
+    }
+}
+
 struct Writer<'r> {
-    report: &'r Report,
+    sources: &'r Sources,
     rendered: Rendered,
 }
 
@@ -40,16 +69,8 @@
         }
     }
 
-    /// Where a value came from, as a comment tells it. The files of a description are named from its folder.
-    fn shown(&self, place: &Place) -> String {
-        let (line, _) = self.report.line_of(place);
-        let name = self.report.files.get(place.file).map_or("", |f| f.0.as_str());
-        let name = if place.file == 0 { name.rsplit('/').next().unwrap_or(name) } else { name };
-        format!("{name}:{line}")
-    }
-
     fn raw(&mut self, raw: &Raw) {
-        let from = self.shown(&raw.place);
+        let from = self.sources.shown(&raw.place);
         let text = raw.text.replace("\r\n", "\n");
         if text.contains('\n') {
             self.line(&format!("# {from}"), Some(&raw.place));
@@ -75,15 +96,15 @@
 
 /// Writes an application's file. `proxies` are all sidecars on its upstream.
 pub fn render(
-    report: &Report,
+    sources: &Sources,
     description: &Description,
     app: &App,
     upstream: Option<&Upstream>,
     proxies: u64,
 ) -> Rendered {
     let rendered = Rendered { text: String::new(), origins: Vec::new(), own: app.place.clone() };
-    let mut writer = Writer { report, rendered };
-    let from = writer.shown(&app.place);
+    let mut writer = Writer { sources, rendered };
+    let from = writer.sources.shown(&app.place);
     writer.line(&format!("# Written by badgerramp-config for application {:?} ({from}).", app.name), None);
     writer
         .line("# Change the description, not this file: what is changed here stops the next writing.", None);
@@ -112,7 +133,7 @@
             if waits.value < deadline && !keys.iter().any(|k| k.key == "total") {
                 let place = Place::new(app.place.file, &waits.span);
                 let total = show_duration(waits.value.saturating_sub(ANSWER_ROOM));
-                let from = writer.shown(&place);
+                let from = writer.sources.shown(&place);
                 let text =
                     format!("total = {total:?}  # its client waits {} ({from})", show_duration(waits.value));
                 writer.line(&text, Some(&place));
