Matching expressions: which requests a route takes, and how keys are formed

Paths and headers by equality do not say all that an operator must say, and a mistake in what says it must show at load. Package badgerramp-expr: a typed language with absence as a type, one arena for all expressions of a file, a static bound in steps; route, config (when, key, tenant, expect), the program and explain use it.

--- a/crates/config-tool/src/explain.rs
+++ b/crates/config-tool/src/explain.rs
@@ -2,11 +2,13 @@
 
 use badgerramp_config::{Config, Figure, ANSWER_ROOM};
 use badgerramp_decisions::{Hedge, Micros, Repeat, Resend};
+use badgerramp_expr::{Builder, Wanted};
 use badgerramp_reading::values::show_duration;
-use badgerramp_route::{normalize, PathPattern, Route, Source, Timing};
+use badgerramp_route::{normalize, Head, PathPattern, Route, Source, Timing};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use serde::Serialize;
 use std::fmt::Write;
+use std::net::IpAddr;
 
 /// One figure and where it comes from.
 #[derive(Debug, PartialEq, Eq, Serialize)]
@@ -30,6 +32,8 @@
     pub passed_over: Vec<(String, String)>,
     /// Its class, and what that means.
     pub class: Option<(String, String)>,
+    /// The parts of the route's condition and of its key, the outer ones first, with their values.
+    pub parts: Vec<(String, String)>,
     /// What is said of its key.
     pub key: Option<String>,
     /// Its timing.
@@ -44,7 +48,7 @@
     let (method, target) =
         request.trim().split_once(' ').ok_or("a request is a method and a path, like 'POST /x'")?;
     let method = method.parse::<Method>().map_err(|_| format!("{method:?} is no method"))?;
-    let path = target.trim().split(['?', '#']).next().unwrap_or_default().to_owned();
+    let path = target.trim().split('#').next().unwrap_or_default().to_owned();
     let mut map = HeaderMap::new();
     for header in headers {
         let (name, value) =
@@ -81,7 +85,8 @@
 }
 
 /// Why a route does not take a request; None: it does.
-fn misfit(route: &Route, method: &Method, path: &str, headers: &HeaderMap) -> Option<String> {
+fn misfit(config: &Config, route: &Route, head: &Head<'_>) -> Option<String> {
+    let Head { method, path, headers, .. } = *head;
     let fits = match &route.path {
         PathPattern::Exact(own) => own == path,
         PathPattern::Prefix(own) if own.ends_with('/') => path.starts_with(own.as_str()),
@@ -100,21 +105,47 @@
         .headers
         .iter()
         .find(|h| !headers.get_all(&h.name).iter().any(|v| h.value.as_ref().is_none_or(|w| w == v)));
-    wanted.map(|h| format!("header {}", h.name))
+    if let Some(wanted) = wanted {
+        return Some(format!("header {}", wanted.name));
+    }
+    let when = route.when.as_ref()?;
+    (!config.routes.program().holds(when.id, head)).then(|| format!("its condition, {}", when.text.trim()))
+}
+
+/// The parts of an expression with their values, the outer ones first.
+fn parts(text: &str, head: &Head<'_>, told: &mut Vec<(String, String)>) {
+    let Ok(ast) = badgerramp_expr::parse(text) else { return };
+    let mut open = vec![&ast];
+    while let Some(part) = open.pop() {
+        open.extend(part.parts().into_iter().rev().filter(|p| !p.literal()));
+        let mut builder = Builder::default();
+        let Ok(id) = builder.add_ast(part, Wanted::Any) else { continue };
+        let program = builder.build();
+        let words =
+            text.get(part.span.clone()).unwrap_or_default().split_whitespace().collect::<Vec<_>>().join(" ");
+        told.push((words, program.evaluate(id, head).show()));
+    }
 }
 
 /// What a file makes of a request.
 ///
 /// # Errors
 /// If its path has no normal form: the sidecar answers 400 then.
-pub fn request(config: &Config, method: &Method, path: &str, headers: &HeaderMap) -> Result<Request, String> {
+pub fn request(
+    config: &Config,
+    method: &Method,
+    target: &str,
+    headers: &HeaderMap,
+    client: IpAddr,
+) -> Result<Request, String> {
+    let (path, query) = target.split_once('?').unwrap_or((target, ""));
     let normal = normalize(path).map_err(|fault| format!("answered 400: {fault}"))?;
-    let found =
-        config.routes.find(method, path, headers).map_err(|fault| format!("answered 400: {fault}"))?;
+    let head = Head { method, path: &normal, query, headers, client };
+    let found = config.routes.find_head(&head).map_err(|fault| format!("answered 400: {fault}"))?;
     let upto = found.map_or(config.routes.routes().len(), |f| f.0);
     let passed = config.routes.routes()[..upto].iter().filter_map(|r| {
         // Routes of other paths are told only where nothing was found.
-        let why = misfit(r, method, &normal, headers)?;
+        let why = misfit(config, r, &head)?;
         (found.is_none() || why != "its path").then(|| (r.name.clone(), why))
     });
     let mut told_of = Request {
@@ -122,6 +153,7 @@
         route: None,
         passed_over: passed.collect(),
         class: None,
+        parts: Vec::new(),
         key: None,
         timing: Vec::new(),
     };
@@ -134,12 +166,20 @@
             let place = match source {
                 Source::Header(name) => format!("header {name}"),
                 Source::Cookie(name) => format!("cookie {name}"),
+                Source::Expression(own) => format!("expression {}", own.text),
             };
-            match source.read(headers) {
+            match config.routes.text(source, &head) {
                 Some(key) => format!("{key:?}, from {place}"),
                 None => format!("missing or not one alone in {place}: never sent twice"),
             }
         });
+        let key = route.key.as_ref().and_then(|k| match k {
+            Source::Expression(own) => Some(own),
+            _ => None,
+        });
+        for own in route.when.iter().chain(key) {
+            parts(&own.text, &head, &mut told_of.parts);
+        }
         told_of.timing = told(config, config.route_figures(place));
     }
     Ok(told_of)
@@ -161,6 +201,9 @@
                 let _ = writeln!(text, "route   none: answered {}", config.no_route.status);
             }
         }
+        for (part, value) in &self.parts {
+            let _ = writeln!(text, "        {part}  =  {value}");
+        }
         if let Some(key) = &self.key {
             let _ = writeln!(text, "key     {key}");
         }
--- a/crates/config-tool/src/main.rs
+++ b/crates/config-tool/src/main.rs
@@ -67,6 +67,9 @@
         /// A header of the request, like 'Name: value'.
         #[arg(long, requires = "request")]
         header: Vec<String>,
+        /// Where the request's client is.
+        #[arg(long, requires = "request", default_value = "127.0.0.1")]
+        client: std::net::IpAddr,
         /// The name of a class.
         #[arg(long)]
         class: Option<String>,
@@ -82,7 +85,9 @@
             write(&description, &out, (dry_run, force), format)
         }
         Command::Check { against, paths } => check(against.as_deref(), &paths, format),
-        Command::Explain { file, request, header, class } => explain(&file, request, &header, class, format),
+        Command::Explain { file, request, header, client, class } => {
+            explain(&file, request, (&header, client), class, format)
+        }
     }
 }
 
@@ -176,7 +181,7 @@
 fn explain(
     file: &Path,
     request: Option<String>,
-    headers: &[String],
+    (headers, client): (&[String], std::net::IpAddr),
     class: Option<String>,
     format: Format,
 ) -> ExitCode {
@@ -190,7 +195,7 @@
     let text = match (request, class) {
         (Some(request), _) => match explain::request_of(&request, headers) {
             Ok((method, path, headers)) => {
-                explain::request(&config, &method, &path, &headers).map(|told| match format {
+                explain::request(&config, &method, &path, &headers, client).map(|told| match format {
                     Format::Human => told.human(&config),
                     Format::Json => json(&told),
                 })
--- a/crates/config-tool/src/overlap.rs
+++ b/crates/config-tool/src/overlap.rs
@@ -28,13 +28,13 @@
     }
 }
 
-/// Does it take all that is `prefix` or below it, whatever the headers?
+/// Does it take all that is `prefix` or below it, whatever else the request says?
 pub fn covers(route: &Route, prefix: &str) -> bool {
     let path = match &route.path {
         PathPattern::Exact(_) | PathPattern::Regex(_) => return false,
         PathPattern::Prefix(path) => path,
     };
-    route.headers.is_empty() && under(prefix, path)
+    route.headers.is_empty() && route.when.is_none() && under(prefix, path)
 }
 
 /// Can it take a request that does something, by its method?
@@ -119,6 +119,7 @@
             methods: Vec::new(),
             headers: Vec::new(),
             class: 0,
+            when: None,
             tenant: None,
             key: None,
             timing: Timing::UNLIMITED,
--- a/crates/config-tool/src/set.rs
+++ b/crates/config-tool/src/set.rs
@@ -62,6 +62,7 @@
     match source {
         Some(Source::Header(name)) => format!("header {name}"),
         Some(Source::Cookie(name)) => format!("cookie {name}"),
+        Some(Source::Expression(own)) => format!("expression {}", own.text),
         None => "none".to_owned(),
     }
 }
--- a/crates/config-tool/tests/tool.rs
+++ b/crates/config-tool/tests/tool.rs
@@ -378,6 +378,28 @@
     let json: serde_json::Value =
         serde_json::from_str(&told(&["--format", "json", "--request", "POST /cobro-mensual"])).expect("JSON");
     assert_eq!(json["class"][0], "cobro-mensual");
+    let own = examples().join("../deploy/expressions.example.toml").to_str().expect("a path").to_owned();
+    let arguments = [
+        "explain",
+        &own,
+        "--request",
+        "POST /visits",
+        "--header",
+        "X-Visit: 81",
+        "--header",
+        "X-Branch: CR-7",
+    ];
+    let told = text_of(&run(&arguments));
+    for words in [
+        "method in [\"POST\", \"PUT\"]  =  true",
+        "header[\"x-visit\"]  =  \"81\"",
+        "concat(header[\"x-branch\"], header[\"x-visit\"])  =  \"4:CR-72:81\"",
+        "\"4:CR-72:81\", from expression concat",
+    ] {
+        assert!(told.contains(words), "{words}\n{told}");
+    }
+    let told = text_of(&run(&["explain", &own, "--request", "POST /fees", "--header", "X-Branch: CR-7"]));
+    assert!(told.contains("not \"charges\": its condition, method == \"POST\""), "{told}");
     assert_eq!(run(&["explain", &file, "--request", "POST"]).status.code(), Some(2));
     assert_eq!(run(&["explain", &file]).status.code(), Some(2));
 }
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -1,10 +1,12 @@
 //! The schema of the file, and what is checked over more than one key.
 
+use crate::expressions::{self, Expressions};
 use crate::timing::{self, Draft, Facts};
 use crate::{clients_borne, ANSWER_ROOM};
 use badgerramp_decisions::{
     self as decisions, settings, CellId, Entry, Micros, Repeat, Scope, ServerId, State,
 };
+use badgerramp_expr::{Program, Wanted};
 use badgerramp_reading::values::{show_duration, show_size};
 use badgerramp_reading::{
     document, known_names, show, DeTable, DeValue, Mistakes, Notes, Section, Set, Span, Value,
@@ -17,8 +19,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-const FILE: [&str; 8] =
-    ["platform", "listen", "limits", "upstream", "defaults", "class", "route", "no_route"];
+const FILE: [&str; 9] =
+    ["platform", "listen", "limits", "upstream", "defaults", "class", "route", "no_route", "expect"];
 const LIMITS: [&str; 5] = ["memory", "descriptors", "open_calls", "body", "retry_after"];
 const UPSTREAM: [&str; 10] = [
     "endpoints",
@@ -34,7 +36,8 @@
 ];
 const ENDPOINT: [&str; 6] = ["name", "address", "zone", "group", "kind", "weight"];
 const CLASS: [&str; 7] = ["aim", "deadline", "worth", "late_worth", "effect", "group", "window"];
-const ROUTE: [&str; 9] = ["name", "path", "prefix", "regex", "methods", "headers", "class", "tenant", "key"];
+const ROUTE: [&str; 10] =
+    ["name", "path", "prefix", "regex", "methods", "headers", "when", "class", "tenant", "key"];
 const NO_ROUTE: [&str; 2] = ["status", "text"];
 
 /// Longest time that a client may wait.
@@ -71,6 +74,8 @@
     pub routes: Table,
     /// The answer where no route takes a request.
     pub no_route: NoRoute,
+    /// What is no mistake and worth a look.
+    pub warnings: Vec<String>,
     pub(crate) source: Origin,
 }
 
@@ -326,12 +331,20 @@
             None => Draft::default(),
         };
         let classes = self.classes(&top, &defaults, usage);
-        let (routes, route_drafts) = self.routes(&top, &classes, usage);
+        let mut expressions = Expressions::default();
+        let (routes, route_drafts) = self.routes(&top, &classes, usage, text, &mut expressions);
         let no_route = self.no_route(&top);
         if usage == Use::Alone {
             self.check_groups(&classes, upstream.as_ref());
         }
-        let built = self.table(&top, routes, &route_drafts);
+        let program = Arc::new(expressions.program(self.notes));
+        let built = self.table(&top, routes, &route_drafts, program);
+        let mut warnings = Vec::new();
+        if let Some(table) = built.as_ref().filter(|_| self.notes.0.is_empty()) {
+            let names: Vec<&str> = classes.iter().map(|c| c.name.as_str()).collect();
+            expressions::expect(self.notes, &top, table, &names);
+            warnings = expressions::overlaps(table, &names);
+        }
         let source = Origin {
             name: name.to_owned(),
             text: text.to_owned(),
@@ -366,6 +379,7 @@
             classes,
             routes: built?,
             no_route,
+            warnings,
             source,
         })
     }
@@ -585,6 +599,8 @@
         top: &Section<'_>,
         classes: &[ClassDraft],
         usage: Use,
+        text: &str,
+        expressions: &mut Expressions,
     ) -> (Vec<Route>, Vec<(Span, Draft)>) {
         let Some(list) = top.list(self.notes, "route", "routes: [[route]]") else {
             return Default::default();
@@ -619,8 +635,9 @@
             let path = path(notes, &section);
             let methods = methods(notes, &section);
             let headers = headers(notes, &section);
-            let tenant = source(notes, &section, "tenant");
-            let key = source(notes, &section, "key");
+            let when = expressions.read(notes, &section, "when", text, Wanted::Condition);
+            let tenant = source(notes, &section, "tenant", text, expressions);
+            let key = source(notes, &section, "key", text, expressions);
             let class =
                 section.text(notes, "class").and_then(|class| match places.get(class.value.as_str()) {
                     Some(&place) => Some(place),
@@ -670,6 +687,7 @@
                 path,
                 methods,
                 headers,
+                when,
                 class: place,
                 tenant,
                 key: key.or(by_default),
@@ -681,8 +699,14 @@
         (routes, drafts)
     }
 
-    fn table(&mut self, top: &Section<'_>, routes: Vec<Route>, drafts: &[(Span, Draft)]) -> Option<Table> {
-        let table = match Table::new(routes) {
+    fn table(
+        &mut self,
+        top: &Section<'_>,
+        routes: Vec<Route>,
+        drafts: &[(Span, Draft)],
+        program: Arc<Program>,
+    ) -> Option<Table> {
+        let table = match Table::with(routes, program) {
             Ok(table) => table,
             Err(fault) => {
                 let span = top.get("route").map_or(0..0, |v| v.span().start..v.span().start);
@@ -944,7 +968,16 @@
     patterns
 }
 
-fn source(notes: &mut Notes, section: &Section<'_>, name: &str) -> Option<Source> {
+fn source(
+    notes: &mut Notes,
+    section: &Section<'_>,
+    name: &str,
+    text: &str,
+    expressions: &mut Expressions,
+) -> Option<Source> {
+    if section.get(name).is_some_and(|v| v.get_ref().as_str().is_some()) {
+        return expressions.read(notes, section, name, text, Wanted::Text).map(Source::Expression);
+    }
     let part = section.section(notes, name, &["header", "cookie"])?;
     let header = timing::header_name(notes, &part, "header");
     let cookie = part.text(notes, "cookie");
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -12,6 +12,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod expressions;
 mod file;
 mod platform;
 mod timing;
--- a/crates/config/src/platform.rs
+++ b/crates/config/src/platform.rs
@@ -40,7 +40,7 @@
     if !notes.0.is_empty() {
         return Err(Mistakes::new(&config.source.name, &config.source.text, notes.0));
     }
-    let table = Table::new(routes).map_err(|fault| {
+    let table = Table::with(routes, config.routes.program().clone()).map_err(|fault| {
         notes.add(("route", &(0..0)), fault.to_string(), "more", "fewer patterns");
         Mistakes::new(&config.source.name, &config.source.text, notes.0)
     })?;
--- a/crates/expr/src/build.rs
+++ b/crates/expr/src/build.rs
@@ -328,7 +328,8 @@
         }
         let (id, _) = self.intern(node, kind);
         let (method, headers) = (http::Method::GET, http::HeaderMap::new());
-        let head = Head { method: &method, path: "/", query: "", headers: &headers, client: None };
+        let head =
+            Head { method: &method, path: "/", query: "", headers: &headers, client: [127, 0, 0, 1].into() };
         let folded = match self.program.value(id, &head, &mut Memo::default(), &mut Unmetered) {
             Value::Bool(truth) => Some(Node::Bool(truth)),
             Value::Int(number) => Some(Node::Int(number)),
@@ -457,7 +458,7 @@
             "segments" => (Node::Segments, Type::plain(Base::List)),
             "length" => (Node::Length, Type::optional(Base::Int)),
             "timeout" => (Node::Timeout, Type::optional(Base::Duration)),
-            "client" => (Node::Client, Type::optional(Base::Ip)),
+            "client" => (Node::Client, Type::plain(Base::Ip)),
             "header" | "headers" | "header_bytes" | "cookie" | "query" | "query_all" => {
                 let reason = format!("'{name}' wants a name");
                 mistakes.push(Mistake::new(&ast.span, reason, format!("{name}[\"name\"]")));
@@ -854,16 +855,9 @@
     let default = match kind.base {
         Base::Int => "?? 0",
         Base::Duration => "?? 0ms",
-        Base::Ip => "present(client) ",
         _ => "?? \"\"",
     };
-    let allowed = match kind.base {
-        Base::Ip => {
-            "an address is always told where the program runs: compare it by `client in \"10.0.0.0/8\"`"
-                .to_owned()
-        }
-        _ => format!("a default ({default}), or present(...)"),
-    };
+    let allowed = format!("a default ({default}), or present(...)");
     Mistake::new(&ast.span, "this value may be absent, and nothing says what that means", allowed)
 }
 
--- a/crates/expr/src/eval.rs
+++ b/crates/expr/src/eval.rs
@@ -148,7 +148,7 @@
                 let own = header(head.headers, &http::HeaderName::from_static("x-timeout")).and_then(timeout);
                 own.map_or(Value::Absent, Value::Duration)
             }
-            Node::Client => head.client.map_or(Value::Absent, Value::Ip),
+            Node::Client => Value::Ip(head.client),
             Node::Header(name) => {
                 let own = header(head.headers, name);
                 meter.step(words(own.map_or(0, length)));
--- a/crates/expr/src/harness.rs
+++ b/crates/expr/src/harness.rs
@@ -34,8 +34,7 @@
     }
     let bound = builder.cost(&[id]);
     let program = builder.build();
-    let head =
-        Head { method: &Method::POST, path, query, headers: &headers, client: Some([127, 0, 0, 1].into()) };
+    let head = Head { method: &Method::POST, path, query, headers: &headers, client: [127, 0, 0, 1].into() };
     let mut steps = Steps::default();
     program.evaluate_with(id, &head, &mut Scratch::default(), &mut steps);
     assert!(steps.0 <= bound, "{} steps of {bound} for {text:?}", steps.0);
--- a/crates/expr/src/lib.rs
+++ b/crates/expr/src/lib.rs
@@ -10,7 +10,7 @@
 //! let charge = builder.add(text, Wanted::Condition).expect("it is well typed");
 //! let program = builder.build();
 //! let headers = [("x-branch".parse().unwrap(), "CR-7".parse().unwrap())].into_iter().collect();
-//! let head = Head { method: &http::Method::POST, path: "/fees", query: "", headers: &headers, client: None };
+//! let head = Head { method: &http::Method::POST, path: "/fees", query: "", headers: &headers, client: [127, 0, 0, 1].into() };
 //! assert!(program.holds(charge, &head));
 //!
 //! // A header that may be missing is no text: what its absence means must be said.
--- a/crates/expr/src/tests.rs
+++ b/crates/expr/src/tests.rs
@@ -90,7 +90,7 @@
                     text[..text.len() - 1].parse::<u32>().ok().map(|n| i64::from(n) * scale)
                 })
                 .map_or(Plain::Absent, Plain::Duration),
-            "client" => head.client.map_or(Plain::Absent, Plain::Ip),
+            "client" => Plain::Ip(head.client),
             other => unreachable!("{other}"),
         },
         Kind::Index(of, name) => {
@@ -281,7 +281,8 @@
     "(timeout ?? 0ms) >= 250ms",
     "(timeout ?? 1s) < 1s",
     "present(timeout)",
-    "present(client)",
+    "client in \"10.0.0.0/25\"",
+    "client in [\"10.0.0.7\", \"::1\", \"10.0.0.128/25\"]",
     "hash(header[\"x-branch\"] ?? \"\", 100) < 50",
     "hash(path, 10) in [1, 3, 5, 7]",
     "hash(\"fixed\", 1000) == hash(\"fixed\", 1000)",
@@ -397,7 +398,7 @@
     let mut cases = 0;
     while cases < 100_000 {
         let (method, path, query, headers) = some_head(&mut random);
-        let client = random.gen_bool(0.5).then(|| std::net::IpAddr::from([10, 0, 0, random.gen()]));
+        let client = std::net::IpAddr::from([10, 0, 0, random.gen()]);
         let head = Head { method: &method, path: &path, query: &query, headers: &headers, client };
         let mut scratch = Scratch::default();
         for ((text, ast, id, _), bound) in all.iter().zip(&bounds) {
@@ -423,7 +424,9 @@
     ("query[\"x\"] contains \"a\"", "query[\"x\"]"),
     ("length > 5", "length"),
     ("timeout < 5s", "timeout"),
-    ("client in \"10.0.0.0/8\"", "client"),
+    ("client == \"10.0.0.1\"", "client == \"10.0.0.1\""),
+    ("present(client)", "client"),
+    ("client in \"ten\"", "\"ten\""),
     ("int(\"5\") == 5", "int(\"5\")"),
     ("nth(segments, 0) == \"a\"", "nth(segments, 0)"),
     ("len(header[\"x\"]) > 1", "header[\"x\"]"),
@@ -551,7 +554,7 @@
         assert!(Builder::default().add(&text, Wanted::Condition).is_err());
     }
     assert!(Builder::default().add(&format!("{}true", "not ".repeat(2_000)), Wanted::Condition).is_ok());
-    let chain = |count: usize| vec!["present(client)"; count].join(" or ");
+    let chain = |count: usize| vec!["client in \"::1\""; count].join(" or ");
     assert!(Builder::default().add(&chain(200), Wanted::Condition).is_ok());
     assert!(Builder::default().add(&chain(500), Wanted::Condition).is_err(), "too many values");
     assert!(Builder::default().add(&" ".repeat(crate::TEXT_MOST + 1), Wanted::Condition).is_err());
@@ -563,7 +566,13 @@
         let mut builder = Builder::default();
         let id = builder.add(text, Wanted::Text).expect("a key");
         let (program, headers) = (builder.build(), HeaderMap::new());
-        let head = Head { method: &Method::POST, path: "/", query: "", headers: &headers, client: None };
+        let head = Head {
+            method: &Method::POST,
+            path: "/",
+            query: "",
+            headers: &headers,
+            client: [127, 0, 0, 1].into(),
+        };
         program.evaluate(id, &head).show()
     };
     assert_ne!(key("concat(\"a\", \"bc\")"), key("concat(\"ab\", \"c\")"));
@@ -616,7 +625,13 @@
         let program = builder.build();
         assert!(bound <= BUDGET, "{text}: {bound}");
         for headers in &worst {
-            let head = Head { method: &Method::POST, path: &path, query: &query, headers, client: None };
+            let head = Head {
+                method: &Method::POST,
+                path: &path,
+                query: &query,
+                headers,
+                client: [127, 0, 0, 1].into(),
+            };
             let mut steps = Steps::default();
             program.evaluate_with(id, &head, &mut Scratch::default(), &mut steps);
             assert!(steps.0 <= bound, "{text}: {} steps of {bound}", steps.0);
--- a/crates/expr/src/value.rs
+++ b/crates/expr/src/value.rs
@@ -17,8 +17,8 @@
     pub query: &'r str,
     /// Its headers.
     pub headers: &'r HeaderMap,
-    /// Where its client connected from, if that is told.
-    pub client: Option<IpAddr>,
+    /// Where its client connected from.
+    pub client: IpAddr,
 }
 
 /// A value. An expression of a type that can't be absent never has `Absent`.
--- a/crates/expr/src/witness.rs
+++ b/crates/expr/src/witness.rs
@@ -52,7 +52,7 @@
     }
     tries.into_iter().find(|request| {
         let Request { method, path, query, headers } = request;
-        let head = Head { method, path, query, headers, client: None };
+        let head = Head { method, path, query, headers, client: [127, 0, 0, 1].into() };
         program.holds(a, &head) && program.holds(b, &head)
     })
 }
--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -86,9 +86,12 @@
     };
     let mut all_good = true;
     for file in files {
-        let held = |config: Config| match (&facts, config.usage) {
-            (Some(facts), Use::Platform) => badgerramp_config::narrow(&config, facts).map(|_| ()),
-            _ => Ok(()),
+        let held = |config: Config| {
+            config.warnings.iter().for_each(|w| eprintln!("warning: {}: {w}", file.display()));
+            match (&facts, config.usage) {
+                (Some(facts), Use::Platform) => badgerramp_config::narrow(&config, facts).map(|_| ()),
+                _ => Ok(()),
+            }
         };
         match badgerramp_config::load(file).and_then(held) {
             Ok(()) => println!("{}: good", file.display()),
--- a/crates/proxy/src/net/admit.rs
+++ b/crates/proxy/src/net/admit.rs
@@ -6,7 +6,7 @@
 use badgerramp_config::{Config, ANSWER_ROOM};
 use badgerramp_decisions::settings::Facts;
 use badgerramp_decisions::{ClassId, Micros, Repeat, Terms};
-use badgerramp_route::{Answers, Route, Table, Timing};
+use badgerramp_route::{Answers, Head, Route, Table, Timing};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode, Uri};
@@ -14,6 +14,7 @@
 use rand_pcg::Pcg32;
 use std::borrow::Cow;
 use std::cell::RefCell;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -60,10 +61,10 @@
 
 impl Rules {
     /// Reads a head; what concerns this connection alone is taken out of it.
-    pub fn admit(&self, parts: &mut Parts) -> Result<Admitted, Turned> {
+    pub fn admit(&self, parts: &mut Parts, client: IpAddr) -> Result<Admitted, Turned> {
         match self {
-            Rules::Platform(platform) => platform.admit(parts),
-            Rules::Sidecar(sidecar) => sidecar.admit(parts),
+            Rules::Platform(platform) => platform.admit(parts, client),
+            Rules::Sidecar(sidecar) => sidecar.admit(parts, client),
         }
     }
 }
@@ -118,7 +119,7 @@
     }
 
     /// Has the head the form that clients of ours give it? What has not never reaches a host.
-    fn admit(&self, parts: &Parts) -> Result<Admitted, Turned> {
+    fn admit(&self, parts: &Parts, client: IpAddr) -> Result<Admitted, Turned> {
         let Some(path) = parts.uri.path().strip_prefix('/').filter(|_| parts.uri.authority().is_none())
         else {
             return Err(turned(StatusCode::BAD_REQUEST, "odd path"));
@@ -156,7 +157,7 @@
         if length > PLATFORM_BODY {
             return Err(turned(StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB"));
         }
-        let narrowed = self.narrowed(number, parts);
+        let narrowed = self.narrowed(number, parts, client);
         Ok(Admitted {
             class: ClassId(number),
             tenant: headers.get("x-tenant-id").and_then(|v| v.to_str().ok()).map(str::to_owned),
@@ -170,10 +171,10 @@
     }
 
     /// The class is the path's. A route that names another one says nothing of this request.
-    fn narrowed(&self, class: usize, parts: &Parts) -> &Narrowed {
+    fn narrowed(&self, class: usize, parts: &Parts, client: IpAddr) -> &Narrowed {
         let plain = &self.classes[class].narrowed;
         let Some((table, all)) = &self.routes else { return plain };
-        let found = table.find(&parts.method, parts.uri.path(), &parts.headers).ok().flatten();
+        let found = table.find_head(&head(parts, client)).ok().flatten();
         let found = found.filter(|(_, route)| route.class == class);
         found.map_or(plain, |(place, _)| &all[place])
     }
@@ -205,12 +206,12 @@
         &self.config
     }
 
-    fn admit(&self, parts: &mut Parts) -> Result<Admitted, Turned> {
+    fn admit(&self, parts: &mut Parts, client: IpAddr) -> Result<Admitted, Turned> {
         if parts.method == Method::CONNECT {
             return Err(turned(StatusCode::METHOD_NOT_ALLOWED, "no tunnels"));
         }
         origin_form(parts)?;
-        let found = self.config.routes.find(&parts.method, parts.uri.path(), &parts.headers);
+        let found = self.config.routes.find_head(&head(parts, client));
         let Some((place, route)) =
             found.map_err(|fault| turned(StatusCode::BAD_REQUEST, fault.to_string()))?
         else {
@@ -238,10 +239,18 @@
         }
         // Without its key a keyed call is one that no host could tell from its repeat.
         let guarded = matches!(class.repeat, Repeat::Guarded { .. });
-        let once = guarded && route.key.as_ref().is_none_or(|key| key.read(headers).is_none());
+        let once = guarded
+            && route
+                .key
+                .as_ref()
+                .is_none_or(|key| self.config.routes.text(key, &head(parts, client)).is_none());
         let admitted = Admitted {
             class: self.classes[route.class],
-            tenant: route.tenant.as_ref().and_then(|t| t.read(headers)).map(str::to_owned),
+            tenant: route
+                .tenant
+                .as_ref()
+                .and_then(|t| self.config.routes.text(t, &head(parts, client)))
+                .map(Cow::into_owned),
             id: None,
             time: asked.saturating_sub(ANSWER_ROOM).max(1).min(route.timing.total),
             length,
@@ -262,6 +271,12 @@
     }
 }
 
+/// What routes and expressions see of a request.
+fn head(parts: &Parts, client: IpAddr) -> Head<'_> {
+    let (path, query) = (parts.uri.path(), parts.uri.query().unwrap_or_default());
+    Head { method: &parts.method, path, query, headers: &parts.headers, client }
+}
+
 /// A target that names a host (RFC 9112, 3.2.2) goes on as one that does not; the host it names takes the place of the
 /// header.
 fn origin_form(parts: &mut Parts) -> Result<(), Turned> {
--- a/crates/proxy/src/net/clients.rs
+++ b/crates/proxy/src/net/clients.rs
@@ -8,6 +8,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
+use std::net::IpAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -80,6 +81,11 @@
         self.leave.notified().await;
     }
 
+    /// The address that the client connected from.
+    pub fn client(&self) -> IpAddr {
+        self.stream.peer_addr().map_or(IpAddr::from([0, 0, 0, 0]), |a| a.ip())
+    }
+
     /// The head of a request is in. Tells since when it has been coming.
     pub fn opened(&self) -> Micros {
         self.phase.set(Phase::Open);
--- a/crates/proxy/src/net/front.rs
+++ b/crates/proxy/src/net/front.rs
@@ -184,7 +184,7 @@
         }
         let rules = Rc::clone(&self.rules.borrow());
         let Admitted { class, tenant, id, time, length, body_most, terms, manner } =
-            match rules.admit(&mut parts) {
+            match rules.admit(&mut parts, seat.client()) {
                 Ok(admitted) => admitted,
                 Err(turned) => return self.turned(turned),
             };
--- a/crates/proxy/tests/sidecar.rs
+++ b/crates/proxy/tests/sidecar.rs
@@ -451,6 +451,64 @@
     }
 }
 
+// Expressions.
+
+/// The two classes of the gyms, from the example file: told apart and keyed by expressions.
+#[test]
+fn classes_and_keys_are_formed_by_expressions() {
+    const FILE: &str = include_str!("../../../deploy/expressions.example.toml");
+    let start = || {
+        let hosts = [error(), error(), error(), error()];
+        let mut text = FILE.replace("127.0.0.1:8080", "127.0.0.1:0");
+        for (n, host) in hosts.iter().enumerate() {
+            text = text.replace(&format!("127.0.0.1:900{}", n + 1), &host.address.to_string());
+        }
+        (Proxy::sidecar(PROGRAM, &[], &text), hosts)
+    };
+    let json = "Content-Type: Application/JSON\r\n";
+    for (path, headers, attempts) in [
+        // A charge may have run: once, whatever comes.
+        ("/fees/12", format!("{json}X-Branch: CR-7\r\n"), 1..=1),
+        // Neither is one: no route takes it.
+        ("/fees/12", json.to_owned(), 0..=0),
+        ("/fees/12", format!("{json}X-Branch: CR-7\r\nX-Branch: CR-8\r\n"), 0..=0),
+        ("/fees/12", "X-Branch: CR-7\r\n".to_owned(), 0..=0),
+        // An entry with its key goes again, within one group.
+        ("/visits", "X-Branch: CR-7\r\nX-Visit: 81\r\n".to_owned(), 2..=3),
+        // Half a key is none: it counts as unsafe.
+        ("/visits", "X-Visit: 81\r\n".to_owned(), 1..=1),
+        ("/visits", "X-Branch: CR-7\r\nX-Visit: 81\r\nX-Visit: 82\r\n".to_owned(), 0..=0),
+        ("/visits", "X-Branch: CR-7\r\nX-Branch: CR-8\r\nX-Visit: 81\r\n".to_owned(), 1..=1),
+    ] {
+        let (proxy, hosts) = start();
+        let answer = proxy.client().ask(&post(path, &headers));
+        let counts: Vec<usize> = hosts.iter().map(Host::further_requests).collect();
+        let sum: usize = counts.iter().sum();
+        assert!(attempts.contains(&sum), "{path} {headers:?}: {counts:?}");
+        assert!(counts[0] + counts[1] == 0 || counts[2] + counts[3] == 0, "one group: {counts:?}");
+        assert_eq!(answer.status() == 404, sum == 0, "{}", answer.head);
+    }
+}
+
+/// An expression sees where its client is, and the query.
+#[test]
+fn an_expression_sees_the_client_and_the_query() {
+    let host = Host::serving("ok");
+    let route = "[[route]]\nname = \"q\"\nprefix = \"/q\"\n\
+        when = 'client in \"127.0.0.0/8\" and (query[\"a b\"] ?? \"\") == \"1/2\"'\nclass = \"safe\"\n\
+        [[route]]\nname = \"far\"\nprefix = \"/far\"\nwhen = 'not (client in \"127.0.0.0/8\")'\nclass = \"safe\"\n";
+    let proxy = sidecar(&[&host], &[("route", route)]);
+    for (target, status) in [
+        ("/q?a+b=1%2F2", 200),
+        ("/q?x=&a%20b=1/2", 200),
+        ("/q?a+b=1/2&a+b=1/2", 404),
+        ("/q", 404),
+        ("/far", 404),
+    ] {
+        assert_eq!(proxy.client().ask(&get(target)).status(), status, "{target}");
+    }
+}
+
 // Reload.
 
 #[test]
--- a/crates/route/benches/table.rs
+++ b/crates/route/benches/table.rs
@@ -33,6 +33,7 @@
             methods: vec![Method::POST],
             headers: Vec::new(),
             class: 0,
+            when: None,
             tenant: None,
             key: None,
             timing,
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -12,8 +12,9 @@
 mod timing;
 
 pub use answers::{Answers, Proof, StatusSet, Verdict};
+pub use badgerramp_expr::Head;
 pub use path::{normalize, PathFault, PATH_MOST};
-pub use source::Source;
+pub use source::{Expression, Source};
 pub use table::{
     pattern, HeaderPattern, PathPattern, PatternFault, Route, Shadow, Table, TableFault, PATTERN_BYTES,
     SET_BYTES,
--- a/crates/route/src/source.rs
+++ b/crates/route/src/source.rs
@@ -1,10 +1,32 @@
 //! Where a request tells its tenant or its key.
 
+use badgerramp_expr::Id;
 use http::header::{HeaderMap, HeaderName, COOKIE};
+use std::sync::Arc;
 
-/// A header or a cookie.
+/// An expression and its text.
+#[derive(Clone, Debug)]
+pub struct Expression {
+    /// Its number in the table's program.
+    pub id: Id,
+    /// Its text.
+    pub text: Arc<str>,
+}
+
+/// Numbers differ from program to program.
+impl PartialEq for Expression {
+    fn eq(&self, other: &Self) -> bool {
+        self.text == other.text
+    }
+}
+
+impl Eq for Expression {}
+
+/// A header, a cookie or an expression.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Source {
+    /// The value of an expression; [`crate::Table::text`] reads it.
+    Expression(Expression),
     /// The value of a header.
     Header(HeaderName),
     /// The value of a cookie.
@@ -12,10 +34,11 @@
 }
 
 impl Source {
-    /// The value, if there is exactly one and it says something. Two values are none: nothing tells which of them the
+    /// The value of a header or cookie, if there is exactly one and it says something. Two values are none: nothing tells which of them the
     /// host will go by.
     pub fn read<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str> {
         let value = match self {
+            Source::Expression(_) => return None,
             Source::Header(name) => {
                 let mut all = headers.get_all(name).iter();
                 let only = all.next().filter(|_| all.next().is_none())?;
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -1,10 +1,12 @@
 //! The table of routes: a tree over path segments for exact paths and prefixes, one set for all patterns. The cost of a
 //! look-up grows with the path and with the routes that share a place, not with their number.
 
-use crate::{normalize, Answers, PathFault, Source, Timing};
+use crate::{normalize, Answers, Expression, PathFault, Source, Timing};
+use badgerramp_expr::{Head, Program, Scratch, Unmetered, Value};
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::Method;
 use regex::{Regex, RegexBuilder, RegexSet, RegexSetBuilder};
+use std::borrow::Cow;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -53,6 +55,8 @@
     pub methods: Vec<Method>,
     /// Headers that must all be there.
     pub headers: Vec<HeaderPattern>,
+    /// A condition that must hold.
+    pub when: Option<Expression>,
     /// Place of its class.
     pub class: usize,
     /// Where the tenant stands.
@@ -66,9 +70,13 @@
 }
 
 impl Route {
-    fn takes(&self, method: &Method, headers: &HeaderMap) -> bool {
-        (self.methods.is_empty() || self.methods.contains(method))
-            && self.headers.iter().all(|h| h.takes(headers))
+    /// Does it take such a request, apart from its path? Its condition is asked last.
+    fn takes<'r>(&self, head: &Head<'r>, program: &'r Program, scratch: &mut Scratch<'r>) -> bool {
+        (self.methods.is_empty() || self.methods.contains(head.method))
+            && self.headers.iter().all(|h| h.takes(head.headers))
+            && self.when.as_ref().is_none_or(|when| {
+                program.evaluate_with(when.id, head, scratch, &mut Unmetered) == Value::Bool(true)
+            })
     }
 
     /// Does it take, of the paths it takes, all that `later` takes?
@@ -78,7 +86,8 @@
         let wanted = |own: &HeaderPattern| {
             later.headers.iter().any(|h| h.name == own.name && (own.value.is_none() || own.value == h.value))
         };
-        methods && self.headers.iter().all(wanted)
+        let condition = self.when.is_none() || self.when == later.when;
+        methods && condition && self.headers.iter().all(wanted)
     }
 }
 
@@ -165,6 +174,8 @@
     /// The route of each pattern.
     pattern_routes: Vec<usize>,
     shadows: Vec<Shadow>,
+    /// The expressions that routes name.
+    program: Arc<Program>,
 }
 
 impl Table {
@@ -173,6 +184,14 @@
     /// # Errors
     /// See [`TableFault`].
     pub fn new(routes: Vec<Route>) -> Result<Self, TableFault> {
+        Table::with(routes, Arc::default())
+    }
+
+    /// Builds the table of routes that name expressions of this program.
+    ///
+    /// # Errors
+    /// See [`TableFault`].
+    pub fn with(routes: Vec<Route>, program: Arc<Program>) -> Result<Self, TableFault> {
         let regexes = routes.iter().enumerate().filter_map(|(place, route)| match &route.path {
             PathPattern::Regex(regex) => Some((place, regex.as_str())),
             _ => None,
@@ -183,8 +202,14 @@
             .dfa_size_limit(SET_BYTES)
             .build()
             .map_err(|_| TableFault::PatternsTooBig)?;
-        let mut table =
-            Table { routes, nodes: vec![Node::default()], patterns, pattern_routes, shadows: Vec::new() };
+        let mut table = Table {
+            routes,
+            nodes: vec![Node::default()],
+            patterns,
+            pattern_routes,
+            shadows: Vec::new(),
+            program,
+        };
         for later in 0..table.routes.len() {
             let earlier = table.covering(later);
             table.shadows.extend(earlier.map(|earlier| Shadow { later, earlier }));
@@ -203,7 +228,12 @@
         &self.shadows
     }
 
-    /// The first route that takes such a request, and its place.
+    /// The expressions that routes name.
+    pub fn program(&self) -> &Arc<Program> {
+        &self.program
+    }
+
+    /// The first route that takes a request without a query, from this machine, and its place.
     ///
     /// # Errors
     /// If the path has no normal form.
@@ -213,24 +243,45 @@
         path: &str,
         headers: &HeaderMap,
     ) -> Result<Option<(usize, &Route)>, PathFault> {
-        let path = normalize(path)?;
+        self.find_head(&Head { method, path, query: "", headers, client: [127, 0, 0, 1].into() })
+    }
+
+    /// The first route that takes such a request, and its place. The path may be in any form.
+    ///
+    /// # Errors
+    /// If the path has no normal form.
+    pub fn find_head(&self, head: &Head<'_>) -> Result<Option<(usize, &Route)>, PathFault> {
+        let path = normalize(head.path)?;
+        let head = Head { path: &path, ..*head };
+        let mut scratch = Scratch::default();
         let mut best = usize::MAX;
         // The lists are in order: the first that takes the request is the list's best.
         let mut look = |list: &[usize]| {
-            let found =
-                list.iter().take_while(|&&r| r < best).find(|&&r| self.routes[r].takes(method, headers));
+            let mut better = list.iter().take_while(|&&r| r < best);
+            let found = better.find(|&&r| self.routes[r].takes(&head, &self.program, &mut scratch));
             best = found.copied().unwrap_or(best);
         };
         self.along(&path, |list, _| look(list));
         let first_pattern = self.pattern_routes.first().copied().unwrap_or(usize::MAX);
         if first_pattern < best {
             let matched = self.patterns.matches(&path);
-            let found = matched.iter().map(|p| self.pattern_routes[p]).take_while(|&r| r < best);
-            best = found.into_iter().find(|&r| self.routes[r].takes(method, headers)).unwrap_or(best);
+            let mut found = matched.iter().map(|p| self.pattern_routes[p]).take_while(|&r| r < best);
+            best = found.find(|&r| self.routes[r].takes(&head, &self.program, &mut scratch)).unwrap_or(best);
         }
         Ok(self.routes.get(best).map(|route| (best, route)))
     }
 
+    /// What a source says of a request; nothing, if it says nothing or cannot be told apart.
+    pub fn text<'r>(&self, source: &Source, head: &Head<'r>) -> Option<Cow<'r, str>> {
+        let Source::Expression(own) = source else { return source.read(head.headers).map(Cow::Borrowed) };
+        let path = normalize(head.path).ok()?;
+        let head = Head { path: &path, ..*head };
+        match self.program.evaluate(own.id, &head) {
+            Value::Str(text) if !text.is_empty() => Some(Cow::Owned(text.into_owned())),
+            _ => None,
+        }
+    }
+
     /// Visits the lists of all places whose exact paths or prefixes take this path. The flag tells exact ones.
     fn along<'a>(&'a self, path: &str, mut visit: impl FnMut(&'a [usize], bool)) {
         let mut node = &self.nodes[0];
--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -24,6 +24,7 @@
         methods: methods.iter().map(|m| m.parse().expect("a method")).collect(),
         headers: headers.iter().map(header).collect(),
         class: 0,
+        when: None,
         tenant: None,
         key: None,
         timing: timing(),
