Open calls keep the attempts and copies they came with; circles of files are cut

Found in review: a reload that allowed fewer attempts took them from calls in flight, as the site's limit was read late. It is taken into the call's terms at its arrival, with a test. The reader of the file and its timing, and the parts of the expressions' package, imported each other: figures, bounds and the program have places of their own now.

--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -1,7 +1,7 @@
 //! The schema of the file, and what is checked over more than one key.
 
 use crate::expressions::{self, Expressions};
-use crate::timing::{self, Draft, Facts};
+use crate::timing::{self, Draft, Facts, Figure};
 use crate::{clients_borne, ANSWER_ROOM};
 use badgerramp_decisions::{
     self as decisions, settings, CellId, Entry, Micros, Repeat, Scope, ServerId, State,
@@ -173,17 +173,6 @@
     pub text: String,
 }
 
-/// One figure of a timing: what it is and where it was set.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Figure {
-    /// Its key.
-    pub name: &'static str,
-    /// Its value, as it may be written.
-    pub value: String,
-    /// The whole key that set it, and where that stands; None: the file says nothing of it.
-    pub set: Option<(String, Span)>,
-}
-
 impl Config {
     /// The name of the file.
     pub fn name(&self) -> &str {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -18,8 +18,10 @@
 mod timing;
 mod values;
 
+pub use timing::Figure;
+
 pub use badgerramp_reading::{Mistake, Mistakes};
-pub use file::{read_upstream, Class, Config, Endpoint, Figure, Limits, NoRoute, Upstream, Use};
+pub use file::{read_upstream, Class, Config, Endpoint, Limits, NoRoute, Upstream, Use};
 pub use platform::narrow;
 
 use std::path::Path;
--- a/crates/config/src/timing.rs
+++ b/crates/config/src/timing.rs
@@ -1,7 +1,6 @@
 //! Timing and answers as they stand in `[defaults]`, a class and a route: laid over one another, then held against the
 //! rules.
 
-use crate::file::Figure;
 use crate::{values, ANSWER_ROOM};
 use badgerramp_decisions::{Hedge, Micros, Repeat, Resend};
 use badgerramp_reading::values::show_duration;
@@ -47,6 +46,17 @@
     pub(crate) repeat: Option<Repeat>,
 }
 
+/// One figure of a timing: what it is and where it was set.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Figure {
+    /// Its key.
+    pub name: &'static str,
+    /// Its value, as it may be written.
+    pub value: String,
+    /// The whole key that set it, and where that stands; None: the file says nothing of it.
+    pub set: Option<(String, Span)>,
+}
+
 impl Draft {
     pub(crate) fn read(notes: &mut Notes, section: &Section<'_>) -> Self {
         Draft {
--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -130,6 +130,11 @@
         }
     }
 
+    /// May it have another attempt, by their number?
+    fn more(&self) -> bool {
+        (self.attempts.len() as u32) < self.terms.attempts
+    }
+
     fn may_be_refused(&self) -> bool {
         let harmless = matches!(self.class.repeat, Repeat::Free | Repeat::Guarded { scope: Scope::All, .. });
         harmless || self.binding().is_none()
@@ -301,6 +306,10 @@
         if terms.once {
             spec.repeat = Repeat::SingleShot;
         }
+        // Settings may change while it is open: what they allow now is its own from here on.
+        let limits = &self.settings.limits;
+        let hedge = if limits.second_copies { terms.hedge } else { Hedge::Never };
+        let terms = Terms { attempts: terms.attempts.min(limits.max_attempts), hedge, ..terms };
         let call = Call {
             class: spec,
             class_id: class.0,
@@ -543,7 +552,7 @@
         let some = self.servers.iter().any(|s| s.listed && call.may_go(next, s, self.settings.tick));
         let allowed = call.terms.resend == Resend::Any || call.binding().is_none();
         let paid = self.retries >= 1.0 || outcome == Outcome::NoConnection;
-        if !(in_time && some && allowed && self.more(call) && paid && !call.streaming) {
+        if !(in_time && some && allowed && call.more() && paid && !call.streaming) {
             self.give_up(id, 0, actions);
             return;
         }
@@ -557,11 +566,6 @@
         }
     }
 
-    /// May it have another attempt, by their number?
-    fn more(&self, call: &Call) -> bool {
-        (call.attempts.len() as u32) < self.settings.limits.max_attempts.min(call.terms.attempts)
-    }
-
     fn give_up(&mut self, id: CallId, retry_after: Micros, actions: &mut Actions) {
         let class_id = self.calls[&id].class_id;
         self.paces.iter_mut().skip(class_id).take(1).for_each(|p| p.turned_back += 1);
@@ -832,7 +836,7 @@
             Hedge::After(wait) => Some(now.saturating_add(wait)),
             Hedge::Share(part) => share(part).map_or(auto, |wait| Some(now.saturating_add(wait as Micros))),
         };
-        let copy = copy_at.filter(|&at| copies == 1 && self.settings.limits.second_copies && at < deadline);
+        let copy = copy_at.filter(|&at| copies == 1 && at < deadline);
         self.wakes.set(id, copy.map(|at| at.max(now + 1)));
     }
 
@@ -903,7 +907,7 @@
     /// A second copy for a call that is late on a server that may have stalled.
     fn second_copy(&mut self, now: Micros, id: CallId, actions: &mut Actions) {
         let call = &self.calls[&id];
-        let more = self.more(call) && call.out() == 1;
+        let more = call.more() && call.out() == 1;
         let spare = self.retries >= 1.0 && self.hold.is_empty() && !call.streaming;
         if !more || !spare {
             return;
--- a/crates/decisions/tests/terms.rs
+++ b/crates/decisions/tests/terms.rs
@@ -158,6 +158,22 @@
     assert!(failed(&proxy.end(call, 0, Outcome::Error, 1), call));
 }
 
+/// Nor does a site that allows less from now on take anything from them.
+#[test]
+fn open_calls_keep_the_attempts_and_copies_they_came_with() {
+    let mut proxy = Proxy::new(with_copies(Repeat::Free), 4);
+    let (tried, _) = call_with(&mut proxy, 0, Terms { attempts: 3, ..Terms::default() });
+    let (hedged, _) = call_with(&mut proxy, 1, Terms { hedge: Hedge::After(60 * MS), ..Terms::default() });
+    let limits = Limits { max_attempts: 1, second_copies: false, ..Settings::default().limits };
+    let changed = Settings { limits, ..settings(Repeat::Free) };
+    proxy.event(Event::Reconfigure { settings: Box::new(changed), fresh: Vec::new() });
+    assert_eq!(sent(&proxy.end(tried, 0, Outcome::Error, 1)).len(), 1);
+    let copies = proxy.wait(60 * MS);
+    assert_eq!(sent(&copies).iter().filter(|s| s.0 == hedged).count(), 1);
+    let (call, _) = call_with(&mut proxy, 2, Terms { attempts: 3, ..Terms::default() });
+    assert!(refused(&proxy.end(call, 0, Outcome::Error, 1), call), "a new one is the site's");
+}
+
 /// Calls that wait in the hold when their class goes are answered all the same.
 #[test]
 fn held_calls_outlive_their_class() {
--- a/crates/expr/src/eval.rs
+++ b/crates/expr/src/eval.rs
@@ -1,8 +1,7 @@
 //! Evaluation: a walk over the arena. Nothing here fails, and no node is walked twice that stands in two places.
 
-use crate::build::{
-    each, words, Node, Program, MATCH_BYTES, MATCH_STEPS, PAIRS_BYTES, PAIR_STEPS, PARTS_BYTES, PART_STEPS,
-};
+use crate::bounds::*;
+use crate::program::{Node, Program};
 use crate::value::{cookie, hash, header, header_bytes, push_part, query, Head, List, Value};
 use crate::Id;
 use std::borrow::Cow;
--- a/crates/expr/src/lib.rs
+++ b/crates/expr/src/lib.rs
@@ -21,21 +21,23 @@
 #![warn(missing_docs)]
 
 mod ast;
+mod bounds;
 mod build;
 mod eval;
 pub mod harness;
 mod parse;
+mod program;
 #[cfg(test)]
 mod tests;
 mod value;
 mod witness;
 
 pub use ast::{Ast, Mistake, Span};
-pub use build::{
-    Builder, Program, Wanted, BUDGET, HEAD_BYTES, MATCH_BYTES, PAIRS_BYTES, PARTS_BYTES, PARTS_MOST,
-};
+pub use bounds::{BUDGET, HEAD_BYTES, MATCH_BYTES, PAIRS_BYTES, PARTS_BYTES, PARTS_MOST};
+pub use build::{Builder, Wanted};
 pub use eval::{Meter, Scratch, Steps, Unmetered};
 pub use parse::{parse, DEPTH_MOST, TEXT_MOST, VALUES_MOST};
+pub use program::Program;
 pub use value::{hash, Head, Value};
 pub use witness::{both, Request};
 
--- a/crates/expr/src/value.rs
+++ b/crates/expr/src/value.rs
@@ -1,6 +1,6 @@
 //! Values, and what an expression sees of a request.
 
-use crate::build::{PARTS_MOST, SEGMENTS_MOST};
+use crate::bounds::{PARTS_MOST, SEGMENTS_MOST};
 use http::header::{HeaderMap, HeaderName, COOKIE};
 use http::Method;
 use std::borrow::Cow;
--- a/crates/expr/src/witness.rs
+++ b/crates/expr/src/witness.rs
@@ -1,6 +1,6 @@
 //! A request that two conditions both take, where one can be found: from the texts that they are written with.
 
-use crate::build::{Node, Program};
+use crate::program::{Node, Program};
 use crate::value::Head;
 use crate::Id;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
