--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -515,3 +515,22 @@
         text: String,
     },
 }
+
+/// What a balancer knows of a server at a moment, for whoever looks on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct View {
+    /// It takes calls, by the list.
+    pub listed: bool,
+    /// Attempts of this balancer's that are out there.
+    pub in_flight: u32,
+    /// Attempts that it may have out there when it is warm.
+    pub concurrency: f64,
+    /// Answer times over what they may be; 1 is the limit.
+    pub strain: f64,
+    /// Recent share of failures, 0 to 1.
+    pub failing: f64,
+    /// Share of its capacity that it has at the least.
+    pub warmth: f64,
+    /// It is sent nothing but a trial.
+    pub set_aside: bool,
+}
--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -241,6 +241,20 @@
         self.set_timer(now, actions);
     }
 
+    /// What is known of a server; None: nothing.
+    pub fn view(&self, now: Micros, server: ServerId) -> Option<View> {
+        let server = &self.servers[self.place(server)?];
+        let Server { in_flight, strain, failing, ref budget, .. } = *server;
+        let concurrency = f64::from(budget.steps) * budget.concurrency;
+        let (warmth, set_aside) = (server.warmth(now, &self.settings.rules), budget.steps == 0);
+        Some(View { listed: server.listed, in_flight, concurrency, strain, failing, warmth, set_aside })
+    }
+
+    /// Calls that are known, those in the hold, and the trials, second copies and resends that are saved up.
+    pub fn totals(&self) -> (usize, usize, f64) {
+        (self.calls.len(), self.hold.len(), self.retries)
+    }
+
     fn members(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
         if kind == ListKind::Failed {
             // Jitter keeps balancers that lost the list together from asking together again.
--- /dev/null
+++ b/crates/lab/src/generate.rs
@@ -0,0 +1,246 @@
+//! Random scenarios: small worlds with much trouble, each made by its seed alone.
+
+use crate::operator;
+use badgerramp_world::{
+    Class, ClientsSpec, Cold, Crowding, Effect, Fault, Group, HostSpec, Jam, Judged, ListSpec, Micros,
+    NetworkSpec, Scenario, SecondCopy, Trouble,
+};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const SECOND: Micros = 1_000_000;
+const MILLI: Micros = 1_000;
+
+/// The scenario of this number.
+pub fn scenario(number: u64) -> Scenario {
+    let mut random = Pcg64Mcg::seed_from_u64(number ^ 0x5cea_4a10);
+    loop {
+        let scenario = draw(&mut random, number);
+        // What a file may not say is no world that can be met.
+        if operator::read(&scenario).is_ok() {
+            return scenario;
+        }
+    }
+}
+
+fn draw(random: &mut Pcg64Mcg, number: u64) -> Scenario {
+    let duration = random.gen_range(3..=10) * SECOND;
+    let proxies = if random.gen_bool(0.4) { 1 } else { random.gen_range(2..=5) };
+    let classes = classes(random);
+    let mut hosts = hosts(random, duration);
+    let calm = random.gen_bool(0.2);
+    let faults = if calm { Vec::new() } else { faults(random, duration, &hosts, classes.len(), proxies) };
+    // One that drains or crashes is not also to join.
+    for fault in &faults {
+        if let (Some(host), Trouble::Drain { .. } | Trouble::Crash { .. }) =
+            (fault.trouble.host(), fault.trouble)
+        {
+            hosts[host].joins = 0;
+        }
+    }
+    if hosts.iter().all(|h| h.joins > 0) {
+        hosts[0].joins = 0;
+    }
+    let clients = ClientsSpec {
+        rate: 100.0,
+        retries: random.gen_range(0..=3),
+        pause: random.gen_range(0..=200) * MILLI,
+        patience: if random.gen_bool(0.5) { 1.0 } else { random.gen_range(0.4..1.0) },
+        tide: (if random.gen_bool(0.2) { 0.5 } else { 0.0 }, duration / 2),
+        busy: 1.0,
+        leaves: if random.gen_bool(0.3) { random.gen_range(0.0..0.2) } else { 0.0 },
+        tenants: 0,
+    };
+    let near = random.gen_range(50..=500);
+    let far = random.gen_range(500..=5_000);
+    let network = NetworkSpec {
+        near: (near, near * random.gen_range(1..=3)),
+        far: (far, far * random.gen_range(1..=3)),
+        resend: 200 * MILLI,
+        idle: 15 * SECOND,
+        connect: [50, 250, 1_000][random.gen_range(0..3)] * MILLI,
+    };
+    let list = ListSpec {
+        lag: random.gen_range(0..=2_500) * MILLI,
+        capacity: if random.gen_bool(0.2) { 5.0 } else { 1_000.0 },
+        patience: 3_500 * MILLI,
+    };
+    let judged = Judged { drain_grace: SECOND, recovers: Some(4 * SECOND), share: 0.6 };
+    let name = format!("drawn-{number}");
+    let mut scenario = Scenario {
+        name,
+        duration,
+        proxies,
+        classes,
+        hosts,
+        clients,
+        requests: None,
+        network,
+        list,
+        faults,
+        judged,
+    };
+    let wanted = if random.gen_bool(0.8) { random.gen_range(0.05..0.8) } else { random.gen_range(0.8..1.6) };
+    let per_request = scenario.utilisation() / scenario.clients.rate;
+    scenario.clients.rate = (wanted / per_request).min(400.0);
+    // Hosts that are asked for more than they can do owe no recovery, and neither do few that are left.
+    if scenario.utilisation() > 0.6 || !bears(&scenario) {
+        scenario.judged.recovers = None;
+    }
+    scenario
+}
+
+/// Can those hosts that are left at the end bear the load easily?
+fn bears(scenario: &Scenario) -> bool {
+    let gone =
+        |n: usize| scenario.faults.iter().any(|f| matches!(f.trouble, Trouble::Drain { host } if host == n));
+    let left = (0..scenario.hosts.len()).filter(|&n| !gone(n) && scenario.hosts[n].jam.is_none()).count();
+    left >= 2 && scenario.utilisation() * scenario.hosts.len() as f64 / (left as f64) < 0.5
+}
+
+fn classes(random: &mut Pcg64Mcg) -> Vec<Class> {
+    let count = random.gen_range(1..=3);
+    (0..count).map(|n| class(random, n)).collect()
+}
+
+fn class(random: &mut Pcg64Mcg, number: usize) -> Class {
+    let deadline = random.gen_range(4..=20) * 100 * MILLI;
+    let aim = (deadline as f64 * random.gen_range(0.4..1.0)) as Micros / MILLI * MILLI;
+    let window = deadline;
+    let group = [Group::All, Group::Zone, Group::Group][random.gen_range(0..3)];
+    let effect = match random.gen_range(0..4) {
+        0 => Effect::Safe,
+        1 | 2 => Effect::Keyed { group, window },
+        _ => Effect::Unsafe,
+    };
+    let attempts = random.gen_range(1..=4u32);
+    let backoff = if random.gen_bool(0.2) { random.gen_range(1..=30) * MILLI } else { 0 };
+    let share = (deadline - 2 * MILLI) / u64::from(attempts);
+    let free = matches!(effect, Effect::Unsafe) && random.gen_bool(0.5);
+    let attempt = (!free && backoff < share).then(|| (share - backoff) / MILLI * MILLI);
+    let second_copy = match (effect, random.gen_range(0..4)) {
+        (Effect::Unsafe, _) | (_, 0 | 1) => SecondCopy::Off,
+        (_, 2) => SecondCopy::Auto,
+        _ => SecondCopy::After(deadline / random.gen_range(4..12) / MILLI * MILLI),
+    };
+    let second_copy = if attempts < 2 { SecondCopy::Off } else { second_copy };
+    let least = random.gen_range(2..=40) * MILLI;
+    Class {
+        name: format!("class-{number}"),
+        share: random.gen_range(0.2..1.0),
+        aim: aim.min(deadline),
+        deadline,
+        worth: random.gen_range(1.0..10.0),
+        late_worth: if random.gen_bool(0.3) { 0.5 } else { 0.0 },
+        effect,
+        attempts,
+        attempt,
+        backoff,
+        second_copy,
+        work: (least, least * random.gen_range(1..=3)),
+    }
+}
+
+fn hosts(random: &mut Pcg64Mcg, duration: Micros) -> Vec<HostSpec> {
+    let count = random.gen_range(2..=8);
+    let groups = random.gen_range(1..=3u32);
+    let zones = random.gen_range(1..=3);
+    let waiting = if random.gen_bool(0.3) { random.gen_range(0..=8) } else { random.gen_range(20..=200) };
+    let cold = random.gen_bool(0.7).then(|| Cold {
+        share: random.gen_range(0.1..0.6),
+        time: random.gen_range(1..=8) * SECOND,
+        fall_multiple: 3.0,
+        fall_time: 2 * SECOND,
+    });
+    let crowding = random.gen_bool(0.3).then(|| Crowding { knee: 2.0, slope: random.gen_range(0.01..0.2) });
+    let jam = random.gen_bool(0.15).then(|| Jam {
+        waiting: 4.0,
+        after: 2 * SECOND,
+        slower: random.gen_range(1.5..3.0),
+        rest: 2 * SECOND,
+    });
+    let idle = if random.gen_bool(0.3) { random.gen_range(1..=20) * 100 * MILLI } else { 15 * SECOND };
+    (0..count)
+        .map(|n| HostSpec {
+            name: format!("h{n}"),
+            zone: format!("z{}", n % zones),
+            group: n as u32 % groups,
+            kind: "m".to_owned(),
+            cores: random.gen_range(1..=4),
+            waiting,
+            speed: random.gen_range(0.7..1.5),
+            connections: if random.gen_bool(0.1) { random.gen_range(1..=6) } else { 10_000 },
+            connection_cost: if random.gen_bool(0.3) { random.gen_range(0..=15) * MILLI } else { 0 },
+            idle,
+            cold,
+            crowding,
+            jam,
+            joins: if random.gen_bool(0.15) { random.gen_range(0..duration) } else { 0 },
+        })
+        .collect()
+}
+
+fn faults(
+    random: &mut Pcg64Mcg,
+    duration: Micros,
+    hosts: &[HostSpec],
+    classes: usize,
+    proxies: u32,
+) -> Vec<Fault> {
+    let count = random.gen_range(1..=8);
+    let mut faults: Vec<Fault> = Vec::new();
+    for _ in 0..count {
+        let from = random.gen_range(0..duration * 7 / 10);
+        let until = from + random.gen_range(50 * MILLI..duration / 3);
+        let host = random.gen_range(0..hosts.len());
+        let share = [0.05, 0.3, 0.6, 1.0][random.gen_range(0..4)];
+        let ran = [0.0, 0.5, 1.0][random.gen_range(0..3)];
+        let trouble = match random.gen_range(0..18) {
+            0 => Trouble::Fails { host, share, ran },
+            1 => Trouble::Stalls { host },
+            2 => Trouble::Slow { host, factor: random.gen_range(2.0..10.0) },
+            3 | 4 => Trouble::Resets { host, share, ran },
+            5 => Trouble::Spoils { host, share },
+            6 => Trouble::Crash { host },
+            7 | 8 => Trouble::Drain { host },
+            9 => Trouble::Partition { host },
+            10 => Trouble::HalfOpen { host },
+            11 => Trouble::Loss { share: share * 0.2 },
+            12 => Trouble::Lag { extra: random.gen_range(1..=50) * MILLI },
+            13 => [Trouble::ListSilent, Trouble::ListFails, Trouble::ListOld { by: 3 * SECOND }]
+                [random.gen_range(0..3)],
+            14 => Trouble::Spike { factor: random.gen_range(2.0..6.0) },
+            15 => Trouble::Costly { class: random.gen_range(0..classes), share: share * 0.1, factor: 10.0 },
+            16 => Trouble::ProxyCrash { proxy: random.gen_range(0..proxies) },
+            _ => Trouble::Stalls { host },
+        };
+        // A host has one end, and a proxy one crash at a time.
+        let clashes = |f: &Fault| {
+            let whole = |t: &Trouble| matches!(t, Trouble::Crash { .. } | Trouble::Drain { .. });
+            let same_host = whole(&f.trouble) && whole(&trouble) && f.trouble.host() == trouble.host();
+            let proxy = |t: &Trouble| matches!(t, Trouble::ProxyCrash { .. });
+            same_host || proxy(&f.trouble) && proxy(&trouble)
+        };
+        if !faults.iter().any(clashes) {
+            faults.push(Fault { from, until, trouble });
+        }
+    }
+    faults
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::scenario_file;
+
+    /// What is drawn can be written, read back and checked: a find that can't be kept is lost.
+    #[test]
+    fn what_is_drawn_is_written_and_read_back_the_same() {
+        for number in 0..300 {
+            let drawn = scenario(number);
+            let text = scenario_file::write(&drawn);
+            let read = scenario_file::parse("drawn.toml", &text).unwrap_or_else(|m| panic!("{m}"));
+            assert_eq!(read, drawn);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,11 @@
+//! The lab: one scenario, played in virtual time or on sockets, measured and held against the rules.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod cli;
+pub mod course;
+pub mod generate;
+pub mod hunt;
+pub mod operator;
+pub mod play;
+pub mod scenario_file;
--- /dev/null
+++ b/crates/lab/src/operator.rs
@@ -0,0 +1,91 @@
+//! The operator's file of a scenario: what its proxies go by, in either play. It is made as text and read by the same
+//! reader as any operator's, so that routes and timing under test are those of the program.
+
+use badgerramp_config::{Config, Mistakes};
+use badgerramp_reading::values::show_duration;
+use badgerramp_world::{Effect, Group, Scenario, SecondCopy};
+use std::fmt::Write;
+use std::net::SocketAddr;
+
+/// The text of the file: clients connect at `listen`, the list service is at `discovery`.
+pub fn text(scenario: &Scenario, listen: SocketAddr, discovery: SocketAddr) -> String {
+    let mut out =
+        format!("listen = \"{listen}\"\n\n[limits]\nmemory = \"64MiB\"\ndescriptors = 1024\n\n[upstream]\n");
+    let time = |micros: u64| format!("\"{}\"", show_duration(micros));
+    let cold = scenario.hosts.iter().find_map(|h| h.cold);
+    // Writing to a String does not fail.
+    let _ = write!(
+        out,
+        "discovery = \"{discovery}\"\nproxies = {}\nidle = {}\ndrain_grace = {}\n",
+        scenario.proxies,
+        time(scenario.network.idle),
+        time(scenario.judged.drain_grace)
+    );
+    if let Some(cold) = cold {
+        let _ = write!(
+            out,
+            "cold_share = {:?}\ncold_time = {}\nfall_multiple = {:?}\nfall_time = {}\n",
+            cold.share,
+            time(cold.time),
+            cold.fall_multiple,
+            time(cold.fall_time)
+        );
+    }
+    for class in &scenario.classes {
+        let _ = write!(
+            out,
+            "\n[class.{}]\naim = {}\ndeadline = {}\nworth = {:?}\nlate_worth = {:?}\nattempts = {}\nconnect = {}\n",
+            class.name,
+            time(class.aim),
+            time(class.deadline),
+            class.worth,
+            class.late_worth,
+            class.attempts,
+            time(scenario.network.connect.min(class.attempt.unwrap_or(u64::MAX)))
+        );
+        match class.effect {
+            Effect::Safe => out.push_str("effect = \"safe\"\n"),
+            Effect::Unsafe => out.push_str("effect = \"unsafe\"\n"),
+            Effect::Keyed { group, window } => {
+                let group = match group {
+                    Group::All => "all",
+                    Group::Zone => "zone",
+                    Group::Group => "group",
+                };
+                let _ = write!(out, "effect = \"keyed\"\ngroup = \"{group}\"\nwindow = {}\n", time(window));
+            }
+        }
+        if let Some(attempt) = class.attempt {
+            let _ = writeln!(out, "attempt = {}", time(attempt));
+        }
+        if class.backoff > 0 {
+            let _ = writeln!(out, "backoff = {}", time(class.backoff));
+        }
+        match class.second_copy {
+            SecondCopy::Off => {}
+            SecondCopy::Auto => out.push_str("second_copy = \"auto\"\n"),
+            SecondCopy::After(after) => {
+                let _ = writeln!(out, "second_copy = \"after {}\"", show_duration(after));
+            }
+        }
+    }
+    for class in &scenario.classes {
+        let _ = write!(
+            out,
+            "\n[[route]]\nname = \"{0}\"\nprefix = \"/{0}\"\nmethods = [\"POST\"]\nclass = \"{0}\"\n",
+            class.name
+        );
+    }
+    out
+}
+
+/// The file as the program reads it. The list service's address is one that nothing is sent to.
+///
+/// # Errors
+/// All mistakes of the file that the scenario makes: what it asks for is not allowed, such as an unsafe class with a
+/// second copy.
+pub fn read(scenario: &Scenario) -> Result<Config, Mistakes> {
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
+    let name = format!("the operator's file of {:?}", scenario.name);
+    badgerramp_config::parse(&name, &text(scenario, SocketAddr::from(([127, 0, 0, 1], 0)), nowhere))
+}
--- /dev/null
+++ b/crates/lab/src/play/mod.rs
@@ -0,0 +1,75 @@
+//! Ways to play a scenario.
+
+mod events;
+mod shell;
+mod virtually;
+
+pub use virtually::play as virtually;
+
+use crate::course::Course;
+use badgerramp_config::Mistakes;
+use badgerramp_world::{Judge, Micros, OpId, Rule, Scenario};
+use std::fmt;
+
+/// How a course is played.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Options {
+    /// All chance is drawn from it.
+    pub seed: u64,
+    /// A call whose course is written down.
+    pub trace: Option<OpId>,
+    /// What happens at one instant comes in a drawn order, in place of the order in which it was caused.
+    pub shuffle: bool,
+    /// Stop at the first broken rule.
+    pub stop: bool,
+}
+
+/// Why a scenario can't be played.
+#[derive(Debug)]
+pub enum Fault {
+    /// The operator's file that it makes is not good.
+    Operator(Mistakes),
+    /// Anything else.
+    Other(String),
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Fault::Operator(mistakes) => write!(f, "{mistakes}"),
+            Fault::Other(text) => f.write_str(text),
+        }
+    }
+}
+
+impl std::error::Error for Fault {}
+
+impl From<Mistakes> for Fault {
+    fn from(mistakes: Mistakes) -> Self {
+        Fault::Operator(mistakes)
+    }
+}
+
+/// Fewer things wanted than that say nothing of recovery.
+const RECOVERY_TOLD: u64 = 30;
+
+/// The liveness judge: after the last fault goodput is back within the stated time.
+pub fn judge_recovery(scenario: &Scenario, course: &Course, judge: &mut Judge) {
+    let Some(within) = scenario.judged.recovers else { return };
+    let from = scenario.last_fault() + within;
+    let (goodput, wanted) = course.goodput_between(from, scenario.duration);
+    if wanted >= RECOVERY_TOLD && goodput < scenario.judged.share {
+        let text = format!(
+            "goodput {goodput:.3} from {:.1} s on, {:.1} s after the last fault; {:.3} is asked",
+            seconds(from),
+            seconds(within),
+            scenario.judged.share
+        );
+        judge.note(Rule::NotRecovered, from, None, text);
+    }
+}
+
+/// Microseconds in seconds.
+pub fn seconds(at: Micros) -> f64 {
+    at as f64 / 1e6
+}
--- /dev/null
+++ b/crates/lab/src/play/virtually.rs
@@ -0,0 +1,1135 @@
+//! A scenario in virtual time: the real decisions, routes and operator's files of all proxies on modelled hosts.
+
+use super::events::{Events, Rank};
+use super::shell::{self, Attempt, Call, Known, Link, Proxy, Routed};
+use super::{judge_recovery, Fault, Options};
+use crate::course::{Course, Sample, BIN};
+use crate::operator;
+use badgerramp_config::{connections_kept, Config, ANSWER_ROOM};
+use badgerramp_decisions::{
+    self as decisions, settings, Action, Balancer, CallId, CellId, Event, ListKind, Load, Outcome, ServerId,
+    Settings, State,
+};
+use badgerramp_world::{
+    Answered, Arrival, Ask, Clients, Done, Draws, Entry, Host, Job, Judge, ListService, Memory, Micros,
+    Network, Next, Report, Rule, Scenario, Told, Trouble, Verdict, Way,
+};
+use rustc_hash::FxHashMap;
+use std::sync::Arc;
+
+/// The program's own figures for its watch on the list (`net/discovery.rs`).
+const WATCH: Micros = 10_000_000;
+const WATCH_SILENCE: Micros = 2_000_000;
+const FETCH: Micros = 3_500_000;
+/// What was on its way when the load ended has this long to end.
+const AFTERMATH: Micros = 4_000_000;
+const SWEEP: Micros = 1_000_000;
+
+/// What happens.
+enum Ev {
+    /// The next first try is due.
+    First(Ask),
+    /// A client tries again.
+    Again(Ask),
+    /// A client leaves.
+    Leaves {
+        proxy: u32,
+        epoch: u32,
+        call: CallId,
+    },
+    /// A connection reaches a host, or does not.
+    Syn(Wire, Micros),
+    /// The proxy hears of it.
+    Up(Wire, Option<Link>),
+    /// A request reaches a host.
+    Arrives(Wire, Link),
+    /// An answer, or the end of the connection, reaches the proxy.
+    Back(Wire, Verdict, Report),
+    /// The host hears that nobody waits any more.
+    Dropped {
+        token: u64,
+        host: usize,
+        process: Micros,
+    },
+    HostDue(usize),
+    Attempt(Wire),
+    Timer {
+        proxy: u32,
+        epoch: u32,
+        at: Micros,
+    },
+    Backstop {
+        proxy: u32,
+        epoch: u32,
+        call: CallId,
+    },
+    /// A question reaches the list service; its answer leaves it; comes back.
+    ListAsked(Question),
+    ListAnswers(Question),
+    ListTold(Question, Told),
+    ListLate(Question),
+    /// Something new is listed.
+    Listed,
+    FaultBegins(usize),
+    FaultEnds(usize),
+    Joins(usize),
+    Sweep {
+        proxy: u32,
+        epoch: u32,
+    },
+    Sample,
+}
+
+/// One attempt on its way.
+#[derive(Clone, Copy, Debug)]
+struct Wire {
+    proxy: u32,
+    epoch: u32,
+    call: CallId,
+    attempt: u32,
+    host: usize,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Question {
+    proxy: u32,
+    epoch: u32,
+    number: u64,
+    known: Option<u64>,
+    asked: Micros,
+}
+
+struct Play {
+    scenario: Arc<Scenario>,
+    options: Options,
+    draws: Draws,
+    now: Micros,
+    events: Events<Ev>,
+    hosts: Vec<Host>,
+    /// For each host: when it was last told to look for ended jobs.
+    due: Vec<Option<Micros>>,
+    zones: Vec<u32>,
+    memory: Memory,
+    list: ListService,
+    /// Proxies that watch, and since when.
+    watching: Vec<Question>,
+    network: Network,
+    clients: Clients,
+    judge: Judge,
+    course: Course,
+    proxies: Vec<Proxy>,
+    proxy_zones: Vec<u32>,
+    routed: Vec<Routed>,
+    settings: Settings,
+    max_open: usize,
+    spares: usize,
+    /// Jobs at hosts.
+    jobs: FxHashMap<u64, (Wire, Link, Ask)>,
+    next_token: u64,
+    actions: Vec<Action>,
+    done: Vec<Done>,
+}
+
+/// Plays a scenario in virtual time.
+///
+/// # Errors
+/// If the operator's file that it makes is refused.
+pub fn play(scenario: &Arc<Scenario>, options: Options) -> Result<Course, Fault> {
+    let config = operator::read(scenario)?;
+    let routed = shell::routes(scenario, &config).map_err(Fault::Other)?;
+    let mut play = Play::new(Arc::clone(scenario), options, &config, routed);
+    play.run();
+    Ok(play.finish())
+}
+
+impl Play {
+    fn new(scenario: Arc<Scenario>, options: Options, config: &Config, routed: Vec<Routed>) -> Self {
+        let draws = Draws::new(options.seed);
+        let hosts: Vec<Host> = (0..scenario.hosts.len()).map(|n| Host::new(&scenario, n, draws)).collect();
+        let there = (0..hosts.len()).filter(|&n| scenario.hosts[n].joins == 0);
+        let first = there.map(|host| Entry { host, state: 0, started: 0 }).collect();
+        let zone = |name: &str| settings::zone(name).0;
+        let mut settings = config.settings();
+        // The program's step is its clock's; the file does not set it.
+        settings.tick = 1_000;
+        Play {
+            options,
+            draws,
+            now: 0,
+            events: Events::new(options.shuffle.then_some(draws)),
+            due: vec![None; hosts.len()],
+            zones: scenario.hosts.iter().map(|h| zone(&h.zone)).collect(),
+            memory: Memory::default(),
+            list: ListService::new(scenario.list, &scenario.faults, first),
+            watching: Vec::new(),
+            network: Network::new(scenario.network, &scenario.faults, draws),
+            clients: Clients::new(Arc::clone(&scenario), draws),
+            judge: Judge::new(Arc::clone(&scenario), 0),
+            course: Course::new(Arc::clone(&scenario)),
+            proxy_zones: (0..scenario.proxies).map(|n| zone(shell::zone(&scenario, n))).collect(),
+            proxies: Vec::new(),
+            routed,
+            max_open: config.limits.open_calls,
+            spares: connections_kept(settings.balancers),
+            settings,
+            jobs: FxHashMap::default(),
+            next_token: 0,
+            actions: Vec::new(),
+            done: Vec::new(),
+            hosts,
+            scenario,
+        }
+    }
+
+    fn at(&mut self, at: Micros, event: Ev) {
+        self.events.push(at.max(self.now), Rank::World, event);
+    }
+
+    fn run(&mut self) {
+        for (n, fault) in self.scenario.faults.clone().iter().enumerate() {
+            self.at(fault.from, Ev::FaultBegins(n));
+            self.at(fault.until, Ev::FaultEnds(n));
+        }
+        for (n, host) in self.scenario.hosts.clone().iter().enumerate().filter(|(_, h)| h.joins > 0) {
+            self.at(host.joins, Ev::Joins(n));
+        }
+        for proxy in 0..self.scenario.proxies {
+            self.start_proxy(proxy, 0);
+        }
+        if let Some(ask) = self.clients.next_first() {
+            self.at(ask.at, Ev::First(ask));
+        }
+        self.at(BIN, Ev::Sample);
+        let end = self.scenario.duration + self.scenario.longest() + AFTERMATH;
+        while let Some((at, event)) = self.events.pop() {
+            if at > end || (self.options.stop && self.judge.count() > 0) {
+                break;
+            }
+            self.now = at;
+            self.happens(event);
+        }
+        self.now = end;
+    }
+
+    fn finish(mut self) -> Course {
+        self.judge.pass(Micros::MAX / 2);
+        if !(self.options.stop && self.judge.count() > 0) {
+            self.look_for_leaks(true);
+            let mut course = std::mem::replace(&mut self.course, Course::new(Arc::clone(&self.scenario)));
+            judge_recovery(&self.scenario, &course, &mut self.judge);
+            course.list_asked = self.list.asked;
+            self.course = course;
+        }
+        self.course.broken = self.judge.broken().to_vec();
+        self.course.broken_count = self.judge.count();
+        self.course.worked.0 = self.hosts.iter().map(|h| h.worked).sum();
+        self.course
+    }
+
+    /// What decisions and proxies hold against what is really there.
+    fn look_for_leaks(&mut self, last: bool) {
+        let mut found = Vec::new();
+        for proxy in self.proxies.iter().filter(|p| p.up) {
+            if last && !proxy.calls.is_empty() {
+                found.push((
+                    Rule::Leaked,
+                    format!("proxy {} still has {} calls", proxy.place, proxy.calls.len()),
+                ));
+            }
+            let (known, held, _) = proxy.balancer.totals();
+            if last && known > 0 {
+                found.push((
+                    Rule::Leaked,
+                    format!("proxy {}: the decisions still know {known} calls", proxy.place),
+                ));
+            }
+            if held > known || known > proxy.calls.len() {
+                let text = format!(
+                    "proxy {}: {known} calls known, {held} held, {} there",
+                    proxy.place,
+                    proxy.calls.len()
+                );
+                found.push((Rule::Miscounted, text));
+            }
+            if proxy.links.values().any(|l| l.len() > self.spares) {
+                found.push((Rule::Leaked, format!("proxy {} keeps too many connections", proxy.place)));
+            }
+            // All hosts of all proxies at the end only, and before that where there are few.
+            if last || self.hosts.len() * self.scenario.proxies as usize <= 256 {
+                let mut out = vec![0u32; self.hosts.len()];
+                for attempt in proxy.calls.values().flat_map(|c| &c.attempts).filter(|a| a.out) {
+                    out[attempt.host] += 1;
+                }
+                for (host, &out) in out.iter().enumerate() {
+                    let view = proxy.balancer.view(self.now, ServerId(host as u32));
+                    if let Some(view) = view.filter(|v| v.in_flight != out) {
+                        let text = format!(
+                            "proxy {}: the decisions count {} in flight at {}, and {out} are",
+                            proxy.place, view.in_flight, self.scenario.hosts[host].name
+                        );
+                        found.push((Rule::Miscounted, text));
+                    }
+                }
+            }
+        }
+        found.into_iter().for_each(|(rule, text)| self.judge.note(rule, self.now, None, text));
+    }
+
+    fn happens(&mut self, event: Ev) {
+        match event {
+            Ev::First(ask) => {
+                if let Some(next) = self.clients.next_first() {
+                    self.at(next.at, Ev::First(next));
+                }
+                self.asks(ask);
+            }
+            Ev::Again(ask) => self.asks(ask),
+            Ev::Leaves { proxy, epoch, call } => self.leaves(proxy, epoch, call),
+            Ev::Syn(wire, began) => self.syn(wire, began),
+            Ev::Up(wire, link) => self.connected(wire, link),
+            Ev::Arrives(wire, link) => self.arrives(wire, link),
+            Ev::Back(wire, verdict, report) => self.back(wire, verdict, report),
+            Ev::Dropped { token, host, process } => {
+                self.settle(host);
+                let there = self.hosts[host].is_up() && self.hosts[host].started() == process;
+                if there {
+                    self.hosts[host].disconnect();
+                    if token != u64::MAX && self.hosts[host].abandon(token, &mut self.memory) {
+                        self.jobs.remove(&token);
+                    }
+                }
+            }
+            Ev::HostDue(host) => {
+                self.due[host] = None;
+                self.settle(host);
+            }
+            Ev::Attempt(wire) => self.attempt_due(wire),
+            Ev::Timer { proxy, epoch, at } => {
+                let shell = &mut self.proxies[proxy as usize];
+                if shell.up && shell.epoch == epoch && shell.module_due == Some(at) {
+                    shell.module_due = None;
+                    self.tell(proxy, Event::Timer);
+                }
+            }
+            Ev::Backstop { proxy, epoch, call } => {
+                let shell = &self.proxies[proxy as usize];
+                let forgotten = shell.calls.get(&call).is_some_and(|c| !c.answered);
+                if shell.up && shell.epoch == epoch && forgotten {
+                    self.answer(proxy, call, Answered::Overdue, None);
+                    self.tell(proxy, Event::Gone { call });
+                }
+            }
+            Ev::ListAsked(question) => {
+                let leaves = self.list.ask(self.now);
+                self.at(leaves, Ev::ListAnswers(question));
+            }
+            Ev::ListAnswers(question) => self.list_answers(question),
+            Ev::ListTold(question, told) => self.list_told(question, told),
+            Ev::ListLate(question) => {
+                if self.is_asking(&question) {
+                    self.list_failed(question.proxy);
+                }
+            }
+            Ev::Listed => {
+                for question in std::mem::take(&mut self.watching) {
+                    self.list_answers(question);
+                }
+            }
+            Ev::FaultBegins(n) => self.fault_begins(n),
+            Ev::FaultEnds(n) => self.fault_ends(n),
+            Ev::Joins(host) => self.host_starts(host),
+            Ev::Sweep { proxy, epoch } => self.sweep(proxy, epoch),
+            Ev::Sample => self.sample(),
+        }
+    }
+
+    // Proxies.
+
+    fn start_proxy(&mut self, place: u32, epoch: u32) {
+        let mut settings = self.settings.clone();
+        settings.zone = decisions::ZoneId(self.proxy_zones[place as usize]);
+        let seed = self.draws.between((0x5eed, u64::from(place), u64::from(epoch)), (0, u64::MAX));
+        let proxy = Proxy::new(place, epoch, Balancer::new(seed, settings), self.hosts.len());
+        if (place as usize) < self.proxies.len() {
+            self.proxies[place as usize] = proxy;
+        } else {
+            self.proxies.push(proxy);
+        }
+        self.tell(place, Event::Start);
+        self.tell(place, Event::Members { kind: ListKind::Cached, entries: Vec::new() });
+    }
+
+    fn tell(&mut self, proxy: u32, event: Event) {
+        let mut queue = std::collections::VecDeque::from([event]);
+        let mut actions = std::mem::take(&mut self.actions);
+        while let Some(event) = queue.pop_front() {
+            let touched = match &event {
+                Event::Outcome { call, .. } => Some(*call),
+                _ => None,
+            };
+            self.proxies[proxy as usize].balancer.handle(self.now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(proxy, action, &mut queue);
+            }
+            if let Some(call) = touched {
+                self.tidy(proxy, call);
+            }
+        }
+        self.actions = actions;
+    }
+
+    fn act(&mut self, proxy: u32, action: Action, queue: &mut std::collections::VecDeque<Event>) {
+        match action {
+            Action::Send { call, server, until } => {
+                let sent = self.send(proxy, call, server.0 as usize, until);
+                queue.extend(sent);
+            }
+            Action::Refuse { call, retry_after } => {
+                let told = (retry_after > 0).then_some(retry_after);
+                self.answer(proxy, call, Answered::Refused, told);
+            }
+            Action::Fail { call } => self.answer(proxy, call, Answered::Failed, None),
+            Action::Cancel { call, attempt } => {
+                queue.extend(self.outcome(proxy, call, attempt, Outcome::CalledOff, Load::default()));
+            }
+            Action::Wake { after } => {
+                let at = self.now.saturating_add(after);
+                let shell = &mut self.proxies[proxy as usize];
+                if shell.module_due.is_none_or(|due| at < due) {
+                    shell.module_due = Some(at);
+                    let epoch = shell.epoch;
+                    self.events.push(at, Rank::Timer, Ev::Timer { proxy, epoch, at });
+                }
+            }
+            Action::Subscribe => {
+                let shell = &mut self.proxies[proxy as usize];
+                if shell.asking.is_some() {
+                    shell.wanted = true;
+                } else {
+                    self.ask_list(proxy);
+                }
+            }
+            Action::Probe { server } => queue.push_back(Event::Probed {
+                server,
+                outcome: Outcome::NotSent,
+                elapsed: 0,
+                load: Load::default(),
+            }),
+            Action::Log { .. } => {}
+        }
+    }
+
+    // Clients.
+
+    fn asks(&mut self, ask: Ask) {
+        self.course.asked(&ask);
+        self.course.step(self.now, 1, ask.op.0, u64::from(ask.number));
+        let class = &self.scenario.classes[ask.class].name;
+        self.course.note(self.options.trace, ask.op, self.now, || {
+            format!("try {} of {class} at proxy {}, waits {} us", ask.number, ask.proxy, ask.patience)
+        });
+        let shell = &self.proxies[ask.proxy as usize];
+        if !shell.up {
+            // Nobody is there: that nothing ran is plain.
+            self.client_hears(ask, Some(Answered::Refused), None);
+            return;
+        }
+        let until = self.now + ask.patience;
+        self.judge.taken(self.now, ask.op, ask.number, (ask.class, ask.proxy), until);
+        if shell.open >= self.max_open {
+            self.judge.answered(self.now, ask.op, ask.number, Answered::Refused);
+            self.client_hears(ask, Some(Answered::Refused), None);
+            return;
+        }
+        let routed = self.routed[ask.class];
+        let time = ask.patience.saturating_sub(ANSWER_ROOM).max(1).min(routed.total);
+        let shell = &mut self.proxies[ask.proxy as usize];
+        let (call, epoch) = (CallId(shell.next_call), shell.epoch);
+        shell.next_call += 1;
+        shell.open += 1;
+        let deadline = self.now + time;
+        shell.calls.insert(call, Call { ask, deadline, attempts: Vec::new(), answered: false });
+        let proxy = ask.proxy;
+        self.events.push(deadline, Rank::Backstop, Ev::Backstop { proxy, epoch, call });
+        let leaves = self.scenario.clients.leaves;
+        let name = (0x1ea5e, ask.op.0, u64::from(ask.number));
+        if self.draws.happens(name, leaves) {
+            let after = self.draws.between((0x1ea5f, name.1, name.2), (1, time.max(2) - 1));
+            self.at(self.now + after, Ev::Leaves { proxy, epoch, call });
+        }
+        let event = Event::Request {
+            call,
+            class: routed.class,
+            tenant: None,
+            time_left: time,
+            resent: ask.number > 0,
+            terms: routed.terms,
+        };
+        self.tell(proxy, event);
+    }
+
+    fn client_hears(&mut self, ask: Ask, answered: Option<Answered>, told: Option<Micros>) {
+        self.course.step(self.now, 2, ask.op.0, answered.map_or(9, |a| a as u64));
+        self.course.note(self.options.trace, ask.op, self.now, || match answered {
+            Some(answer) => format!("try {}: {answer:?}", ask.number),
+            None => format!("try {}: no answer", ask.number),
+        });
+        match self.clients.after(&ask, answered, self.now, told) {
+            Next::Asks(next) => self.at(next.at, Ev::Again(next)),
+            Next::Rests => self.course.ended(&ask, self.now, answered),
+        }
+    }
+
+    fn leaves(&mut self, proxy: u32, epoch: u32, call: CallId) {
+        let shell = &mut self.proxies[proxy as usize];
+        if !shell.up || shell.epoch != epoch {
+            return;
+        }
+        let Some(open) = shell.calls.get_mut(&call).filter(|c| !c.answered) else { return };
+        open.answered = true;
+        let ask = open.ask;
+        shell.open -= 1;
+        self.judge.left(self.now, ask.op, ask.number);
+        self.course.step(self.now, 3, ask.op.0, u64::from(ask.number));
+        self.course.ended(&ask, self.now, Some(Answered::Failed));
+        self.course.note(self.options.trace, ask.op, self.now, || "its client leaves".to_owned());
+        self.tell(proxy, Event::Gone { call });
+        let count = self.proxies[proxy as usize].calls.get(&call).map_or(0, |c| c.attempts.len());
+        for attempt in 0..count as u32 {
+            if let Some(event) = self.outcome(proxy, call, attempt, Outcome::CalledOff, Load::default()) {
+                self.tell(proxy, event);
+            }
+        }
+        self.tidy(proxy, call);
+    }
+
+    /// The one final answer.
+    fn answer(&mut self, proxy: u32, id: CallId, answer: Answered, told: Option<Micros>) {
+        let shell = &mut self.proxies[proxy as usize];
+        let Some(call) = shell.calls.get_mut(&id) else { return };
+        let ask = call.ask;
+        // The program's own guard lets a second one go nowhere; the judge is told all the same.
+        if std::mem::replace(&mut call.answered, true) {
+            self.judge.note(
+                Rule::AnsweredTwice,
+                self.now,
+                Some(ask.op),
+                format!("the decisions say {answer:?} again"),
+            );
+            return;
+        }
+        shell.open -= 1;
+        self.judge.answered(self.now, ask.op, ask.number, answer);
+        self.client_hears(ask, Some(answer), told);
+        self.tidy(proxy, id);
+    }
+
+    // Attempts.
+
+    fn send(&mut self, proxy: u32, id: CallId, host: usize, until: Option<Micros>) -> Option<Event> {
+        let shell = &mut self.proxies[proxy as usize];
+        let epoch = shell.epoch;
+        let Some(call) = shell.calls.get_mut(&id) else {
+            self.judge.note(Rule::AfterEnd, self.now, None, "the decisions send for a call that has ended");
+            return None;
+        };
+        let (attempt, ask) = (call.attempts.len() as u32, call.ask);
+        let until = until.filter(|&u| u > 0).unwrap_or(Micros::MAX).min(call.deadline);
+        let (sent, answered) = (self.now, call.answered);
+        call.attempts.push(Attempt { host, sent, until, started: false, out: true, link: None, token: None });
+        let known = shell.hosts.get(host).copied().unwrap_or_default();
+        self.course.sent(&ask);
+        self.course.step(self.now, 4, ask.op.0, (u64::from(attempt) << 32) | host as u64);
+        if self.options.trace == Some(ask.op) {
+            let name = self.scenario.hosts.get(host).map_or("?", |h| &h.name);
+            let view = self.proxies[proxy as usize].balancer.view(self.now, ServerId(host as u32));
+            let knew = view.map_or_else(String::new, |v| {
+                format!(
+                    "; known: {} in flight of {:.1}, strain {:.2}, failing {:.2}, warmth {:.2}{}",
+                    v.in_flight,
+                    v.concurrency,
+                    v.strain,
+                    v.failing,
+                    v.warmth,
+                    if v.set_aside { ", set aside" } else { "" }
+                )
+            });
+            let line = format!("attempt {attempt} to {name} until {until}{knew}");
+            self.course.note(self.options.trace, ask.op, self.now, || line);
+        }
+        self.judge.sent(self.now, ask.op, ask.number, host);
+        if !known.ready || until <= self.now || answered {
+            return self.outcome(proxy, id, attempt, Outcome::NotSent, Load::default());
+        }
+        let wire = Wire { proxy, epoch, call: id, attempt, host };
+        self.events.push(until, Rank::Attempt, Ev::Attempt(wire));
+        match self.checkout(proxy, host) {
+            Some(link) => self.start(wire, link),
+            None => match self.way(&wire, 0) {
+                Way::Arrives(at) => self.at(at, Ev::Syn(wire, self.now)),
+                Way::Vanishes => self.at(self.now + self.routed[ask.class].connect, Ev::Up(wire, None)),
+            },
+        }
+        None
+    }
+
+    fn near(&self, proxy: u32, host: usize) -> bool {
+        self.proxy_zones[proxy as usize] == self.zones[host]
+    }
+
+    /// A packet of an attempt. It is named by that: what becomes of it does not hang on what else is played.
+    fn way(&self, wire: &Wire, leg: u64) -> Way {
+        let (op, number) = self.ask_of(wire).map_or((0, 0), |a| (a.op.0, u64::from(a.number)));
+        let near = self.near(wire.proxy, wire.host);
+        let name = (0x9ac, op, (number << 16) | (u64::from(wire.attempt) << 8) | leg);
+        self.network.way(self.now, Some(wire.host), near, name)
+    }
+
+    /// A packet between a proxy and the list service.
+    fn list_way(&self, question: &Question, leg: u64) -> Way {
+        let name = (0x1157, u64::from(question.proxy), (question.number << 8) | leg);
+        self.network.way(self.now, None, false, name)
+    }
+
+    /// An idle connection that is open, as far as the proxy can see.
+    fn checkout(&mut self, proxy: u32, host: usize) -> Option<Link> {
+        // As the program has it: well ahead of the host.
+        let most = self.scenario.network.idle / 4 * 3;
+        loop {
+            let link = self.proxies[proxy as usize].links.get_mut(&host)?.pop()?;
+            let idle = self.now.saturating_sub(link.idle_since);
+            let there = self.hosts[host].is_up() && self.hosts[host].started() == link.process;
+            // A host's close reaches the proxy before it looks.
+            if there && idle < most && idle < self.scenario.hosts[host].idle {
+                return Some(link);
+            }
+            self.close(link, u64::MAX);
+        }
+    }
+
+    /// Closes a connection; the host hears of it.
+    fn close(&mut self, link: Link, token: u64) {
+        let event = Ev::Dropped { token, host: link.host, process: link.process };
+        let name = (0xc105e, link.host as u64, link.opened ^ (link.idle_since << 1));
+        if let Way::Arrives(at) = self.network.way(self.now, Some(link.host), true, name) {
+            self.at(at, event);
+        }
+    }
+
+    fn syn(&mut self, wire: Wire, began: Micros) {
+        let host = wire.host;
+        self.settle(host);
+        let taken = self.hosts[host].connect(self.now);
+        self.watch_host(host);
+        self.course.connections_most = self.course.connections_most.max(self.hosts[host].connections());
+        let process = self.hosts[host].started();
+        let link = taken.then_some(Link { host, process, opened: self.now, idle_since: 0 });
+        let class = self.ask_of(&wire).map_or(0, |a| a.class);
+        let give_up = began + self.routed[class].connect;
+        match self.way(&wire, 1) {
+            Way::Arrives(at) if at <= give_up => self.at(at, Ev::Up(wire, link)),
+            _ => {
+                if let Some(link) = link {
+                    self.close(link, u64::MAX);
+                }
+                self.at(give_up, Ev::Up(wire, None));
+            }
+        }
+    }
+
+    fn ask_of(&self, wire: &Wire) -> Option<Ask> {
+        let shell = &self.proxies[wire.proxy as usize];
+        (shell.up && shell.epoch == wire.epoch).then(|| shell.calls.get(&wire.call).map(|c| c.ask)).flatten()
+    }
+
+    fn attempt(&mut self, wire: &Wire) -> Option<&mut Attempt> {
+        let shell = &mut self.proxies[wire.proxy as usize];
+        if !shell.up || shell.epoch != wire.epoch {
+            return None;
+        }
+        shell.calls.get_mut(&wire.call)?.attempts.get_mut(wire.attempt as usize).filter(|a| a.out)
+    }
+
+    fn connected(&mut self, wire: Wire, link: Option<Link>) {
+        if self.attempt(&wire).is_none() {
+            if let Some(link) = link {
+                self.close(link, u64::MAX);
+            }
+            return;
+        }
+        match link {
+            Some(link) => self.start(wire, link),
+            None => self.ends(wire, Outcome::NoConnection, Load::default()),
+        }
+    }
+
+    /// The connection is there: may the first byte be written? The program asks the same.
+    fn start(&mut self, wire: Wire, link: Link) {
+        let now = self.now;
+        let shell = &mut self.proxies[wire.proxy as usize];
+        let known = shell.hosts[wire.host];
+        let open = shell.calls.get(&wire.call).is_some_and(|c| !c.answered);
+        let Some(attempt) = self.attempt(&wire) else { return };
+        attempt.started = open && now < attempt.until && known.ready;
+        if !attempt.started {
+            attempt.link = Some(link);
+            self.keep(wire);
+            self.ends(wire, Outcome::NotSent, Load::default());
+            return;
+        }
+        attempt.link = Some(link);
+        if let Way::Arrives(at) = self.way(&wire, 2) {
+            self.at(at, Ev::Arrives(wire, link));
+        }
+    }
+
+    fn arrives(&mut self, wire: Wire, link: Link) {
+        let host = wire.host;
+        self.settle(host);
+        let dead = |f: &badgerramp_world::Fault| {
+            let half_open = matches!(f.trouble, Trouble::HalfOpen { host: at } if at == host);
+            half_open && f.from <= self.now && link.opened < f.from
+        };
+        if self.scenario.faults.iter().any(dead) {
+            // Nobody is told.
+            return;
+        }
+        let Some(ask) = self.ask_of(&wire) else { return };
+        let stale = self.hosts[host].started() != link.process || !self.hosts[host].is_up();
+        // The host closed it while the request was on its way.
+        let idle = link.idle_since > 0 && self.now >= link.idle_since + self.scenario.hosts[host].idle;
+        if stale || idle {
+            self.goes_back(wire, Verdict::Reset, Report::default());
+            return;
+        }
+        let token = self.next_token;
+        self.next_token += 1;
+        let known = self.proxies[wire.proxy as usize].hosts[host];
+        let job = Job {
+            token,
+            op: ask.op,
+            name: (u64::from(ask.number) << 8) | u64::from(wire.attempt),
+            effect: self.scenario.classes[ask.class].effect,
+            work: ask.work,
+            informed: known.started == self.hosts[host].started(),
+        };
+        self.course.step(self.now, 5, ask.op.0, host as u64);
+        let fell = self.hosts[host].fell().is_some();
+        let arrival = self.hosts[host].arrive(self.now, job, &mut self.memory);
+        self.course.note(self.options.trace, ask.op, self.now, || {
+            format!("attempt {} reaches {}: {arrival:?}", wire.attempt, self.scenario.hosts[host].name)
+        });
+        if let (false, Some(pushed)) = (fell, self.hosts[host].fell()) {
+            if pushed {
+                let text = format!("{} was pushed over", self.scenario.hosts[host].name);
+                self.judge.note(Rule::ColdPushed, self.now, None, text);
+            }
+            self.host_dies(host);
+        }
+        match arrival {
+            Arrival::Taken => {
+                self.jobs.insert(token, (wire, link, ask));
+                if let Some(attempt) = self.attempt(&wire) {
+                    attempt.token = Some(token);
+                }
+                self.watch_host(host);
+            }
+            Arrival::Ended(verdict) => {
+                let report = self.hosts[host].report();
+                self.goes_back(wire, verdict, report);
+            }
+            Arrival::Nobody => self.goes_back(wire, Verdict::Reset, Report::default()),
+        }
+    }
+
+    fn goes_back(&mut self, wire: Wire, verdict: Verdict, report: Report) {
+        if let Way::Arrives(at) = self.way(&wire, 3) {
+            self.at(at, Ev::Back(wire, verdict, report));
+        }
+    }
+
+    /// Lets a host's time pass up to now.
+    fn settle(&mut self, host: usize) {
+        let mut done = std::mem::take(&mut self.done);
+        self.hosts[host].advance(self.now, &mut self.memory, &mut done);
+        for ended in done.drain(..) {
+            let Some((wire, _, ask)) = self.jobs.remove(&ended.job.token) else { continue };
+            self.course.step(ended.at, 6, ended.job.op.0, host as u64);
+            if ended.effected {
+                self.judge.effected(ended.at, ended.job.op, host);
+            }
+            self.course.note(self.options.trace, ask.op, ended.at, || {
+                let ran = if ended.effected { ", its effect came about" } else { "" };
+                format!(
+                    "attempt {} ends at {}: {:?}{ran}",
+                    wire.attempt, self.scenario.hosts[host].name, ended.verdict
+                )
+            });
+            self.goes_back(wire, ended.verdict, ended.report);
+        }
+        self.done = done;
+        self.watch_host(host);
+    }
+
+    /// Makes sure that somebody looks when its next job ends.
+    fn watch_host(&mut self, host: usize) {
+        if let Some(at) = self.hosts[host].due() {
+            if self.due[host].is_none_or(|due| at < due) {
+                self.due[host] = Some(at);
+                self.at(at, Ev::HostDue(host));
+            }
+        }
+    }
+
+    fn back(&mut self, wire: Wire, verdict: Verdict, report: Report) {
+        if self.attempt(&wire).is_none() {
+            return;
+        }
+        let load = Load {
+            in_hand: Some(f64::from(report.in_hand)),
+            waiting: Some(f64::from(report.waiting)),
+            ..Load::default()
+        };
+        let (outcome, load) = match verdict {
+            Verdict::Served => (Outcome::Served, load),
+            Verdict::Failed => (Outcome::Error, load),
+            Verdict::TurnedAway => (Outcome::TurnedAway, load),
+            Verdict::Reset => (Outcome::Reset, Load::default()),
+            Verdict::Spoilt => (Outcome::Error, Load::default()),
+        };
+        match verdict {
+            Verdict::Served | Verdict::Failed | Verdict::TurnedAway => self.keep(wire),
+            Verdict::Reset | Verdict::Spoilt => {}
+        }
+        self.ends(wire, outcome, load);
+    }
+
+    /// Keeps the connection of an attempt for the next.
+    fn keep(&mut self, wire: Wire) {
+        let now = self.now;
+        let Some(link) = self.attempt(&wire).and_then(|a| a.link.take()) else { return };
+        let spares = self.spares;
+        let shell = &mut self.proxies[wire.proxy as usize];
+        let known = shell.hosts[wire.host];
+        if !known.ready {
+            self.close(link, u64::MAX);
+            return;
+        }
+        let links = shell.links.entry(wire.host).or_default();
+        links.push(Link { idle_since: now, ..link });
+        let surplus = (links.len() > spares).then(|| links.remove(0));
+        let (epoch, sweeps) = (shell.epoch, !std::mem::replace(&mut shell.sweeping, true));
+        if let Some(link) = surplus {
+            self.close(link, u64::MAX);
+        }
+        if sweeps {
+            self.at(now + SWEEP, Ev::Sweep { proxy: wire.proxy, epoch });
+        }
+    }
+
+    fn sweep(&mut self, proxy: u32, epoch: u32) {
+        let most = self.scenario.network.idle / 4 * 3;
+        let now = self.now;
+        let shell = &mut self.proxies[proxy as usize];
+        if !shell.up || shell.epoch != epoch {
+            return;
+        }
+        let mut closed = Vec::new();
+        let hosts = &self.scenario.hosts;
+        let mut places: Vec<usize> = shell.links.keys().copied().collect();
+        places.sort_unstable();
+        for host in places {
+            let Some(links) = shell.links.get_mut(&host) else { continue };
+            let ready = shell.hosts[host].ready;
+            links.retain(|link| {
+                let idle = now.saturating_sub(link.idle_since);
+                let stays = ready && idle < most && idle < hosts[host].idle;
+                if !stays {
+                    closed.push(*link);
+                }
+                stays
+            });
+            if links.is_empty() {
+                shell.links.remove(&host);
+            }
+        }
+        shell.sweeping = !shell.links.is_empty();
+        if shell.sweeping {
+            self.at(now + SWEEP, Ev::Sweep { proxy, epoch });
+        }
+        closed.into_iter().for_each(|link| self.close(link, u64::MAX));
+    }
+
+    fn attempt_due(&mut self, wire: Wire) {
+        let Some(attempt) = self.attempt(&wire) else { return };
+        // As in the program: what still waits for its connection never ran.
+        let outcome = if attempt.started { Outcome::TimedOut } else { Outcome::NoConnection };
+        self.ends(wire, outcome, Load::default());
+    }
+
+    fn ends(&mut self, wire: Wire, outcome: Outcome, load: Load) {
+        if let Some(event) = self.outcome(wire.proxy, wire.call, wire.attempt, outcome, load) {
+            self.tell(wire.proxy, event);
+        }
+    }
+
+    /// Notes the end of an attempt; None if it had ended before.
+    fn outcome(
+        &mut self,
+        proxy: u32,
+        id: CallId,
+        number: u32,
+        outcome: Outcome,
+        load: Load,
+    ) -> Option<Event> {
+        let shell = &mut self.proxies[proxy as usize];
+        let call = shell.calls.get_mut(&id)?;
+        let ask = call.ask;
+        let attempt = call.attempts.get_mut(number as usize).filter(|a| a.out)?;
+        attempt.out = false;
+        let (elapsed, link, token) = (self.now - attempt.sent, attempt.link.take(), attempt.token);
+        self.judge.over(ask.op, ask.number, number as usize, outcome.never_ran());
+        self.course.step(self.now, 7, ask.op.0, (u64::from(number) << 8) | outcome as u64);
+        self.course.note(self.options.trace, ask.op, self.now, || {
+            format!("attempt {number} is over: {outcome:?} after {elapsed} us")
+        });
+        let mut closed = call.answered;
+        if outcome == Outcome::Served && !call.answered {
+            call.answered = true;
+            shell.open -= 1;
+            closed = true;
+            self.judge.answered(self.now, ask.op, ask.number, Answered::Served);
+            self.client_hears(ask, Some(Answered::Served), None);
+        }
+        if let Some(link) = link {
+            // Its connection goes with it: the host learns that nobody waits.
+            self.close(link, token.unwrap_or(u64::MAX));
+        }
+        Some(Event::Outcome { call: id, attempt: number, outcome, elapsed, closed, load })
+    }
+
+    fn tidy(&mut self, proxy: u32, id: CallId) {
+        let shell = &mut self.proxies[proxy as usize];
+        if shell.calls.get(&id).is_some_and(|c| c.answered && c.attempts.iter().all(|a| !a.out)) {
+            shell.calls.remove(&id);
+        }
+    }
+
+    // The list.
+
+    fn is_asking(&self, question: &Question) -> bool {
+        let shell = &self.proxies[question.proxy as usize];
+        shell.up && shell.epoch == question.epoch && shell.asking == Some(question.number)
+    }
+
+    fn ask_list(&mut self, proxy: u32) {
+        let shell = &mut self.proxies[proxy as usize];
+        shell.questions += 1;
+        shell.asking = Some(shell.questions);
+        let (number, known, epoch) = (shell.questions, shell.version, shell.epoch);
+        let question = Question { proxy, epoch, number, known, asked: self.now };
+        let patience = if known.is_some() { WATCH + WATCH_SILENCE } else { FETCH };
+        self.at(self.now + patience, Ev::ListLate(question));
+        if let Way::Arrives(at) = self.list_way(&question, 0) {
+            self.at(at, Ev::ListAsked(question));
+        }
+    }
+
+    fn list_answers(&mut self, question: Question) {
+        if !self.is_asking(&question) {
+            return;
+        }
+        let told = match self.list.answer(self.now, question.known) {
+            Told::Silence => return,
+            Told::Nothing if self.now < question.asked + WATCH => {
+                self.watching.push(question);
+                self.at(question.asked + WATCH, Ev::ListAnswers(question));
+                return;
+            }
+            Told::Nothing => Told::Changes(question.known.unwrap_or_default(), Vec::new()),
+            told => told,
+        };
+        self.watching.retain(|w| w.proxy != question.proxy);
+        if let Way::Arrives(at) = self.list_way(&question, 1) {
+            self.at(at, Ev::ListTold(question, told));
+        }
+    }
+
+    fn list_told(&mut self, question: Question, told: Told) {
+        if !self.is_asking(&question) {
+            return;
+        }
+        let (kind, version, list) = match told {
+            Told::Full(version, list) => (ListKind::Full, version, list),
+            Told::Changes(version, list) => (ListKind::Delta, version, list),
+            Told::Failed => return self.list_failed(question.proxy),
+            Told::Nothing | Told::Silence => return,
+        };
+        let proxy = question.proxy;
+        self.course.step(self.now, 8, u64::from(proxy), version);
+        let shell = &mut self.proxies[proxy as usize];
+        shell.version = Some(version);
+        shell.asking = None;
+        if kind == ListKind::Full {
+            for (host, known) in shell.hosts.iter_mut().enumerate() {
+                if known.ready && !list.iter().any(|e| e.host == host) {
+                    known.ready = false;
+                    self.judge.told(self.now, proxy, host, false);
+                }
+            }
+        }
+        let mut entries = Vec::with_capacity(list.len());
+        for Entry { host, state, started } in list {
+            let ready = state == 0;
+            shell.hosts[host] = Known { ready, started };
+            self.judge.told(self.now, proxy, host, ready);
+            let spec = &self.scenario.hosts[host];
+            entries.push(decisions::Entry {
+                server: ServerId(host as u32),
+                state: [State::Ready, State::Draining, State::Gone][usize::from(state.min(2))],
+                zone: settings::zone(&spec.zone),
+                cell: CellId(spec.group),
+                kind: settings::kind(&spec.kind),
+                weight: 1.0,
+                started,
+            });
+        }
+        // What leads to one that takes no more is closed.
+        let mut gone: Vec<usize> = shell.links.keys().copied().filter(|h| !shell.hosts[*h].ready).collect();
+        gone.sort_unstable();
+        let gone: Vec<Link> = gone.into_iter().filter_map(|h| shell.links.remove(&h)).flatten().collect();
+        gone.into_iter().for_each(|link| self.close(link, u64::MAX));
+        // The watch goes on at once.
+        self.ask_list(proxy);
+        self.tell(proxy, Event::Members { kind, entries });
+    }
+
+    fn list_failed(&mut self, proxy: u32) {
+        let shell = &mut self.proxies[proxy as usize];
+        shell.asking = None;
+        if std::mem::take(&mut shell.wanted) {
+            self.ask_list(proxy);
+        }
+        self.tell(proxy, Event::Members { kind: ListKind::Failed, entries: Vec::new() });
+    }
+
+    fn list_changes(&mut self, entry: Entry) {
+        self.list.change(self.now, entry);
+        let at = self.list.listed().last().map_or(self.now, |l| l.0);
+        self.at(at, Ev::Listed);
+    }
+
+    // Hosts and faults.
+
+    fn host_starts(&mut self, host: usize) {
+        self.hosts[host].start(self.now);
+        self.course.step(self.now, 9, host as u64, 0);
+        let started = self.hosts[host].started();
+        self.list_changes(Entry { host, state: 0, started });
+    }
+
+    /// What it had in hand is gone; those that wait for it hear of the end of their connections.
+    fn host_dies(&mut self, host: usize) {
+        let lost = self.hosts[host].die(&mut self.memory);
+        for job in lost {
+            if let Some((wire, ..)) = self.jobs.remove(&job.token) {
+                self.goes_back(wire, Verdict::Reset, Report::default());
+            }
+        }
+    }
+
+    fn fault_begins(&mut self, n: usize) {
+        let fault = self.scenario.faults[n];
+        self.course.step(self.now, 10, n as u64, 0);
+        if let Some(host) = fault.trouble.host() {
+            self.settle(host);
+        }
+        match fault.trouble {
+            Trouble::Crash { host } => {
+                self.host_dies(host);
+                self.list_changes(Entry { host, state: 2, started: self.hosts[host].started() });
+            }
+            Trouble::Drain { host } => {
+                self.hosts[host].drain();
+                self.list_changes(Entry { host, state: 1, started: self.hosts[host].started() });
+            }
+            Trouble::ProxyCrash { proxy } => {
+                let shell = &mut self.proxies[proxy as usize];
+                shell.up = false;
+                // What it held is its clients' to repeat: they see the connection end.
+                let mut calls: Vec<(CallId, Call)> = shell.calls.drain().collect();
+                calls.sort_by_key(|c| c.0);
+                let links: Vec<Link> = {
+                    let mut all: Vec<_> = shell.links.drain().collect();
+                    all.sort_by_key(|l| l.0);
+                    all.into_iter().flat_map(|l| l.1).collect()
+                };
+                self.judge.died(proxy);
+                links.into_iter().for_each(|link| self.close(link, u64::MAX));
+                for (_, call) in calls {
+                    for attempt in call.attempts.iter().filter(|a| a.out) {
+                        if let Some(link) = attempt.link {
+                            self.close(link, u64::MAX);
+                        }
+                    }
+                    if !call.answered {
+                        self.client_hears(call.ask, None, None);
+                    }
+                }
+            }
+            _ => {
+                if let Some(host) = fault.trouble.host() {
+                    self.hosts[host].begin(self.now, &fault);
+                    // What was due later now; what is due is looked for anew.
+                    self.due[host] = None;
+                    self.watch_host(host);
+                }
+            }
+        }
+    }
+
+    fn fault_ends(&mut self, n: usize) {
+        let fault = self.scenario.faults[n];
+        self.course.step(self.now, 11, n as u64, 0);
+        if let Some(host) = fault.trouble.host() {
+            self.settle(host);
+        }
+        match fault.trouble {
+            Trouble::Crash { host } => self.host_starts(host),
+            Trouble::Drain { host } => {
+                self.host_dies(host);
+                self.list_changes(Entry { host, state: 2, started: self.hosts[host].started() });
+            }
+            Trouble::ProxyCrash { proxy } => {
+                let epoch = self.proxies[proxy as usize].epoch + 1;
+                self.start_proxy(proxy, epoch);
+            }
+            _ => {
+                if let Some(host) = fault.trouble.host() {
+                    self.hosts[host].end(&fault);
+                }
+            }
+        }
+    }
+
+    fn sample(&mut self) {
+        let (mut open, mut held) = (0, 0);
+        for proxy in self.proxies.iter().filter(|p| p.up) {
+            open += proxy.open as u64;
+            held += proxy.balancer.totals().1 as u64;
+        }
+        self.judge.pass(self.now);
+        self.look_for_leaks(false);
+        let load = |h: &Host| f64::from(h.report().in_hand) / f64::from(h.spec().cores.max(1));
+        self.course.samples.push(Sample {
+            at: self.now as f64 / 1e6,
+            load: self.hosts.iter().map(load).collect(),
+            connections: self.hosts.iter().map(Host::connections).collect(),
+            open,
+            held,
+        });
+        if self.now < self.scenario.duration + self.scenario.longest() {
+            self.at(self.now + BIN, Ev::Sample);
+        }
+    }
+}
--- /dev/null
+++ b/crates/world/src/lib.rs
@@ -0,0 +1,34 @@
+//! A model of what stands round a client proxy: hosts, network, list service and clients, and the judges that hold a
+//! course against the rules. Times are whole microseconds that the caller tells; nothing here does I/O, reads a clock
+//! or depends on the proxy's own code. The same [`Host`] answers in virtual time and behind a real socket.
+//!
+//! All chance is drawn by name ([`Draws`]): what happens to one call does not shift when another is taken out, which
+//! is what lets a failing course be cut down.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod clients;
+mod draw;
+mod host;
+mod judge;
+mod list;
+mod network;
+mod scenario;
+
+pub use clients::{Ask, Clients, Next};
+pub use draw::Draws;
+pub use host::{Arrival, Done, Host, Job, Memory, Report, Verdict};
+pub use judge::{Answered, Broken, Judge, Rule};
+pub use list::{Entry, ListService, Told};
+pub use network::{Network, Way};
+pub use scenario::{
+    Class, Clients as ClientsSpec, Cold, Crowding, Effect, Fault, Group, HostSpec, Jam, Judged, ListSpec,
+    NetworkSpec, Request, Scenario, SecondCopy, Trouble,
+};
+
+/// A moment or a span, in microseconds.
+pub type Micros = u64;
+
+/// What a client wants done, over all its tries.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct OpId(pub u64);
--- /dev/null
+++ b/crates/world/src/scenario.rs
@@ -0,0 +1,393 @@
+//! What is played: who is there, who asks for what, and what goes wrong when.
+
+use crate::Micros;
+
+/// A course to be played. It says nothing of how: in virtual time or on sockets.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Scenario {
+    /// Its name, for reports.
+    pub name: String,
+    /// Load comes for this long; what is open then has its time.
+    pub duration: Micros,
+    /// Client proxies.
+    pub proxies: u32,
+    /// Kinds of calls.
+    pub classes: Vec<Class>,
+    /// Hosts, each for itself.
+    pub hosts: Vec<HostSpec>,
+    /// Who asks.
+    pub clients: Clients,
+    /// Requests one by one, in place of the open load; sorted by time.
+    pub requests: Option<Vec<Request>>,
+    /// The way between all of them.
+    pub network: NetworkSpec,
+    /// The list service.
+    pub list: ListSpec,
+    /// What goes wrong.
+    pub faults: Vec<Fault>,
+    /// What the judges hold it to.
+    pub judged: Judged,
+}
+
+/// Who drops repeats of a keyed call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    /// All hosts.
+    All,
+    /// The hosts of one zone.
+    Zone,
+    /// The hosts of one group.
+    Group,
+}
+
+/// What running a call twice would do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Nothing.
+    Safe,
+    /// Nothing at the hosts of `group`, within `window` of the first.
+    Keyed {
+        /// Who drops repeats.
+        group: Group,
+        /// For how long, in microseconds.
+        window: Micros,
+    },
+    /// Harm.
+    Unsafe,
+}
+
+/// When a second copy may go out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum SecondCopy {
+    /// Never.
+    #[default]
+    Off,
+    /// As late as can be in time.
+    Auto,
+    /// This long after the first.
+    After(Micros),
+}
+
+/// A kind of calls.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// Its name; its requests go to `/NAME`.
+    pub name: String,
+    /// Share of all requests; shares are taken against their sum.
+    pub share: f64,
+    /// An answer is wanted within this.
+    pub aim: Micros,
+    /// How long a client waits in all.
+    pub deadline: Micros,
+    /// Worth of an answer in time.
+    pub worth: f64,
+    /// Share of the worth for an answer after the aim.
+    pub late_worth: f64,
+    /// What a second run would do.
+    pub effect: Effect,
+    /// Most attempts of a call.
+    pub attempts: u32,
+    /// Longest time of an attempt; None: what is left.
+    pub attempt: Option<Micros>,
+    /// Pause between attempts.
+    pub backoff: Micros,
+    /// Second copies.
+    pub second_copy: SecondCopy,
+    /// Work of a request on a host of speed 1: from, to.
+    pub work: (Micros, Micros),
+}
+
+/// Who asks: open load, which does not wait for answers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Clients {
+    /// First tries a second over all proxies.
+    pub rate: f64,
+    /// How often a client tries again by itself.
+    pub retries: u32,
+    /// Its pause before that, if it is not told a longer one.
+    pub pause: Micros,
+    /// Share of the deadline that it gives one try.
+    pub patience: f64,
+    /// Swing of the load as a share of it, and the time of one swing; 0: even.
+    pub tide: (f64, Micros),
+    /// Share of the proxies that get most (nine tenths) of the load; 1: all alike.
+    pub busy: f64,
+    /// Share of tries whose client leaves before its time, without its answer.
+    pub leaves: f64,
+    /// Tenants, by whose number a request bears a header; 0: none.
+    pub tenants: u32,
+}
+
+/// One request of a scripted load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// When it is due.
+    pub at: Micros,
+    /// At which proxy.
+    pub proxy: u32,
+    /// Place of its class.
+    pub class: usize,
+    /// Its name in all draws. It stays when others are taken out.
+    pub id: u64,
+}
+
+/// A cold start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cold {
+    /// Share of its capacity at first.
+    pub share: f64,
+    /// Warm after this.
+    pub time: Micros,
+    /// Sent more than this multiple of what it can do ...
+    pub fall_multiple: f64,
+    /// ... over this span, it falls over and stays down.
+    pub fall_time: Micros,
+}
+
+/// Efficiency that falls with what is in hand.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Crowding {
+    /// Calls in hand for each core that cost nothing extra.
+    pub knee: f64,
+    /// What each further one for each core adds to the work, as a share.
+    pub slope: f64,
+}
+
+/// A host that has far too much waiting for a while turns slow and stays so until it has rested.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Jam {
+    /// Waiting calls for each core.
+    pub waiting: f64,
+    /// For how long.
+    pub after: Micros,
+    /// Then it takes so many times as long.
+    pub slower: f64,
+    /// Until it has been mostly idle for this long.
+    pub rest: Micros,
+}
+
+/// A host.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HostSpec {
+    /// Its name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its group of hosts that drop each other's repeats.
+    pub group: u32,
+    /// Its machine kind.
+    pub kind: String,
+    /// Calls that it works on at a time.
+    pub cores: u32,
+    /// Calls that may wait; more are turned away unseen.
+    pub waiting: u32,
+    /// Its speed against the yardstick of the classes' work.
+    pub speed: f64,
+    /// Connections that it takes.
+    pub connections: u32,
+    /// Work that a new connection costs it.
+    pub connection_cost: Micros,
+    /// It closes a connection that has been idle for this long, without a word ahead.
+    pub idle: Micros,
+    /// Its cold start; it has one when it joins or comes back.
+    pub cold: Option<Cold>,
+    /// What crowding costs it.
+    pub crowding: Option<Crowding>,
+    /// What long queues do to it.
+    pub jam: Option<Jam>,
+    /// When it joins; 0: it was there long before.
+    pub joins: Micros,
+}
+
+/// The way between proxies, hosts and list service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct NetworkSpec {
+    /// One way within a zone: from, to.
+    pub near: (Micros, Micros),
+    /// One way between zones: from, to.
+    pub far: (Micros, Micros),
+    /// What a lost packet costs: the time until it is sent again.
+    pub resend: Micros,
+    /// How long hosts are said to keep an idle connection; what each does is its own.
+    pub idle: Micros,
+    /// A connection that is not up by then has failed.
+    pub connect: Micros,
+}
+
+/// The list service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ListSpec {
+    /// From a change until it is listed.
+    pub lag: Micros,
+    /// Questions a second that it answers; the rest wait.
+    pub capacity: f64,
+    /// A question that is not answered by then has failed.
+    pub patience: Micros,
+}
+
+/// What goes wrong with whom.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Trouble {
+    /// The host fails this share of its requests at once, `ran` of those after they ran.
+    Fails {
+        /// Place of the host.
+        host: usize,
+        /// Share of its requests.
+        share: f64,
+        /// Share of those that ran first.
+        ran: f64,
+    },
+    /// It stands still.
+    Stalls {
+        /// Place of the host.
+        host: usize,
+    },
+    /// Its work takes so many times as long.
+    Slow {
+        /// Place of the host.
+        host: usize,
+        /// Times.
+        factor: f64,
+    },
+    /// It breaks this share of its connections when the work is done, or before (`ran` as in `Fails`).
+    Resets {
+        /// Place of the host.
+        host: usize,
+        /// Share of its requests.
+        share: f64,
+        /// Share of those that ran first.
+        ran: f64,
+    },
+    /// This share of its answers is spoilt after the call ran: nothing that can be used comes back.
+    Spoils {
+        /// Place of the host.
+        host: usize,
+        /// Share of its answers.
+        share: f64,
+    },
+    /// It dies and comes back, cold, when the trouble ends.
+    Crash {
+        /// Place of the host.
+        host: usize,
+    },
+    /// It drains, and has gone when the trouble ends.
+    Drain {
+        /// Place of the host.
+        host: usize,
+    },
+    /// Nothing passes between it and the proxies.
+    Partition {
+        /// Place of the host.
+        host: usize,
+    },
+    /// All connections to it that are open at the start are dead, and neither side is told.
+    HalfOpen {
+        /// Place of the host.
+        host: usize,
+    },
+    /// This share of all packets is lost once.
+    Loss {
+        /// Share of packets.
+        share: f64,
+    },
+    /// All ways take so much longer.
+    Lag {
+        /// One way.
+        extra: Micros,
+    },
+    /// The list service says nothing.
+    ListSilent,
+    /// It fails all that it is asked.
+    ListFails,
+    /// It has gone back to an older list, and tells that.
+    ListOld {
+        /// By how much.
+        by: Micros,
+    },
+    /// So many times the load comes.
+    Spike {
+        /// Times.
+        factor: f64,
+    },
+    /// This share of a class's requests costs so many times the work.
+    Costly {
+        /// Place of the class.
+        class: usize,
+        /// Share of its requests.
+        share: f64,
+        /// Times.
+        factor: f64,
+    },
+    /// A proxy dies and comes back, knowing nothing but its saved list.
+    ProxyCrash {
+        /// Which.
+        proxy: u32,
+    },
+}
+
+/// A trouble and its time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fault {
+    /// It begins.
+    pub from: Micros,
+    /// It ends.
+    pub until: Micros,
+    /// What it is.
+    pub trouble: Trouble,
+}
+
+/// What the judges hold a course to, beside the rules.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Judged {
+    /// Latest that something may go to a host after word that it drains.
+    pub drain_grace: Micros,
+    /// Goodput is back this long after the last fault ...
+    pub recovers: Option<Micros>,
+    /// ... at this share of what was asked.
+    pub share: f64,
+}
+
+impl Trouble {
+    /// The host that it concerns, if it is one.
+    pub fn host(&self) -> Option<usize> {
+        match *self {
+            Trouble::Fails { host, .. }
+            | Trouble::Stalls { host }
+            | Trouble::Slow { host, .. }
+            | Trouble::Resets { host, .. }
+            | Trouble::Spoils { host, .. }
+            | Trouble::Crash { host }
+            | Trouble::Drain { host }
+            | Trouble::Partition { host }
+            | Trouble::HalfOpen { host } => Some(host),
+            _ => None,
+        }
+    }
+}
+
+impl Scenario {
+    /// The last moment at which a fault still holds.
+    pub fn last_fault(&self) -> Micros {
+        let ends = self.faults.iter().map(|f| f.until);
+        let joins = self.hosts.iter().map(|h| h.joins + h.cold.filter(|_| h.joins > 0).map_or(0, |c| c.time));
+        ends.chain(joins).max().unwrap_or(0)
+    }
+
+    /// The longest that any client waits.
+    pub fn longest(&self) -> Micros {
+        self.classes.iter().map(|c| c.deadline).max().unwrap_or(0)
+    }
+
+    /// Work a second that all hosts can do, against what is asked, without faults: under 1 they bear it.
+    pub fn utilisation(&self) -> f64 {
+        let capacity: f64 = self.hosts.iter().map(|h| f64::from(h.cores) * h.speed).sum();
+        let shares: f64 = self.classes.iter().map(|c| c.share).sum::<f64>().max(f64::MIN_POSITIVE);
+        let work = |c: &Class| c.share / shares * (c.work.0 + c.work.1) as f64 / 2e6;
+        self.clients.rate * self.classes.iter().map(work).sum::<f64>() / capacity.max(f64::MIN_POSITIVE)
+    }
+
+    /// Requests and faults: what a schedule that is cut down is counted by.
+    pub fn events(&self) -> usize {
+        self.requests.as_ref().map_or(0, Vec::len) + self.faults.len()
+    }
+}
