--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -1,13 +1,24 @@
 //! The command line.
 
-use crate::play::{virtually, Options};
-use crate::scenario_file;
-use clap::{Parser, Subcommand};
+use crate::course::{Course, Summary};
+use crate::experiment::{self, Compared, Point, Template};
+use crate::play::{Fault, Options, Way};
+use crate::{bench, defects, generate, hunt, report, scenario_file};
+use badgerramp_world::{OpId, Rule, Scenario};
+use clap::{Args, Parser, Subcommand};
+use indicatif::{ProgressBar, ProgressStyle};
+use serde::Serialize;
 use std::ffi::OsString;
-use std::path::PathBuf;
+use std::io::Write;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
+/// Scenarios played in virtual time or on sockets, measured, and held against the rules.
+///
+/// Exits 0 if no rule broke, 1 if one did, 2 for bad usage or a bad file. Ctrl-C keeps what was measured.
 #[derive(Parser)]
 #[command(name = "badgerramp-lab", version)]
 struct Cli {
@@ -15,91 +26,649 @@
     command: Command,
 }
 
+#[derive(Args, Clone)]
+struct Played {
+    /// How it is played.
+    #[arg(long, value_enum, default_value_t = Way::Virtual)]
+    play: Way,
+    /// What falls on one instant comes in a drawn order.
+    #[arg(long)]
+    shuffle: bool,
+}
+
+#[derive(Args, Clone)]
+struct Told {
+    /// Results as JSON lines, into this file.
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+    /// One page with plots that needs nothing else, into this file.
+    #[arg(long, value_name = "FILE")]
+    html: Option<PathBuf>,
+}
+
+#[derive(Args, Clone)]
+struct Many {
+    /// Seeds, from 1 on.
+    #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u64).range(1..=100_000))]
+    seeds: u64,
+    /// Threads; a play on real sockets has one.
+    #[arg(long, default_value_t = threads())]
+    threads: usize,
+}
+
 #[derive(Subcommand)]
 enum Command {
+    /// Play a scenario.
     Run {
+        /// The scenario.
         scenario: PathBuf,
+        /// All chance is drawn from it.
         #[arg(long, default_value_t = 1)]
         seed: u64,
+        /// Another value for a key of the file, like clients.rate=400; can be given more than once.
+        #[arg(long, value_name = "KEY=VALUE")]
+        set: Vec<String>,
+        #[command(flatten)]
+        played: Played,
+        #[command(flatten)]
+        told: Told,
     },
+    /// Play a scenario over values of one or two keys and over seeds.
+    Sweep {
+        /// The scenario.
+        scenario: PathBuf,
+        /// KEY=FROM..TO:STEPS or KEY=A,B,C; once or twice.
+        #[arg(long, required = true, value_name = "VALUES")]
+        over: Vec<String>,
+        #[command(flatten)]
+        many: Many,
+        #[command(flatten)]
+        played: Played,
+        #[command(flatten)]
+        told: Told,
+    },
+    /// Play two scenarios, or one with other values, or another build of this program, seed by seed.
+    Compare {
+        /// The first scenario.
+        first: PathBuf,
+        /// The second; left out: the first.
+        second: Option<PathBuf>,
+        /// Other values for the second.
+        #[arg(long, value_name = "KEY=VALUE")]
+        set: Vec<String>,
+        /// Another build of badgerramp-lab that plays the second.
+        #[arg(long, value_name = "PROGRAM")]
+        binary: Option<PathBuf>,
+        #[command(flatten)]
+        many: Many,
+        #[command(flatten)]
+        played: Played,
+        #[command(flatten)]
+        told: Told,
+    },
+    /// Play random scenarios and look for broken rules; each kind is told once.
     Hunt {
+        /// Number of the first scenario.
         #[arg(long, default_value_t = 0)]
         first: u64,
-        #[arg(long, default_value_t = 1000)]
+        /// How many at the most.
+        #[arg(long, default_value_t = 10_000)]
         count: u64,
+        /// For how many seconds at the most.
+        #[arg(long, default_value_t = 600)]
+        seconds: u64,
+        /// Threads.
+        #[arg(long, default_value_t = threads())]
+        threads: usize,
+        /// End at the first find.
+        #[arg(long)]
+        stop: bool,
+        /// Cut each find down and write it as a scenario into this folder.
+        #[arg(long, value_name = "DIR")]
+        out: Option<PathBuf>,
+        /// How they are played.
+        #[arg(long, value_enum, default_value_t = Way::Virtual)]
+        play: Way,
+    },
+    /// Play the random scenario of this number again.
+    Replay {
+        /// Its number.
+        number: u64,
+        /// Write it as a file.
+        #[arg(long, value_name = "FILE")]
+        write: Option<PathBuf>,
+        #[command(flatten)]
+        played: Played,
+        #[command(flatten)]
+        told: Told,
+    },
+    /// Cut a scenario that breaks a rule down to the least that still does.
+    Shrink {
+        /// A scenario's file, or the number of a random one.
+        scenario: String,
+        /// Which rule; left out: the first that is broken.
+        #[arg(long)]
+        rule: Option<String>,
+        /// With which seed; a random scenario has its own.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Plays at the most.
+        #[arg(long, default_value_t = 5_000)]
+        plays: u64,
+        /// Write what is left into this file.
+        #[arg(long, value_name = "FILE")]
+        write: Option<PathBuf>,
+        #[command(flatten)]
+        played: Played,
+    },
+    /// The course of one call, attempt by attempt, with what the decisions knew.
+    Trace {
+        /// A scenario's file, or the number of a random one.
+        scenario: String,
+        /// The call's number; left out: that of the first broken rule, or else of the first that was not served.
+        #[arg(long)]
+        call: Option<u64>,
+        /// With which seed; a random scenario has its own.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[command(flatten)]
+        played: Played,
+    },
+    /// Make the page of results that were written as JSON lines.
+    Report {
+        /// The results.
+        results: PathBuf,
+        /// The page.
+        #[arg(long, value_name = "FILE")]
+        html: PathBuf,
+    },
+    /// Play scenarios twice and on one and several threads: all digests must be equal.
+    Determinism {
+        /// How many random scenarios.
+        #[arg(long, default_value_t = 100)]
+        count: u64,
+        /// How they are played.
+        #[arg(long, value_enum, default_value_t = Way::Virtual)]
+        play: Way,
+    },
+    /// Build this program with each seeded defect and hunt for it.
+    Defects {
+        /// The root of the source tree.
+        #[arg(long, default_value = ".")]
+        root: PathBuf,
+        /// Only those whose name has this in it.
+        #[arg(long)]
+        only: Option<String>,
+        /// Seconds of hunting for each.
+        #[arg(long, default_value_t = 60)]
+        seconds: u64,
+    },
+    /// Requests a second and memory, by fleet and proxies.
+    Speed {
+        /// Also the large one: 2,000 proxies and 1,000 hosts for a minute.
         #[arg(long)]
-        shrink: bool,
+        large: bool,
     },
 }
 
-/// Runs.
+fn threads() -> usize {
+    std::thread::available_parallelism().map_or(1, std::num::NonZero::get)
+}
+
+/// Runs the program with these arguments, its own name first.
 pub fn main(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
-    let cli = Cli::parse_from(arguments);
-    match cli.command {
-        Command::Hunt { first, count, shrink } => {
-            let began = std::time::Instant::now();
-            let h = crate::hunt::Hunt {
-                first,
-                count,
-                time: std::time::Duration::from_secs(600),
-                threads: 4,
-                stop: false,
-            };
-            let found =
-                crate::hunt::hunt(virtually, h, &std::sync::atomic::AtomicBool::new(false), |_, _| {})
-                    .unwrap();
-            println!(
-                "{} played, {} requests, {:.1} s",
-                found.played,
-                found.requests,
-                began.elapsed().as_secs_f64()
-            );
-            for (s, f) in &found.finds {
-                println!("{} x{}  number {} {:?}", s, f.count, f.number, f.broken);
-                if shrink {
-                    let sc = crate::generate::scenario(f.number);
-                    if let Some(s) = crate::hunt::shrink(
-                        virtually,
-                        &sc,
-                        crate::hunt::options(f.number),
-                        f.broken.rule,
-                        3000,
-                    ) {
-                        println!(
-                            "   -> {} events, {} hosts, {} plays {:?}",
-                            s.scenario.events(),
-                            s.scenario.hosts.len(),
-                            s.plays,
-                            s.broken
-                        );
-                    }
+    let cli = match Cli::try_parse_from(arguments) {
+        Ok(cli) => cli,
+        Err(told) => {
+            // Help and version are told in this way too.
+            let _ = told.print();
+            return ExitCode::from(u8::try_from(told.exit_code()).unwrap_or(2));
+        }
+    };
+    let stop = Arc::new(AtomicBool::new(false));
+    // The second Ctrl-C ends it as ever.
+    let _ =
+        signal_hook::flag::register_conditional_shutdown(signal_hook::consts::SIGINT, 130, Arc::clone(&stop));
+    let _ = signal_hook::flag::register(signal_hook::consts::SIGINT, Arc::clone(&stop));
+    match command(cli.command, &stop) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(fault) => {
+            eprintln!("badgerramp-lab: {fault}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// True if no rule broke.
+fn command(command: Command, stop: &AtomicBool) -> Result<bool, Fault> {
+    match command {
+        Command::Run { scenario, seed, set, played, told } => {
+            let scenario = changed(&Template::load(&scenario)?, &set)?;
+            run(&scenario, seed, &played, &told)
+        }
+        Command::Replay { number, write, played, told } => {
+            let scenario = generate::scenario(number);
+            if let Some(path) = write {
+                save(&path, &scenario_file::write(&scenario))?;
+            }
+            let shuffle = hunt::options(number).shuffle || played.shuffle;
+            run(&scenario, number, &Played { shuffle, ..played }, &told)
+        }
+        Command::Sweep { scenario, over, many, played, told } => {
+            sweep(&Template::load(&scenario)?, &over, &many, &played, &told, stop)
+        }
+        Command::Compare { first, second, set, binary, many, played, told } => {
+            let files = (first.as_path(), second.as_deref().unwrap_or(&first));
+            compare(files, &set, binary.as_deref(), &many, &played, &told, stop)
+        }
+        Command::Hunt { first, count, seconds, threads, stop: first_only, out, play } => {
+            let wanted =
+                hunt::Hunt { first, count, time: Duration::from_secs(seconds), threads, stop: first_only };
+            hunting(wanted, play, out.as_deref(), stop)
+        }
+        Command::Shrink { scenario, rule, seed, plays, write, played } => {
+            shrink(&scenario, rule.as_deref(), seed, plays, write.as_deref(), &played)
+        }
+        Command::Trace { scenario, call, seed, played } => trace(&scenario, call, seed, &played),
+        Command::Report { results, html } => page_of(&results, &html),
+        Command::Determinism { count, play } => determinism(count, play, stop),
+        Command::Defects { root, only, seconds } => defects::table(&root, only.as_deref(), seconds),
+        Command::Speed { large } => bench::speed(large).map(|()| true),
+    }
+}
+
+fn changed(template: &Template, changes: &[String]) -> Result<Scenario, Fault> {
+    let changed = changes.iter().try_fold(template.clone(), |t, change| t.with(change))?;
+    changed.scenario()
+}
+
+fn save(path: &Path, text: &str) -> Result<(), Fault> {
+    std::fs::write(path, text).map_err(|e| Fault::Other(format!("{}: {e}", path.display())))
+}
+
+fn bar(length: u64) -> ProgressBar {
+    let bar = ProgressBar::new(length);
+    let style = ProgressStyle::with_template("{bar:30} {pos}/{len} {msg} {elapsed} gone, {eta} left");
+    style.map_or(bar.clone(), |style| bar.with_style(style))
+}
+
+/// A scenario's file, or the number of a random one, with the options that it is played with.
+fn named(name: &str, seed: u64, shuffle: bool) -> Result<(Scenario, Options), Fault> {
+    match name.parse::<u64>() {
+        Ok(number) => Ok((generate::scenario(number), hunt::options(number))),
+        Err(_) => {
+            let scenario = scenario_file::load(Path::new(name))?;
+            Ok((scenario, Options { seed, shuffle, ..Options::default() }))
+        }
+    }
+}
+
+fn run(scenario: &Scenario, seed: u64, played: &Played, told: &Told) -> Result<bool, Fault> {
+    let scenario = Arc::new(scenario.clone());
+    let began = Instant::now();
+    let course =
+        played.play.play(&scenario, Options { seed, shuffle: played.shuffle, ..Options::default() })?;
+    let took = began.elapsed().as_secs_f64();
+    let summary = course.summary(played.play.name(), seed);
+    show(&course, &summary);
+    println!("{:.2} s, {:.0} requests a second", took, course.total().tries as f64 / took.max(1e-9));
+    lines(told.json.as_deref(), std::slice::from_ref(&summary))?;
+    if let Some(path) = &told.html {
+        save(path, &report::page(&scenario.name, &[report::course(&course, &summary)]))?;
+    }
+    Ok(summary.broken == 0)
+}
+
+fn show(course: &Course, summary: &Summary) {
+    let head =
+        ["class", "wanted", "in time", "late", "refused", "failed", "lost", "p50 ms", "p99 ms", "p99.9 ms"];
+    println!("{:<20}{}", head[0], head[1..].iter().map(|h| format!("{h:>10}")).collect::<String>());
+    for (class, t) in course.scenario().classes.iter().zip(&course.classes) {
+        let ms = |share| t.times.within(share) as f64 / 1e3;
+        println!(
+            "{:<20}{:>10}{:>10}{:>10}{:>10}{:>10}{:>10}{:>10.1}{:>10.1}{:>10.1}",
+            class.name,
+            t.wanted,
+            t.good,
+            t.late,
+            t.refused,
+            t.failed,
+            t.lost,
+            ms(0.5),
+            ms(0.99),
+            ms(0.999)
+        );
+    }
+    println!(
+        "\ngoodput {:.4}, worst class {:.4}, worst ten seconds {:.4}; {:.3} attempts a request; utilisation {:.2}",
+        summary.goodput,
+        summary.worst_class,
+        summary.worst_window,
+        summary.amplification,
+        course.scenario().utilisation()
+    );
+    println!(
+        "{} questions to the list service, at most {} connections at a host",
+        summary.list_asked, summary.connections_most
+    );
+    if !summary.digest.is_empty() {
+        println!("digest {}", summary.digest);
+    }
+    for broken in &course.broken {
+        let op = broken.op.map_or(String::new(), |op| format!(", call {}", op.0));
+        println!("BROKEN {} at {:.3} s{op}: {}", broken.rule, broken.at as f64 / 1e6, broken.text);
+    }
+    if course.broken_count > course.broken.len() as u64 {
+        println!("... {} times in all", course.broken_count);
+    }
+}
+
+/// Writes results as JSON lines.
+fn lines<T: Serialize>(path: Option<&Path>, all: &[T]) -> Result<(), Fault> {
+    let Some(path) = path else { return Ok(()) };
+    let name = |e: &dyn std::fmt::Display| Fault::Other(format!("{}: {e}", path.display()));
+    let mut file = std::fs::File::create(path).map_err(|e| name(&e))?;
+    for one in all {
+        let line = serde_json::to_string(one).map_err(|e| name(&e))?;
+        writeln!(file, "{line}").map_err(|e| name(&e))?;
+    }
+    Ok(())
+}
+
+/// The courses of a scenario over its seeds.
+fn over_seeds(
+    scenario: Scenario,
+    many: &Many,
+    played: &Played,
+    stop: &AtomicBool,
+    bar: &ProgressBar,
+) -> Result<Vec<Summary>, Fault> {
+    let scenario = Arc::new(scenario);
+    let threads = if played.play.alone() { 1 } else { many.threads };
+    let play = |n: usize| {
+        let seed = n as u64 + 1;
+        let course =
+            played.play.play(&scenario, Options { seed, shuffle: played.shuffle, ..Options::default() })?;
+        Ok(course.summary(played.play.name(), seed))
+    };
+    let all = experiment::all(many.seeds as usize, threads, stop, play, || bar.inc(1))?;
+    Ok(all.into_iter().map(|(_, summary)| summary).collect())
+}
+
+fn sweep(
+    template: &Template,
+    over: &[String],
+    many: &Many,
+    played: &Played,
+    told: &Told,
+    stop: &AtomicBool,
+) -> Result<bool, Fault> {
+    let first = experiment::values(&over[0])?;
+    let second = match over {
+        [_] => vec![None],
+        [_, second] => experiment::values(second)?.into_iter().map(Some).collect(),
+        _ => return Err(Fault::Other("--over: once or twice, not more".to_owned())),
+    };
+    let mut settings: Vec<Vec<String>> = Vec::new();
+    for b in &second {
+        settings.extend(first.iter().map(|a| std::iter::once(a.clone()).chain(b.clone()).collect()));
+    }
+    // All of them are good before any is played.
+    let scenarios = settings.iter().map(|s| changed(template, s)).collect::<Result<Vec<_>, _>>()?;
+    let bar = bar(settings.len() as u64 * many.seeds);
+    let (mut points, mut all) = (Vec::new(), Vec::new());
+    for (changes, scenario) in settings.into_iter().zip(scenarios) {
+        let summaries = over_seeds(scenario, many, played, stop, &bar)?;
+        if summaries.is_empty() {
+            break;
+        }
+        points.push(Point::of(changes, &summaries));
+        all.extend(summaries);
+    }
+    bar.finish_and_clear();
+    println!(
+        "{:<40}{:>20}{:>20}{:>20}{:>22}{:>8}",
+        "changes", "goodput", "worst class", "attempts", "p99 ms", "broken"
+    );
+    for p in &points {
+        println!(
+            "{:<40}{:>20}{:>20}{:>20}{:>22}{:>8}",
+            p.changes.join(" "),
+            p.goodput.to_string(),
+            p.worst_class.to_string(),
+            p.amplification.to_string(),
+            format!("{:.1} ± {:.1}", p.p99_ms.mean, p.p99_ms.half),
+            p.broken
+        );
+    }
+    lines(told.json.as_deref(), &all)?;
+    if let Some(path) = &told.html {
+        save(path, &report::page(&format!("Sweep over {}", over.join(" and ")), &[report::sweep(&points)]))?;
+    }
+    Ok(points.iter().all(|p| p.broken == 0))
+}
+
+fn compare(
+    (first, second): (&Path, &Path),
+    set: &[String],
+    binary: Option<&Path>,
+    many: &Many,
+    played: &Played,
+    told: &Told,
+    stop: &AtomicBool,
+) -> Result<bool, Fault> {
+    let bar = bar(many.seeds * 2);
+    let a = over_seeds(Template::load(first)?.scenario()?, many, played, stop, &bar)?;
+    let b = match binary {
+        Some(binary) => other_build(binary, second, set, many, played, stop, &bar)?,
+        None => over_seeds(changed(&Template::load(second)?, set)?, many, played, stop, &bar)?,
+    };
+    bar.finish_and_clear();
+    let (one, two) = (Point::of(Vec::new(), &a), Point::of(set.to_vec(), &b));
+    let difference = Compared::of(&a, &b);
+    println!("{:<16}{:>22}{:>22}{:>22}", "", "first", "second", "second over first");
+    let rows = [
+        ("goodput", one.goodput, two.goodput, difference.goodput),
+        ("worst class", one.worst_class, two.worst_class, difference.worst_class),
+        ("attempts", one.amplification, two.amplification, difference.amplification),
+        ("p99 ms", one.p99_ms, two.p99_ms, difference.p99_ms),
+    ];
+    for (name, a, b, d) in rows {
+        println!("{name:<16}{:>22}{:>22}{:>22}", a.to_string(), b.to_string(), d.to_string());
+    }
+    println!("rules broken: {} and {}; {} pairs", one.broken, two.broken, difference.goodput.count);
+    let all: Vec<&Summary> = a.iter().chain(&b).collect();
+    lines(told.json.as_deref(), &all)?;
+    if let Some(path) = &told.html {
+        save(path, &report::page("Compared", &[report::sweep(&[one.clone(), two.clone()])]))?;
+    }
+    Ok(one.broken + two.broken == 0)
+}
+
+/// The second half of a comparison, by another build of this program.
+fn other_build(
+    binary: &Path,
+    scenario: &Path,
+    set: &[String],
+    many: &Many,
+    played: &Played,
+    stop: &AtomicBool,
+    bar: &ProgressBar,
+) -> Result<Vec<Summary>, Fault> {
+    let out = std::env::temp_dir().join(format!("badgerramp-lab-{}.jsonl", std::process::id()));
+    let mut all = Vec::new();
+    for seed in 1..=many.seeds {
+        if stop.load(std::sync::atomic::Ordering::Relaxed) {
+            break;
+        }
+        let mut command = std::process::Command::new(binary);
+        command.arg("run").arg(scenario).args(["--seed", &seed.to_string(), "--play", played.play.name()]);
+        command.args(set.iter().flat_map(|s| ["--set", s])).arg("--json").arg(&out);
+        let shown = binary.display();
+        let told = command.output().map_err(|e| Fault::Other(format!("{shown}: {e}")))?;
+        let text = std::fs::read_to_string(&out).map_err(|e| {
+            Fault::Other(format!("{shown} wrote no results ({e}): {}", String::from_utf8_lossy(&told.stderr)))
+        })?;
+        let summary = serde_json::from_str(text.trim()).map_err(|e| Fault::Other(format!("{shown}: {e}")))?;
+        all.push(summary);
+        bar.inc(1);
+    }
+    let _ = std::fs::remove_file(&out);
+    Ok(all)
+}
+
+fn hunting(wanted: hunt::Hunt, play: Way, out: Option<&Path>, stop: &AtomicBool) -> Result<bool, Fault> {
+    let bar = bar(wanted.count);
+    let began = Instant::now();
+    let found = hunt::hunt(play.function(), wanted, stop, |played, kinds| {
+        bar.set_position(played);
+        bar.set_message(format!("{kinds} kinds found,"));
+    })?;
+    bar.finish_and_clear();
+    println!(
+        "{} scenarios, {} requests in {:.1} s; {} kinds of failure",
+        found.played,
+        found.requests,
+        began.elapsed().as_secs_f64(),
+        found.finds.len()
+    );
+    if let Some(dir) = out {
+        std::fs::create_dir_all(dir).map_err(|e| Fault::Other(format!("{}: {e}", dir.display())))?;
+    }
+    for (signature, find) in &found.finds {
+        println!("\n{signature}\n  in {} scenarios, first {}: {}", find.count, find.number, find.broken.text);
+        if let Some(dir) = out {
+            let scenario = generate::scenario(find.number);
+            let options = hunt::options(find.number);
+            match hunt::shrink(play.function(), &scenario, options, find.broken.rule, 5_000) {
+                Some(shrunk) => {
+                    let path = dir.join(format!("{}-{}.toml", find.broken.rule, find.number));
+                    save(&path, &kept(&shrunk))?;
+                    println!(
+                        "  cut down to {} events in {} plays: {}",
+                        shrunk.scenario.events(),
+                        shrunk.plays,
+                        path.display()
+                    );
                 }
+                None => println!("  it can't be cut down: as single requests it does not fail"),
             }
-            println!("{:?}", found.losses);
         }
-        Command::Run { scenario, seed } => {
-            let scenario = match scenario_file::load(&scenario) {
-                Ok(s) => Arc::new(s),
-                Err(m) => {
-                    eprint!("{m}");
-                    return ExitCode::FAILURE;
+    }
+    println!("\nleast goodput among those whose hosts bear the load:");
+    for (goodput, number) in &found.losses {
+        println!("  {goodput:.3}  badgerramp-lab replay {number}");
+    }
+    Ok(found.finds.is_empty())
+}
+
+/// A scenario that was cut down, with how it fails.
+fn kept(shrunk: &hunt::Shrunk) -> String {
+    let Options { seed, shuffle, .. } = shrunk.options;
+    let how = if shuffle { " --shuffle" } else { "" };
+    let Broken { rule, text, .. } = &shrunk.broken;
+    format!("# {rule}: {text}\n# run with --seed {seed}{how}\n{}", scenario_file::write(&shrunk.scenario))
+}
+
+use badgerramp_world::Broken;
+
+fn shrink(
+    name: &str,
+    rule: Option<&str>,
+    seed: u64,
+    plays: u64,
+    write: Option<&Path>,
+    played: &Played,
+) -> Result<bool, Fault> {
+    let (scenario, options) = named(name, seed, played.shuffle)?;
+    let course = played.play.play(&Arc::new(scenario.clone()), options)?;
+    let rule = match rule {
+        Some(word) => Rule::named(word).ok_or_else(|| {
+            let known: Vec<String> = Rule::ALL.iter().map(ToString::to_string).collect();
+            Fault::Other(format!("--rule {word}: allowed are {}", known.join(", ")))
+        })?,
+        None => match course.broken.first() {
+            Some(broken) => broken.rule,
+            None => {
+                println!("it breaks no rule");
+                return Ok(true);
+            }
+        },
+    };
+    let Some(shrunk) = hunt::shrink(played.play.function(), &scenario, options, rule, plays) else {
+        println!("it does not break {rule} as single requests");
+        return Ok(true);
+    };
+    let text = kept(&shrunk);
+    match write {
+        Some(path) => save(path, &text)?,
+        None => println!("{text}"),
+    }
+    println!("{} events in {} plays; {rule}: {}", shrunk.scenario.events(), shrunk.plays, shrunk.broken.text);
+    Ok(false)
+}
+
+fn trace(name: &str, call: Option<u64>, seed: u64, played: &Played) -> Result<bool, Fault> {
+    let (scenario, options) = named(name, seed, played.shuffle)?;
+    let scenario = Arc::new(scenario);
+    let op = match call {
+        Some(call) => OpId(call),
+        None => {
+            let course = played.play.play(&scenario, options)?;
+            let broken = course.broken.iter().find_map(|b| b.op);
+            match broken.or(course.unserved) {
+                Some(op) => op,
+                None => {
+                    println!("all were served and no rule broke: name a call with --call");
+                    return Ok(true);
                 }
-            };
-            let began = std::time::Instant::now();
-            let course = virtually(&scenario, Options { seed, ..Options::default() })
-                .unwrap_or_else(|e| panic!("{e}"));
-            let took = began.elapsed();
-            println!("{}", serde_json::to_string_pretty(&course.summary("virtual", seed)).unwrap());
-            for b in &course.broken {
-                println!("{b:?}");
             }
-            println!(
-                "{:.3} s, {:.0} requests a second; utilisation {:.2}",
-                took.as_secs_f64(),
-                course.total().tries as f64 / took.as_secs_f64(),
-                scenario.utilisation()
-            );
         }
+    };
+    let course = played.play.play(&scenario, Options { trace: Some(op), ..options })?;
+    if course.trace.is_empty() {
+        println!("no call {} in this course", op.0);
     }
-    ExitCode::SUCCESS
+    println!("call {}", op.0);
+    course.trace.iter().for_each(|line| println!("{line}"));
+    let broken: Vec<&Broken> = course.broken.iter().filter(|b| b.op == Some(op)).collect();
+    broken.iter().for_each(|b| println!("{:>12.3} ms  BROKEN {}: {}", b.at as f64 / 1e3, b.rule, b.text));
+    Ok(broken.is_empty())
+}
+
+fn page_of(results: &Path, html: &Path) -> Result<bool, Fault> {
+    let name = |e: &dyn std::fmt::Display| Fault::Other(format!("{}: {e}", results.display()));
+    let text = std::fs::read_to_string(results).map_err(|e| name(&e))?;
+    let mut groups: Vec<(String, Vec<Summary>)> = Vec::new();
+    for (n, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()) {
+        let summary: Summary = serde_json::from_str(line)
+            .map_err(|e| Fault::Other(format!("{}:{}: {e}", results.display(), n + 1)))?;
+        let key = format!("{}, {}", summary.scenario, summary.play);
+        match groups.iter_mut().find(|g| g.0 == key) {
+            Some(group) => group.1.push(summary),
+            None => groups.push((key, vec![summary])),
+        }
+    }
+    let points: Vec<Point> = groups.iter().map(|(key, all)| Point::of(vec![key.clone()], all)).collect();
+    save(html, &report::page("Results", &[report::sweep(&points)]))?;
+    Ok(points.iter().all(|p| p.broken == 0))
+}
+
+fn determinism(count: u64, play: Way, stop: &AtomicBool) -> Result<bool, Fault> {
+    let digests = |threads: usize| -> Result<Vec<String>, Fault> {
+        let bar = bar(count);
+        let one = |n: usize| {
+            let course = play.play(&Arc::new(generate::scenario(n as u64)), hunt::options(n as u64))?;
+            Ok(course.digest())
+        };
+        let all = experiment::all(count as usize, threads, stop, one, || bar.inc(1))?;
+        bar.finish_and_clear();
+        Ok(all.into_iter().map(|d| d.1).collect())
+    };
+    let courses = [digests(1)?, digests(1)?, digests(4)?];
+    let short = courses.iter().map(Vec::len).min().unwrap_or(0);
+    let differ = (0..short).filter(|&n| courses.iter().any(|c| c[n] != courses[0][n])).count();
+    println!("{short} scenarios, twice on one thread and once on four: {differ} differ");
+    Ok(differ == 0)
 }
--- a/crates/lab/src/course.rs
+++ b/crates/lab/src/course.rs
@@ -2,7 +2,7 @@
 
 use badgerramp_world::{Answered, Ask, Broken, Micros, OpId, Scenario};
 use hdrhistogram::Histogram;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::sync::Arc;
 
@@ -123,10 +123,12 @@
     buffer: Vec<u8>,
     /// The course of one call, if it was asked for.
     pub trace: Vec<String>,
+    /// The first that was not served.
+    pub unserved: Option<OpId>,
 }
 
 /// A few figures of a course, as a line of JSON.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Summary {
     /// The scenario.
     pub scenario: String,
@@ -190,6 +192,7 @@
             digest: Sha256::new(),
             buffer: Vec::new(),
             trace: Vec::new(),
+            unserved: None,
         }
     }
 
@@ -220,6 +223,9 @@
         let class = &self.scenario.classes[ask.class];
         let (aim, worth, late) = (class.aim, class.worth, class.worth * class.late_worth);
         let time = now.saturating_sub(ask.first);
+        if answered != Some(Answered::Served) {
+            self.unserved.get_or_insert(ask.op);
+        }
         for tally in self.both(ask) {
             match answered {
                 Some(Answered::Served) => {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,10 +2,14 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod bench;
 pub mod cli;
 pub mod course;
+pub mod defects;
+pub mod experiment;
 pub mod generate;
 pub mod hunt;
 pub mod operator;
 pub mod play;
+pub mod report;
 pub mod scenario_file;
--- a/crates/lab/src/play/mod.rs
+++ b/crates/lab/src/play/mod.rs
@@ -10,6 +10,7 @@
 use badgerramp_config::Mistakes;
 use badgerramp_world::{Judge, Micros, OpId, Rule, Scenario};
 use std::fmt;
+use std::sync::Arc;
 
 /// How a course is played.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -24,6 +25,44 @@
     pub stop: bool,
 }
 
+/// How a scenario is played.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum Way {
+    /// The decisions, routes and operator's files in virtual time.
+    Virtual,
+}
+
+impl Way {
+    /// Its name on the command line and in results.
+    pub fn name(self) -> &'static str {
+        match self {
+            Way::Virtual => "virtual",
+        }
+    }
+
+    /// Does it want the machine to itself?
+    pub fn alone(self) -> bool {
+        match self {
+            Way::Virtual => false,
+        }
+    }
+
+    /// The play itself.
+    pub fn function(self) -> fn(&Arc<Scenario>, Options) -> Result<Course, Fault> {
+        match self {
+            Way::Virtual => virtually,
+        }
+    }
+
+    /// Plays a scenario.
+    ///
+    /// # Errors
+    /// If it can't be played.
+    pub fn play(self, scenario: &Arc<Scenario>, options: Options) -> Result<Course, Fault> {
+        self.function()(scenario, options)
+    }
+}
+
 /// Why a scenario can't be played.
 #[derive(Debug)]
 pub enum Fault {
--- a/crates/world/src/judge.rs
+++ b/crates/world/src/judge.rs
@@ -56,6 +56,32 @@
     Miscounted,
 }
 
+impl Rule {
+    /// All of them.
+    pub const ALL: [Rule; 15] = [
+        Rule::Lost,
+        Rule::AnsweredTwice,
+        Rule::AfterEnd,
+        Rule::RanTwice,
+        Rule::Resent,
+        Rule::RefusedThoughRan,
+        Rule::TooMany,
+        Rule::Drain,
+        Rule::ColdPushed,
+        Rule::Forgotten,
+        Rule::Leaked,
+        Rule::NotRecovered,
+        Rule::MixedUp,
+        Rule::Crashed,
+        Rule::Miscounted,
+    ];
+
+    /// The rule of this name.
+    pub fn named(name: &str) -> Option<Rule> {
+        Rule::ALL.into_iter().find(|r| r.to_string() == name)
+    }
+}
+
 impl fmt::Display for Rule {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
