The program's own socket code plays scenarios over a network in memory

Only the decisions were under simulation. Streams, connecting and accepting are traits now, with the system's own behind them; the lab brings others with a scenario's delays, losses, partitions and dead connections, and runs front, driver, hosts and discovery unchanged under the runtime's paused time. Hash orders and unbiased selects that could change a course are gone.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod play;
 pub mod report;
 pub mod scenario_file;
+pub mod sockets;
--- a/crates/lab/src/play/mod.rs
+++ b/crates/lab/src/play/mod.rs
@@ -4,6 +4,7 @@
 mod shell;
 mod virtually;
 
+pub use shell::zone as proxy_zone;
 pub use virtually::play as virtually;
 
 use crate::course::Course;
@@ -30,6 +31,8 @@
 pub enum Way {
     /// The decisions, routes and operator's files in virtual time.
     Virtual,
+    /// The program's own socket code over a network in memory, under paused time.
+    Sockets,
 }
 
 impl Way {
@@ -37,13 +40,14 @@
     pub fn name(self) -> &'static str {
         match self {
             Way::Virtual => "virtual",
+            Way::Sockets => "sockets",
         }
     }
 
     /// Does it want the machine to itself?
     pub fn alone(self) -> bool {
         match self {
-            Way::Virtual => false,
+            Way::Virtual | Way::Sockets => false,
         }
     }
 
@@ -51,6 +55,7 @@
     pub fn function(self) -> fn(&Arc<Scenario>, Options) -> Result<Course, Fault> {
         match self {
             Way::Virtual => virtually,
+            Way::Sockets => crate::sockets::play,
         }
     }
 
--- a/crates/lab/src/play/shell.rs
+++ b/crates/lab/src/play/shell.rs
@@ -5,7 +5,6 @@
 use badgerramp_world::{Ask, Scenario};
 use http::{HeaderMap, HeaderValue, Method};
 use rustc_hash::FxHashMap;
-use std::sync::Arc;
 
 /// What the operator's file makes of the requests of a class: found once, by the routes that the program has.
 #[derive(Clone, Copy, Debug)]
@@ -123,7 +122,7 @@
 }
 
 /// The zone of each proxy: they are spread evenly over those of the hosts.
-pub(crate) fn zone(scenario: &Arc<Scenario>, proxy: u32) -> &str {
+pub fn zone(scenario: &Scenario, proxy: u32) -> &str {
     let mut zones: Vec<&str> = Vec::new();
     for host in &scenario.hosts {
         if !zones.contains(&host.zone.as_str()) {
--- a/crates/lab/src/play/virtually.rs
+++ b/crates/lab/src/play/virtually.rs
@@ -711,6 +711,7 @@
             name: (u64::from(ask.number) << 8) | u64::from(wire.attempt),
             effect: self.scenario.classes[ask.class].effect,
             work: ask.work,
+            usual: ask.usual,
             informed: known.started == self.hosts[host].started(),
         };
         self.course.step(self.now, 5, ask.op.0, host as u64);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,9 +1,9 @@
-//! The program on sockets: command line, start, reload and exit round the decisions. As a library it lets the demo
-//! run the very program in a process of its own.
+//! The program on sockets, as a library: its command line, its start, and what carries the decisions out. A simulation
+//! runs the same parts on a network of its own.
 #![forbid(unsafe_code)]
 
 pub mod cli;
-mod net;
+pub mod net;
 mod platform;
-mod program;
-mod sidecar;
+pub mod program;
+pub mod sidecar;
--- a/crates/proxy/src/net/clients.rs
+++ b/crates/proxy/src/net/clients.rs
@@ -2,7 +2,7 @@
 //! connection is noted here, as the HTTP library tells of a request only when its whole head is in.
 
 use super::clock::Clock;
-use super::socket::{self, Socket};
+use super::socket::{Socket, Stream};
 use super::Descriptor;
 use badgerramp_decisions::Micros;
 use std::cell::{Cell, RefCell};
@@ -13,7 +13,6 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 /// A connection that has never asked may be closed from then on when another wants its place: a client asks as
@@ -39,7 +38,7 @@
 pub struct Seat {
     number: u64,
     clock: Clock,
-    stream: Rc<TcpStream>,
+    stream: Rc<dyn Stream>,
     descriptor: Cell<Option<Descriptor>>,
     phase: Cell<Phase>,
     /// When the phase began; for a first head, when the client connected.
@@ -83,7 +82,7 @@
 
     /// The address that the client connected from.
     pub fn client(&self) -> IpAddr {
-        self.stream.peer_addr().map_or(IpAddr::from([0, 0, 0, 0]), |a| a.ip())
+        self.stream.peer().unwrap_or(IpAddr::from([0, 0, 0, 0]))
     }
 
     /// The head of a request is in. Tells since when it has been coming.
@@ -131,7 +130,7 @@
     /// once, if none is idle longer: a crowd that asks once and stays would else keep out all who come.
     fn spare(&self, now: Micros) -> bool {
         let least = if self.asked.get() { 0 } else { SILENT };
-        self.phase.get() == Phase::Idle && self.since.get() + least <= now && socket::quiet(&self.stream)
+        self.phase.get() == Phase::Idle && self.since.get() + least <= now && self.stream.quiet()
     }
 
     fn overdue(&self, now: Micros) -> bool {
@@ -140,7 +139,7 @@
             Phase::Idle | Phase::Head => UNASKED,
             Phase::Open => return false,
         };
-        self.since.get() + most <= now && socket::quiet(&self.stream)
+        self.since.get() + most <= now && self.stream.quiet()
     }
 
     fn close(&self) {
@@ -169,12 +168,12 @@
     }
 
     /// Takes a connection in.
-    pub fn enter(&self, stream: TcpStream, descriptor: Option<Descriptor>, clock: Clock) -> Rc<Seat> {
+    pub fn enter(&self, stream: Rc<dyn Stream>, descriptor: Option<Descriptor>, clock: Clock) -> Rc<Seat> {
         let number = self.next.replace(self.next.get() + 1);
         let seat = Rc::new(Seat {
             number,
             clock,
-            stream: Rc::new(stream),
+            stream,
             descriptor: Cell::new(descriptor),
             phase: Cell::new(Phase::Idle),
             since: Cell::new(clock.now()),
--- a/crates/proxy/src/net/discovery.rs
+++ b/crates/proxy/src/net/discovery.rs
@@ -2,6 +2,7 @@
 //! to ask again; calls never wait for it.
 
 use super::driver::{Driver, List};
+use super::socket::{Network, Socket};
 use badgerramp_decisions::ListKind;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
@@ -10,10 +11,11 @@
 use hyper::StatusCode;
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
-use tokio::net::TcpStream;
+use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 /// How long a watch waits for news. A service that has fallen silent shows only after that, so it is short;
 /// but each call costs the service work.
@@ -43,11 +45,12 @@
 
 /// Keeps the list up to date, for as long as the program runs. When `address` changes, the whole list is
 /// fetched at the new one at once: the old service's index means nothing there.
-pub async fn run(driver: Driver, mut address: watch::Receiver<SocketAddr>, mut index: Option<u64>) {
+pub async fn run(driver: Driver, network: Rc<dyn Network>, mut address: watch::Receiver<SocketAddr>, mut index: Option<u64>) {
     let mut moved = false;
     loop {
         if !moved {
             tokio::select! {
+                biased;
                 () = driver.subscribed() => {}
                 () = changed(&mut address) => index = None,
             }
@@ -56,7 +59,7 @@
         moved = tokio::select! {
             biased;
             () = changed(&mut address) => true,
-            () = follow(&driver, at, &mut index) => false,
+            () = follow(&driver, &*network, at, &mut index) => false,
         };
         if moved {
             index = None;
@@ -74,12 +77,12 @@
 }
 
 /// Watches at one address until that fails.
-async fn follow(driver: &Driver, address: SocketAddr, index: &mut Option<u64>) {
+async fn follow(driver: &Driver, network: &dyn Network, address: SocketAddr, index: &mut Option<u64>) {
     let mut link = None;
     loop {
         let asked = Instant::now();
         let patience = if index.is_some() { WAIT + SILENCE } else { FETCH };
-        match tokio::time::timeout(patience, ask(&mut link, address, *index)).await {
+        match tokio::time::timeout(patience, ask(&mut link, network, address, *index)).await {
             Ok(Ok(list)) => {
                 let kind = if list.snapshot { ListKind::Full } else { ListKind::Delta };
                 driver.members(kind, &list.endpoints);
@@ -100,10 +103,15 @@
     }
 }
 
-async fn ask(link: &mut Option<Link>, address: SocketAddr, index: Option<u64>) -> Result<List, String> {
+async fn ask(
+    link: &mut Option<Link>,
+    network: &dyn Network,
+    address: SocketAddr,
+    index: Option<u64>,
+) -> Result<List, String> {
     let open = match link.take().filter(|l| l.sender.is_ready()) {
         Some(open) => open,
-        None => connect(address).await?,
+        None => connect(network, address).await?,
     };
     let open = link.insert(open);
     let path = match index {
@@ -120,13 +128,12 @@
     serde_json::from_slice(&body.to_bytes()).map_err(|e| format!("odd list: {e}"))
 }
 
-async fn connect(address: SocketAddr) -> Result<Link, String> {
-    let stream = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
+async fn connect(network: &dyn Network, address: SocketAddr) -> Result<Link, String> {
+    let stream = tokio::time::timeout(CONNECT, network.connect(address)).await;
     let stream = stream.map_err(|_| "no connection in time".to_owned())?;
     let stream = stream.map_err(|e| format!("no connection: {e}"))?;
-    let _ = stream.set_nodelay(true);
     let (mut sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(|e| format!("no connection: {e}"))?;
+        http1::handshake(TokioIo::new(Socket::new(&stream))).await.map_err(|e| format!("no connection: {e}"))?;
     let task = tokio::task::spawn_local(async move {
         // A broken connection shows in the call that uses it.
         let _ = connection.await;
--- a/crates/proxy/src/net/driver.rs
+++ b/crates/proxy/src/net/driver.rs
@@ -11,7 +11,7 @@
 };
 use serde::Deserialize;
 use std::cell::RefCell;
-use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::{oneshot, Notify};
@@ -139,7 +139,7 @@
     next_call: u64,
     /// Hosts of the list. One that is gone is forgotten, as are the numbers of its name: they are never given
     /// again, so that what is still out there concerns nobody else.
-    numbers: HashMap<Rc<str>, ServerId>,
+    numbers: BTreeMap<Rc<str>, ServerId>,
     hosts: HashMap<ServerId, Host>,
     next_host: u32,
     next_generation: u64,
@@ -170,7 +170,7 @@
             calls: HashMap::new(),
             open: 0,
             next_call: 0,
-            numbers: HashMap::new(),
+            numbers: BTreeMap::new(),
             hosts: HashMap::new(),
             next_host: 0,
             next_generation: 0,
@@ -201,6 +201,36 @@
         self.core.borrow().open
     }
 
+    /// Where what the decisions count differs from what is there, in words; empty if all is well.
+    pub fn audit(&self) -> Vec<String> {
+        let core = self.core.borrow();
+        let mut out: BTreeMap<ServerId, u32> = BTreeMap::new();
+        let attempts = core.calls.values().flat_map(|c| &c.attempts);
+        attempts.filter(|a| a.out).for_each(|a| *out.entry(a.server).or_default() += 1);
+        let mut odd = Vec::new();
+        for (&server, host) in &core.hosts {
+            let (there, now) = (out.get(&server).copied().unwrap_or(0), self.clock.now());
+            let counted = core.balancer.view(now, server).map_or(there, |v| v.in_flight);
+            if counted != there {
+                odd.push(format!("{}: {counted} in flight by the decisions, {there} there", host.name));
+            }
+        }
+        let known = core.balancer.totals().0;
+        if known > core.calls.len() {
+            odd.push(format!("{known} calls known to the decisions, {} there", core.calls.len()));
+        }
+        if core.open != core.calls.values().filter(|c| c.answer.is_some()).count() {
+            odd.push(format!("{} calls counted as open", core.open));
+        }
+        odd.sort();
+        odd
+    }
+
+    /// Calls that are not forgotten yet: open ones, and those of which an attempt is still out.
+    pub fn calls(&self) -> usize {
+        self.core.borrow().calls.len()
+    }
+
     /// Other settings hold for what comes from now on.
     pub fn reconfigure(&self, settings: Settings, fresh: Vec<ClassId>, max_open: usize) {
         self.core.borrow_mut().max_open = max_open;
@@ -451,6 +481,7 @@
                 Some(at) if at <= self.clock.now() => self.due(),
                 Some(at) => {
                     tokio::select! {
+                        biased;
                         () = tokio::time::sleep_until(self.clock.instant(at)) => {}
                         () = self.timer_moved.notified() => {}
                     }
@@ -588,6 +619,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::net::socket::Tcp;
     use crate::net::{Descriptors, Room};
     use badgerramp_decisions::settings::Transport;
     use hyper::http::{HeaderMap, Method, Uri};
@@ -596,7 +628,7 @@
     fn driver() -> Driver {
         let clock = Clock::start();
         let transport = Transport { max_open: 9, conn_idle: 60_000_000, connect_timeout: 9_000_000 };
-        let sockets = Hosts::new(transport, 1, (Descriptors::new(9), Room::new(1 << 20)), clock);
+        let sockets = Hosts::new(transport, 1, (Descriptors::new(9), Room::new(1 << 20)), Rc::new(Tcp), clock);
         let facts = Facts { settings: Settings::default(), classes: vec![], tenants: vec![], transport };
         Driver::new(7, facts, false, clock, sockets)
     }
--- a/crates/proxy/src/net/front.rs
+++ b/crates/proxy/src/net/front.rs
@@ -5,6 +5,7 @@
 use super::driver::{Answer, Driver, Intake};
 use super::exchange::{Reply, Request};
 use super::hosts::Hosts;
+use super::socket::{Listener, Stream};
 use super::{Descriptors, Room};
 use badgerramp_decisions::{CallId, Micros};
 use bytes::Bytes;
@@ -18,12 +19,11 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{poll_fn, Future};
 use std::io;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -63,7 +63,7 @@
 
 impl Front {
     /// Serves clients until `stop` resolves, then finishes what is taken.
-    pub async fn serve(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
+    pub async fn serve(self: Rc<Self>, listener: Rc<dyn Listener>, stop: impl Future<Output = ()>) {
         let (closing, closed) = watch::channel(false);
         let mut stop = pin!(stop);
         let mut end: Option<Instant> = None;
@@ -86,8 +86,8 @@
                     end = Some(Instant::now() + STOP_ACCEPT);
                     let _ = closing.send(true);
                 }
-                accepted = listener.accept(), if room => match accepted {
-                    Ok((stream, _)) => self.accepted(stream, closed.clone()),
+                accepted = poll_fn(|cx| listener.poll_accept(cx)), if room => match accepted {
+                    Ok(stream) => self.accepted(stream, closed.clone()),
                     Err(fault) => self.short_of_sockets(&fault).await,
                 },
                 () = self.clients.left(), if !room => {}
@@ -116,7 +116,7 @@
         }
     }
 
-    fn accepted(self: &Rc<Self>, stream: TcpStream, closing: watch::Receiver<bool>) {
+    fn accepted(self: &Rc<Self>, stream: Rc<dyn Stream>, closing: watch::Receiver<bool>) {
         let clock = self.driver.clock();
         let full = self.clients.count() >= self.most && !self.clients.evict(clock.now());
         let descriptor = self.descriptors.take().or_else(|| {
@@ -124,7 +124,6 @@
             self.descriptors.take()
         });
         let crowded = full || descriptor.is_none();
-        let _ = stream.set_nodelay(true);
         let seat = self.clients.enter(stream, descriptor, clock);
         tokio::task::spawn_local(Rc::clone(self).connection(seat, closing, crowded));
     }
@@ -154,6 +153,7 @@
         let mut told = *closing.borrow();
         loop {
             tokio::select! {
+                biased;
                 // How a client's connection ends concerns nobody: its calls are dropped with it.
                 _ = connection.as_mut() => break,
                 () = seat.leaves() => {
--- a/crates/proxy/src/net/hosts.rs
+++ b/crates/proxy/src/net/hosts.rs
@@ -3,7 +3,7 @@
 
 use super::clock::Clock;
 use super::exchange::{Ended, Reply, Request, Target};
-use super::socket::{self, Socket};
+use super::socket::{Network, Socket, Stream};
 use super::{Descriptor, Descriptors, Room};
 use badgerramp_decisions::settings::Transport;
 use badgerramp_decisions::{Load, Micros, Outcome, ServerId};
@@ -16,7 +16,7 @@
 use hyper::{Method, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::future::{poll_fn, Future};
 use std::io;
 use std::pin::{pin, Pin};
@@ -24,7 +24,6 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 /// Most bytes of an answer's head, and of what is read of a body at once.
 const HEAD_MOST: usize = 16 * 1024;
@@ -81,7 +80,7 @@
 struct Link {
     sender: SendRequest<Full<Bytes>>,
     connection: Connection<TokioIo<Watched>, Full<Bytes>>,
-    stream: Rc<TcpStream>,
+    stream: Rc<dyn Stream>,
     handed_over: Rc<Cell<bool>>,
     idle_since: Micros,
     generation: u64,
@@ -94,7 +93,7 @@
     /// would have it read as the answer to the next request.
     async fn alive(&mut self) -> bool {
         let ended = poll_fn(|cx| Poll::Ready(Pin::new(&mut self.connection).poll(cx).is_ready())).await;
-        !ended && self.sender.is_ready() && socket::quiet(&self.stream)
+        !ended && self.sender.is_ready() && self.stream.quiet()
     }
 
     /// One exchange, driven from here.
@@ -232,10 +231,12 @@
 
 /// The connections to all hosts.
 pub struct Hosts {
-    idle: RefCell<HashMap<ServerId, Vec<Link>>>,
+    /// Sorted: which goes first must not hang on how numbers are hashed.
+    idle: RefCell<BTreeMap<ServerId, Vec<Link>>>,
     /// The generation of each host to which something may go.
-    current: RefCell<HashMap<ServerId, u64>>,
+    current: RefCell<BTreeMap<ServerId, u64>>,
     staleness: RefCell<Staleness>,
+    network: Rc<dyn Network>,
     room: Rc<Room>,
     descriptors: Rc<Descriptors>,
     clock: Clock,
@@ -248,13 +249,15 @@
         transport: Transport,
         balancers: u32,
         (descriptors, room): (Rc<Descriptors>, Rc<Room>),
+        network: Rc<dyn Network>,
         clock: Clock,
     ) -> Rc<Self> {
         let spares = badgerramp_config::connections_kept(balancers);
         Rc::new(Hosts {
-            idle: RefCell::new(HashMap::new()),
-            current: RefCell::new(HashMap::new()),
+            idle: RefCell::default(),
+            current: RefCell::default(),
             staleness: RefCell::default(),
+            network,
             room,
             descriptors,
             clock,
@@ -323,7 +326,7 @@
             None if self.evict() => self.descriptors.take().ok_or(Outcome::NotSent)?,
             None => return Err(Outcome::NotSent),
         };
-        let connect = tokio::time::timeout(Duration::from_micros(most), TcpStream::connect(target.address));
+        let connect = tokio::time::timeout(Duration::from_micros(most), self.network.connect(target.address));
         let stream = match connect.await {
             Ok(Ok(stream)) => stream,
             Ok(Err(fault)) if matches!(fault.raw_os_error(), Some(ENFILE | EMFILE)) => {
@@ -332,8 +335,7 @@
             }
             _ => return Err(Outcome::NoConnection),
         };
-        let _ = stream.set_nodelay(true);
-        let (stream, handed_over) = (Rc::new(stream), Rc::new(Cell::new(false)));
+        let handed_over = Rc::new(Cell::new(false));
         let watched = Watched { socket: Socket::new(&stream), handed_over: Rc::clone(&handed_over) };
         let handshake = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(TokioIo::new(watched)).await;
         let (sender, connection) = handshake.map_err(|_| Outcome::NoConnection)?;
@@ -468,6 +470,7 @@
 mod tests {
     use super::*;
     use crate::net::exchange::Manner;
+    use crate::net::socket::Tcp;
     use hyper::http::Uri;
     use std::io::{Read, Write};
     use std::net::TcpListener;
@@ -487,7 +490,7 @@
             conn_idle: 60_000_000,
             connect_timeout: Duration::from_secs(9).as_micros() as Micros,
         };
-        let hosts = Hosts::new(transport, 1, (Descriptors::new(9), Room::new(1 << 20)), Clock::start());
+        let hosts = Hosts::new(transport, 1, (Descriptors::new(9), Room::new(1 << 20)), Rc::new(Tcp), Clock::start());
         let target = Target { server: ServerId(0), address, generation: 0 };
         let (method, uri, headers) = (Method::GET, Uri::from_static("/a"), HeaderMap::new());
         let answers = std::sync::Arc::new(badgerramp_route::Answers::platform());
--- a/crates/proxy/src/net/mod.rs
+++ b/crates/proxy/src/net/mod.rs
@@ -30,6 +30,11 @@
         Rc::new(Descriptors { limit, open: Cell::new(0) })
     }
 
+    /// How many are open.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
     /// Counts one more in, if there is room.
     pub fn take(self: &Rc<Self>) -> Option<Descriptor> {
         (self.open.get() < self.limit).then(|| {
--- a/crates/proxy/src/program.rs
+++ b/crates/proxy/src/program.rs
@@ -7,17 +7,20 @@
 use crate::net::driver::{Driver, Endpoint};
 use crate::net::front::Front;
 use crate::net::hosts::Hosts;
+use crate::net::socket::{Listener, Network, Tcp};
 use crate::net::{Descriptors, Room};
 use badgerramp_config::{clients_borne, Mistakes, DESCRIPTORS_RESERVED};
 use badgerramp_decisions::settings::Facts;
 use badgerramp_decisions::{ListKind, Micros};
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpSocket;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 /// Connections waiting to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -89,7 +92,7 @@
     tokio::task::LocalSet::new().block_on(&runtime, serve(setup, reload))
 }
 
-async fn serve(setup: Setup, mut reload: impl FnMut(&Running) -> Result<(), String>) -> Result<(), String> {
+async fn serve(setup: Setup, reload: impl FnMut(&Running) -> Result<(), String>) -> Result<(), String> {
     // First of all: until then either signal kills.
     let mut hangups = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
@@ -99,14 +102,48 @@
     socket.set_reuseaddr(true).map_err(bind)?;
     socket.bind(setup.listen).map_err(bind)?;
     let listener = socket.listen(BACKLOG).map_err(bind)?;
+    if let Ok(address) = listener.local_addr() {
+        eprintln!("badgerramp: listening on {address}");
+    }
+    let around = Surroundings { network: Rc::new(Tcp), listener: Rc::new(listener), clock: Clock::start() };
+    let hangup = async move || hangups.recv().await.is_some();
+    let stop = async move {
+        term.recv().await;
+    };
+    serve_in(setup, around, hangup, stop, reload, |_| {}).await
+}
 
-    let clock = Clock::start();
+/// What the program runs in: the system, or a simulation.
+pub struct Surroundings {
+    /// Opens connections to hosts and list service.
+    pub network: Rc<dyn Network>,
+    /// Takes clients' connections.
+    pub listener: Rc<dyn Listener>,
+    /// The time.
+    pub clock: Clock,
+}
+
+/// Serves within these surroundings until `stop` resolves. Each time `hangup` resolves to true `reload` is called; what
+/// it fails with is logged, and must have changed nothing. `started` is shown what runs, once.
+///
+/// # Errors
+/// If a part ends that must go on: without it calls would stay unanswered.
+pub async fn serve_in(
+    setup: Setup,
+    around: Surroundings,
+    mut hangup: impl AsyncFnMut() -> bool,
+    stop: impl Future<Output = ()>,
+    mut reload: impl FnMut(&Running) -> Result<(), String>,
+    started: impl FnOnce(&Running),
+) -> Result<(), String> {
+    let Surroundings { network, listener, clock } = around;
     let room = setup.descriptors.saturating_sub(DESCRIPTORS_RESERVED).max(8);
     let descriptors = Descriptors::new(room);
     // The rest is for buffers, which are bounded by the number of connections.
     let bytes = Room::new(setup.memory / 4);
     let counted = (Rc::clone(&descriptors), Rc::clone(&bytes));
-    let hosts = Hosts::new(setup.facts.transport, setup.facts.settings.balancers, counted, clock);
+    let balancers = setup.facts.settings.balancers;
+    let hosts = Hosts::new(setup.facts.transport, balancers, counted, Rc::clone(&network), clock);
     let driver = Driver::new(setup.seed, setup.facts, setup.plain_http, clock, Rc::clone(&hosts));
     driver.start();
     let (address, index) = match setup.members {
@@ -119,21 +156,18 @@
             (None, None)
         }
     };
-    let mut timers = tokio::task::spawn_local({
+    let mut timers = Task(tokio::task::spawn_local({
         let driver = driver.clone();
         async move { driver.timers().await }
-    });
+    }));
     let (moved, moves) = watch::channel(address.unwrap_or(setup.listen));
     let driver_of_watch = driver.clone();
-    let mut watch = tokio::task::spawn_local(async move {
+    let mut watch = Task(tokio::task::spawn_local(async move {
         match address {
-            Some(_) => discovery::run(driver_of_watch, moves, index).await,
+            Some(_) => discovery::run(driver_of_watch, network, moves, index).await,
             None => std::future::pending().await,
         }
-    });
-    if let Ok(address) = listener.local_addr() {
-        eprintln!("badgerramp: listening on {address}");
-    }
+    }));
     let front = Rc::new(Front {
         driver: driver.clone(),
         hosts: Rc::clone(&hosts),
@@ -148,8 +182,9 @@
         beyond: (setup.descriptors / 40).max(2),
     });
     let running = Running { driver, front: Rc::clone(&front), clock, discovery: moved };
+    started(&running);
     let reloads = async {
-        while hangups.recv().await.is_some() {
+        while hangup().await {
             if let Err(fault) = reload(&running) {
                 eprintln!("badgerramp: the old configuration stays: {fault}");
             }
@@ -162,15 +197,22 @@
             front.clients.sweep(clock.now());
         }
     };
-    let stop = async move {
-        term.recv().await;
-    };
     tokio::select! {
+        biased;
         () = Rc::clone(&front).serve(listener, stop) => Ok(()),
         // Without these calls would stay unanswered: better a crash that is seen.
-        ended = &mut timers => Err(format!("the timers ended: {ended:?}")),
-        ended = &mut watch => Err(format!("discovery ended: {ended:?}")),
+        ended = &mut timers.0 => Err(format!("the timers ended: {ended:?}")),
+        ended = &mut watch.0 => Err(format!("discovery ended: {ended:?}")),
         () = reloads => Err("the reader of the configuration ended".to_owned()),
         () = sweep => Ok(()),
     }
 }
+
+/// A task that ends with its owner.
+struct Task(JoinHandle<()>);
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
--- a/crates/proxy/src/sidecar.rs
+++ b/crates/proxy/src/sidecar.rs
@@ -121,11 +121,8 @@
     }
 }
 
-/// Runs the program.
-pub fn run(path: PathBuf) -> Result<(), Fault> {
-    let config = load(&path)?;
-    check_descriptors(config.limits.descriptors)?;
-    let (mut places, mut known) = (Places::default(), Known::default());
+/// All that a start by a file needs.
+fn setup(config: Config, places: &mut Places, known: &mut Known, seed: u64) -> Setup {
     let names: Vec<&str> = config.classes.iter().map(|c| c.name.as_str()).collect();
     let (numbers, _) = places.assign(&names, |_| false);
     let transport = Transport {
@@ -141,17 +138,30 @@
         Some(address) => Members::Discovery { address, known: Vec::new(), index: None },
         None => Members::Fixed(known.list(&config, 0)),
     };
-    let setup = Setup {
+    Setup {
         listen: config.listen,
-        seed: seed(),
+        seed,
         facts,
         descriptors: config.limits.descriptors,
         memory: config.limits.memory,
         members,
         advice: config.limits.retry_after,
-        rules: Rules::Sidecar(Box::new(Sidecar::new(config, numbers, seed()))),
+        rules: Rules::Sidecar(Box::new(Sidecar::new(config, numbers, seed))),
         plain_http: true,
-    };
+    }
+}
+
+/// All that a start by a file needs, where it is not read again later.
+pub fn setup_once(config: Config, seed: u64) -> Setup {
+    setup(config, &mut Places::default(), &mut Known::default(), seed)
+}
+
+/// Runs the program.
+pub fn run(path: PathBuf) -> Result<(), Fault> {
+    let config = load(&path)?;
+    check_descriptors(config.limits.descriptors)?;
+    let (mut places, mut known) = (Places::default(), Known::default());
+    let setup = setup(config, &mut places, &mut known, seed());
     let reload = move |running: &Running| {
         let config = load(&path).map_err(|fault| match fault {
             Fault::Mistakes(mistakes) => mistakes.line(),
--- a/crates/world/src/clients.rs
+++ b/crates/world/src/clients.rs
@@ -24,6 +24,8 @@
     pub patience: Micros,
     /// Work at speed 1.
     pub work: Micros,
+    /// What it would be if nothing made it costly.
+    pub usual: Micros,
     /// Its tenant, from 1; 0: none.
     pub tenant: u32,
 }
@@ -134,7 +136,8 @@
     fn first(&self, request: Request) -> Ask {
         let Request { at, proxy, class, id } = request;
         let spec = &self.scenario.classes[class];
-        let mut work = self.draws.between((0x0c57, id, 0), spec.work);
+        let usual = self.draws.between((0x0c57, id, 0), spec.work);
+        let mut work = usual;
         for fault in self.scenario.faults.iter().filter(|f| f.from <= at && at < f.until) {
             match fault.trouble {
                 Trouble::Costly { class: of, share, factor }
@@ -152,7 +155,7 @@
         };
         let patience = (spec.deadline as f64 * self.scenario.clients.patience) as Micros;
         let patience = patience.clamp(1, spec.deadline);
-        Ask { op: OpId(id), number: 0, at, first: at, class, proxy, patience, work, tenant }
+        Ask { op: OpId(id), number: 0, at, first: at, class, proxy, patience, work, usual, tenant }
     }
 
     /// What a client does that was answered at `now`; `told` is when it was told to come back, if it was.
