The real play: built programs on loopback between the stand-ins of the simulation

One scenario is to be played in memory and with real processes. Hosts, list service and clients are one code over either network; the real play starts the built program with the operator's file that the scenario makes, and watches memory and descriptors.

--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -352,6 +352,9 @@
         "{} questions to the list service, at most {} connections at a host",
         summary.list_asked, summary.connections_most
     );
+    if summary.descriptors_most > 0 {
+        println!("a proxy had at most {} KiB and {} descriptors", summary.memory_most, summary.descriptors_most);
+    }
     if !summary.digest.is_empty() {
         println!("digest {}", summary.digest);
     }
--- a/crates/lab/src/course.rs
+++ b/crates/lab/src/course.rs
@@ -115,6 +115,10 @@
     pub list_asked: u64,
     /// Most connections that any host had at once.
     pub connections_most: u32,
+    /// Most memory of any proxy, in KiB, and most descriptors, in a real play.
+    pub memory_most: u64,
+    /// As above.
+    pub descriptors_most: usize,
     /// Work that hosts did, in microseconds of their cores, and that of answers that were served.
     pub worked: (u64, u64),
     /// Steps of the play.
@@ -166,6 +170,10 @@
     pub list_asked: u64,
     /// Most connections at any host.
     pub connections_most: u32,
+    /// Most memory of any proxy, in KiB; 0 where it has no process of its own.
+    pub memory_most: u64,
+    /// Most descriptors of any proxy; likewise.
+    pub descriptors_most: usize,
     /// How often any rule was broken.
     pub broken: u64,
     /// The first that was.
@@ -187,6 +195,8 @@
             broken_count: 0,
             list_asked: 0,
             connections_most: 0,
+            memory_most: 0,
+            descriptors_most: 0,
             worked: (0, 0),
             steps: 0,
             digest: Sha256::new(),
@@ -331,6 +341,8 @@
             p999_ms: ms(0.999),
             list_asked: self.list_asked,
             connections_most: self.connections_most,
+            memory_most: self.memory_most,
+            descriptors_most: self.descriptors_most,
             broken: self.broken_count,
             first_broken: self.broken.first().map(|b| format!("{}: {}", b.rule, b.text)),
             digest: if play == "real" { String::new() } else { self.digest() },
--- a/crates/lab/src/defects.rs
+++ b/crates/lab/src/defects.rs
@@ -25,6 +25,10 @@
 const MODULE: &str = "crates/decisions/src/balance.rs";
 const STATE: &str = "crates/decisions/src/state.rs";
 const API: &str = "crates/decisions/src/api.rs";
+const DRIVER: &str = "crates/proxy/src/net/driver.rs";
+const HOSTS: &str = "crates/proxy/src/net/hosts.rs";
+const CLIENTS: &str = "crates/proxy/src/net/clients.rs";
+const NET: &str = "crates/proxy/src/net/mod.rs";
 
 /// All defects.
 pub const DEFECTS: &[Defect] = &[
@@ -194,6 +198,103 @@
         play: "virtual",
         edits: &[(MODULE, "self.listed && self.budget.steps == 0 && rested && self.warmth(now, rules) >= 1.0", "self.listed && self.budget.steps == 0 && rested && self.warmth(now, rules) > 1.0")],
     },
+    Defect {
+        name: "start-unasked",
+        what: "a request is written without asking whether it may still start",
+        play: "sockets",
+        edits: &[
+            (HOSTS, "if !may_start() {", "if !may_start() && hosts.spares > 1_000 {"),
+        ],
+    },
+    Defect {
+        name: "used-with-noise",
+        what: "a connection is used again whatever has come in on it",
+        play: "sockets",
+        edits: &[
+            (HOSTS, "if !current || !link.alive().await {", "if !current {"),
+            (HOSTS, "&& link.generation == target.generation && link.alive().await {", "&& link.generation == target.generation {"),
+        ],
+    },
+    Defect {
+        name: "time-out-is-proof",
+        what: "an attempt that timed out is taken as one that was never written",
+        play: "sockets",
+        edits: &[
+            (DRIVER, "Some(Attempt { started: false, .. }) => Outcome::NoConnection,", "Some(_) => Outcome::NoConnection,"),
+        ],
+    },
+    Defect {
+        name: "break-is-proof",
+        what: "a connection that broke under a request is told as one that never was",
+        play: "sockets",
+        edits: &[
+            (HOSTS, "Err(Fault::Broken) if link.handed_over.get() => return Outcome::Reset.into(),", "Err(Fault::Broken) if link.handed_over.get() => return Outcome::NoConnection.into(),"),
+        ],
+    },
+    Defect {
+        name: "spoilt-is-proof",
+        what: "an answer that can't be read is told as one of a host that turned the call away",
+        play: "sockets",
+        edits: &[
+            (HOSTS, "Err(Fault::Spoilt) => return Outcome::Error.into(),", "Err(Fault::Spoilt) => return Outcome::TurnedAway.into(),"),
+        ],
+    },
+    Defect {
+        name: "cut-body-served",
+        what: "a body that ends with its connection is served",
+        play: "sockets",
+        edits: &[
+            (HOSTS, "_ => return Err(Fault::Spoilt),\n    };", "_ => body_most,\n    };"),
+        ],
+    },
+    Defect {
+        name: "open-not-counted",
+        what: "calls that end unserved stay counted as open",
+        play: "sockets",
+        edits: &[
+            (DRIVER, "if let Some(sender) = call.answer.take() {\n            self.open -= 1;\n            self.timers", "if let Some(sender) = call.answer.take() {\n            self.timers"),
+        ],
+    },
+    Defect {
+        name: "calls-kept",
+        what: "calls that have ended are kept",
+        play: "sockets",
+        edits: &[
+            (DRIVER, "if self.calls.get(&id).is_some_and(|c| c.answer.is_none() && c.attempts.iter().all(|a| !a.out)) {", "if self.calls.get(&id).is_some_and(|c| c.answer.is_none() && c.attempts.is_empty()) {"),
+        ],
+    },
+    Defect {
+        name: "timer-not-moved",
+        what: "an earlier timer does not wake the one who waits for the next",
+        play: "sockets",
+        edits: &[
+            (DRIVER, "if core.timers.first().copied() != first {", "if core.timers.first().copied() != first && core.timers.is_empty() {"),
+        ],
+    },
+    Defect {
+        name: "descriptor-kept",
+        what: "sockets are never counted out",
+        play: "sockets",
+        edits: &[
+            (NET, "self.0.open.set(self.0.open.get() - 1);", "self.0.open.set(self.0.open.get());"),
+        ],
+    },
+    Defect {
+        name: "no-linger",
+        what: "a connection is closed on what still comes in after an early answer",
+        play: "sockets",
+        edits: &[
+            (CLIENTS, "while self.early.get() && left > 0 {", "while self.early.get() && left > LINGER_MOST {"),
+        ],
+    },
+    Defect {
+        name: "gone-untold",
+        what: "the decisions are not told of a client that has left",
+        play: "sockets",
+        edits: &[
+            (DRIVER, "self.core.borrow_mut().close(call, None);\n        self.event(Event::Gone { call });", "self.core.borrow_mut().close(call, None);"),
+        ],
+    },
 ];
 
 /// What came of a hunt for a defect.
--- a/crates/lab/src/play/mod.rs
+++ b/crates/lab/src/play/mod.rs
@@ -33,6 +33,8 @@
     Virtual,
     /// The program's own socket code over a network in memory, under paused time.
     Sockets,
+    /// The built program as processes on loopback, in real time.
+    Real,
 }
 
 impl Way {
@@ -41,6 +43,7 @@
         match self {
             Way::Virtual => "virtual",
             Way::Sockets => "sockets",
+            Way::Real => "real",
         }
     }
 
@@ -48,6 +51,7 @@
     pub fn alone(self) -> bool {
         match self {
             Way::Virtual | Way::Sockets => false,
+            Way::Real => true,
         }
     }
 
@@ -56,6 +60,7 @@
         match self {
             Way::Virtual => virtually,
             Way::Sockets => crate::sockets::play,
+            Way::Real => crate::sockets::really,
         }
     }
 
--- a/crates/proxy/src/net/clients.rs
+++ b/crates/proxy/src/net/clients.rs
@@ -7,6 +7,7 @@
 use badgerramp_decisions::Micros;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::poll_fn;
 use std::io;
 use std::net::IpAddr;
 use std::pin::Pin;
@@ -49,8 +50,13 @@
     behind: Cell<u64>,
     length: Cell<u64>,
     leave: Notify,
+    /// It was answered, and closes, while its request may still be coming in.
+    early: Cell<bool>,
 }
 
+/// Most bytes that are read of what comes in after the last answer.
+const LINGER_MOST: usize = 64 * 1024;
+
 /// How far the end of a head has come, as the HTTP library sees it: an empty line, which may lack its CR.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Scan {
@@ -111,6 +117,25 @@
         self.behind.get() > self.length.get()
     }
 
+    /// The last answer is given before all of its request is in.
+    pub fn answered_early(&self) {
+        self.early.set(true);
+    }
+
+    /// Reads what still comes in after such an answer, until the client has closed: a close with bytes unread breaks the
+    /// connection, and may take the answer with it before the client has read it (RFC 9112, 9.6).
+    pub async fn linger(&self) {
+        let (mut bytes, mut left) = ([0; 1024], LINGER_MOST);
+        while self.early.get() && left > 0 {
+            let mut buf = ReadBuf::new(&mut bytes);
+            let read = poll_fn(|cx| self.stream.poll_read(cx, &mut buf)).await;
+            if read.is_err() || buf.filled().is_empty() {
+                return;
+            }
+            left = left.saturating_sub(buf.filled().len());
+        }
+    }
+
     fn read(&self, bytes: &[u8]) {
         if self.phase.get() == Phase::Idle && !bytes.is_empty() {
             self.phase.set(Phase::Head);
@@ -182,6 +207,7 @@
             behind: Cell::new(0),
             length: Cell::new(u64::MAX),
             leave: Notify::new(),
+            early: Cell::new(false),
         });
         self.seats.borrow_mut().insert(number, Rc::clone(&seat));
         seat
--- a/crates/proxy/src/net/discovery.rs
+++ b/crates/proxy/src/net/discovery.rs
@@ -45,7 +45,12 @@
 
 /// Keeps the list up to date, for as long as the program runs. When `address` changes, the whole list is
 /// fetched at the new one at once: the old service's index means nothing there.
-pub async fn run(driver: Driver, network: Rc<dyn Network>, mut address: watch::Receiver<SocketAddr>, mut index: Option<u64>) {
+pub async fn run(
+    driver: Driver,
+    network: Rc<dyn Network>,
+    mut address: watch::Receiver<SocketAddr>,
+    mut index: Option<u64>,
+) {
     let mut moved = false;
     loop {
         if !moved {
@@ -132,8 +137,9 @@
     let stream = tokio::time::timeout(CONNECT, network.connect(address)).await;
     let stream = stream.map_err(|_| "no connection in time".to_owned())?;
     let stream = stream.map_err(|e| format!("no connection: {e}"))?;
-    let (mut sender, connection) =
-        http1::handshake(TokioIo::new(Socket::new(&stream))).await.map_err(|e| format!("no connection: {e}"))?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(Socket::new(&stream)))
+        .await
+        .map_err(|e| format!("no connection: {e}"))?;
     let task = tokio::task::spawn_local(async move {
         // A broken connection shows in the call that uses it.
         let _ = connection.await;
--- a/crates/proxy/src/net/driver.rs
+++ b/crates/proxy/src/net/driver.rs
@@ -628,7 +628,8 @@
     fn driver() -> Driver {
         let clock = Clock::start();
         let transport = Transport { max_open: 9, conn_idle: 60_000_000, connect_timeout: 9_000_000 };
-        let sockets = Hosts::new(transport, 1, (Descriptors::new(9), Room::new(1 << 20)), Rc::new(Tcp), clock);
+        let sockets =
+            Hosts::new(transport, 1, (Descriptors::new(9), Room::new(1 << 20)), Rc::new(Tcp), clock);
         let facts = Facts { settings: Settings::default(), classes: vec![], tenants: vec![], transport };
         Driver::new(7, facts, false, clock, sockets)
     }
--- a/crates/proxy/src/net/front.rs
+++ b/crates/proxy/src/net/front.rs
@@ -139,6 +139,9 @@
                 if crowded || seat.surplus() {
                     close(&mut response);
                 }
+                if response.headers().contains_key(header::CONNECTION) {
+                    seat.answered_early();
+                }
                 seat.answered();
                 Ok::<_, Infallible>(response)
             }
@@ -168,6 +171,7 @@
                 }
             }
         }
+        let _ = tokio::time::timeout(LEAVE, seat.linger()).await;
         self.clients.leave(&seat);
     }
 
--- a/crates/proxy/src/net/hosts.rs
+++ b/crates/proxy/src/net/hosts.rs
@@ -490,7 +490,8 @@
             conn_idle: 60_000_000,
             connect_timeout: Duration::from_secs(9).as_micros() as Micros,
         };
-        let hosts = Hosts::new(transport, 1, (Descriptors::new(9), Room::new(1 << 20)), Rc::new(Tcp), Clock::start());
+        let hosts =
+            Hosts::new(transport, 1, (Descriptors::new(9), Room::new(1 << 20)), Rc::new(Tcp), Clock::start());
         let target = Target { server: ServerId(0), address, generation: 0 };
         let (method, uri, headers) = (Method::GET, Uri::from_static("/a"), HeaderMap::new());
         let answers = std::sync::Arc::new(badgerramp_route::Answers::platform());
--- a/crates/world/src/judge.rs
+++ b/crates/world/src/judge.rs
@@ -298,6 +298,11 @@
         place
     }
 
+    /// Has anything gone to a host for this try?
+    pub fn went_out(&self, op: OpId, number: u32) -> bool {
+        self.calls.get(&(op, number)).is_some_and(|c| !c.attempts.is_empty())
+    }
+
     /// The proxy has learned how the attempt ended; `proven`: it never ran.
     pub fn over(&mut self, op: OpId, number: u32, attempt: usize, proven: bool) {
         let tried = self.calls.get_mut(&(op, number)).and_then(|c| c.attempts.get_mut(attempt));
