--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -1,6 +1,7 @@
 //! The schema of the file, and what is checked over more than one key.
 
 use crate::expressions::{self, Expressions};
+use crate::log::{self, Log};
 use crate::timing::{self, Draft, Facts, Figure};
 use crate::{clients_borne, ANSWER_ROOM};
 use badgerramp_decisions::{
@@ -19,8 +20,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-const FILE: [&str; 9] =
-    ["platform", "listen", "limits", "upstream", "defaults", "class", "route", "no_route", "expect"];
+const FILE: [&str; 10] =
+    ["platform", "listen", "limits", "log", "upstream", "defaults", "class", "route", "no_route", "expect"];
 const LIMITS: [&str; 5] = ["memory", "descriptors", "open_calls", "body", "retry_after"];
 const UPSTREAM: [&str; 10] = [
     "endpoints",
@@ -74,6 +75,8 @@
     pub routes: Table,
     /// The answer where no route takes a request.
     pub no_route: NoRoute,
+    /// What the program writes of what it does.
+    pub log: Log,
     /// What is no mistake and worth a look.
     pub warnings: Vec<String>,
     pub(crate) source: Origin,
@@ -295,7 +298,8 @@
             top.read(self.notes, "platform", ("this is not a flag", "true or false"), DeValue::as_bool);
         let usage = if platform.is_some_and(|p| p.value) { Use::Platform } else { Use::Alone };
         if usage == Use::Platform {
-            for name in ["listen", "limits", "upstream", "no_route"].into_iter().filter(|n| top.has(n)) {
+            for name in ["listen", "limits", "log", "upstream", "no_route"].into_iter().filter(|n| top.has(n))
+            {
                 if let Some((_, span, _)) = top.iter().find(|(n, ..)| *n == name) {
                     let reason = "the platform sets this: beside its settings a file only narrows";
                     self.notes.add(
@@ -323,6 +327,7 @@
         let mut expressions = Expressions::default();
         let (routes, route_drafts) = self.routes(&top, &classes, usage, text, &mut expressions);
         let no_route = self.no_route(&top);
+        let log = log::read(self.notes, &top);
         if usage == Use::Alone {
             self.check_groups(&classes, upstream.as_ref());
         }
@@ -368,6 +373,7 @@
             classes,
             routes: built?,
             no_route,
+            log,
             warnings,
             source,
         })
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod expressions;
 mod file;
+mod log;
 mod platform;
 mod timing;
 mod values;
@@ -22,6 +23,7 @@
 
 pub use badgerramp_reading::{Mistake, Mistakes};
 pub use file::{read_upstream, Class, Config, Endpoint, Limits, NoRoute, Upstream, Use};
+pub use log::{Format, Level, Log};
 pub use platform::narrow;
 
 use std::path::Path;
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -353,7 +353,10 @@
         summary.list_asked, summary.connections_most
     );
     if summary.descriptors_most > 0 {
-        println!("a proxy had at most {} KiB and {} descriptors", summary.memory_most, summary.descriptors_most);
+        println!(
+            "a proxy had at most {} KiB and {} descriptors",
+            summary.memory_most, summary.descriptors_most
+        );
     }
     if !summary.digest.is_empty() {
         println!("digest {}", summary.digest);
--- a/crates/lab/src/defects.rs
+++ b/crates/lab/src/defects.rs
@@ -80,9 +80,16 @@
     },
     Defect {
         name: "answer-twice",
-        what: "a call that has ended is given up again when its attempt ends",
+        what: "a call that has ended is given up again when its last attempt ends",
         play: "virtual",
-        edits: &[(MODULE, "} else if self.calls.get(&id).is_some_and(|c| !c.ended && !c.held && !c.rests && c.out() == 0) {", "} else if self.calls.get(&id).is_some_and(|c| !c.held && !c.rests && c.out() == 0) {")],
+        edits: &[
+            (
+                MODULE,
+                "} else if self.calls.get(&id).is_some_and(|c| !c.ended && !c.held && !c.rests && c.out() == 0) {",
+                "} else if self.calls.get(&id).is_some_and(|c| !c.held && !c.rests && c.out() == 0) {",
+            ),
+            (MODULE, "if closed || outcome == Outcome::Served {", "if outcome == Outcome::Served {"),
+        ],
     },
     Defect {
         name: "drain-ignored",
--- a/crates/lab/src/operator.rs
+++ b/crates/lab/src/operator.rs
@@ -84,6 +84,10 @@
     out
 }
 
+/// What is added to the file of a proxy whose calls are to be followed in its log.
+pub const FOLLOWED: &str =
+    "\n[log]\nformat = \"json\"\nrate = 100000\ntargets = { \"badgerramp::calls\" = \"debug\" }\n";
+
 /// The file as the program reads it. The list service's address is one that nothing is sent to.
 ///
 /// # Errors
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -11,6 +11,7 @@
 use crate::course::{Course, Sample, BIN};
 use crate::operator;
 use crate::play::{judge_recovery, proxy_zone, Fault, Options};
+use around::{Around, Door, Io, Loopback};
 use badgerramp::net::clock::Clock;
 use badgerramp::net::driver::Driver;
 use badgerramp::net::Descriptors;
@@ -21,7 +22,6 @@
     Ask, Clients, Draws, Entry, Host, Judge, ListService, Memory, Micros, Network as Ways, OpId, Rule,
     Scenario, Trouble,
 };
-use around::{Around, Door, Io, Loopback};
 use memory::{Time, Who, World};
 use peers::{host_address, list_address, proxy_address, HostCell};
 use std::cell::{Cell, RefCell};
@@ -138,7 +138,9 @@
     let program = std::env::var_os("BADGERRAMP_PROGRAM").map(PathBuf::from);
     let beside = || Some(std::env::current_exe().ok()?.with_file_name("badgerramp"));
     let program = program.or_else(beside).filter(|p| p.is_file()).ok_or_else(|| {
-        Fault::Other("the program badgerramp is not built beside this; BADGERRAMP_PROGRAM can name it".to_owned())
+        Fault::Other(
+            "the program badgerramp is not built beside this; BADGERRAMP_PROGRAM can name it".to_owned(),
+        )
     })?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| Fault::Other(format!("runtime: {e}")))?;
@@ -146,7 +148,11 @@
     set.block_on(&runtime, course(Arc::clone(scenario), options, Some(program)))
 }
 
-async fn course(scenario: Arc<Scenario>, options: Options, program: Option<PathBuf>) -> Result<Course, Fault> {
+async fn course(
+    scenario: Arc<Scenario>,
+    options: Options,
+    program: Option<PathBuf>,
+) -> Result<Course, Fault> {
     let (draws, time) = (Draws::new(options.seed), Time::start());
     let zone = |name: &str| scenario.hosts.iter().position(|h| h.zone == name).unwrap_or(0) as u32;
     let proxy_zones = (0..scenario.proxies).map(|p| zone(proxy_zone(&scenario, p))).collect();
@@ -155,7 +161,8 @@
     let ways = Ways::new(scenario.network, &scenario.faults, draws);
     let real = program.is_some();
     let slack = if real { REAL_SLACK } else { SLACK } + 2 * ways.longest();
-    let (faults, unix) = (scenario.faults.clone(), SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default());
+    let (faults, unix) =
+        (scenario.faults.clone(), SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default());
     let around = if real {
         Around::Real(Loopback::new(time, ways, faults, zones))
     } else {
@@ -324,7 +331,10 @@
             Around::Real(loopback) => {
                 let listen = SocketAddr::from(([127, 0, 0, 1], 0));
                 let list = self.lists.borrow().get(&proxy).copied().unwrap_or_else(list_address);
-                let text = operator::text(&self.scenario, listen, list, zone);
+                let mut text = operator::text(&self.scenario, listen, list, zone);
+                if self.options.trace.is_some() {
+                    text.push_str(operator::FOLLOWED);
+                }
                 let program = self.program.display().to_string();
                 // Its start is waited for elsewhere: the stand-ins go on meanwhile.
                 let start = tokio::task::spawn_blocking(move || Proxy::sidecar(&program, &[], &text));
@@ -453,6 +463,9 @@
             let (task, seen) = match running {
                 Running::Inside { task, seen } => (task, seen),
                 Running::Process(process) => {
+                    if let Some(op) = self.options.trace {
+                        self.course.borrow_mut().trace.extend(followed(&process.log(), op));
+                    }
                     if !matches!(process.child.try_wait(), Ok(None)) {
                         judge.note(Rule::Crashed, now, None, format!("proxy {proxy} has ended by itself"));
                     }
@@ -463,9 +476,12 @@
                 judge.note(Rule::Crashed, now, None, format!("proxy {proxy} has ended by itself"));
             }
             let seen = seen.borrow();
-            let (Some((driver, descriptors)), Around::Memory(world)) = (&*seen, &self.around) else { continue };
+            let (Some((driver, descriptors)), Around::Memory(world)) = (&*seen, &self.around) else {
+                continue;
+            };
             if driver.open_calls() + driver.calls() > 0 {
-                let text = format!("proxy {proxy}: {} calls open, {} known", driver.open_calls(), driver.calls());
+                let text =
+                    format!("proxy {proxy}: {} calls open, {} known", driver.open_calls(), driver.calls());
                 judge.note(Rule::Leaked, now, None, text);
             }
             // One more may lead to the list service.
@@ -491,3 +507,20 @@
         course
     }
 }
+
+/// The lines of a program's log that are of one call, in all of its tries.
+fn followed(log: &[String], op: OpId) -> Vec<String> {
+    let (mut calls, mut lines) = (Vec::new(), Vec::new());
+    for line in log {
+        let Ok(event) = serde_json::from_str::<serde_json::Value>(line) else { continue };
+        let Some(call) = event["call"].as_u64() else { continue };
+        let request = event["request"].as_str().and_then(|r| r.split_once('-')).map(|r| r.0);
+        if request == Some(&op.0.to_string()) {
+            calls.push(call);
+        }
+        if calls.contains(&call) {
+            lines.push(format!("in the log: {}", line.trim()));
+        }
+    }
+    lines
+}
--- a/crates/lab/src/sockets/peers.rs
+++ b/crates/lab/src/sockets/peers.rs
@@ -232,7 +232,7 @@
 
 /// The call that a request is of.
 fn named(message: &Message) -> Option<(OpId, u32)> {
-    let (op, number) = message.field("x-op")?.split_once('-')?;
+    let (op, number) = message.field("x-request-id")?.split_once('-')?;
     Some((OpId(op.parse().ok()?), number.parse().ok()?))
 }
 
@@ -505,7 +505,7 @@
         _ => String::new(),
     };
     let head = format!(
-        "POST /{} HTTP/1.1\r\nHost: x\r\n{key}X-Op: {}-{}\r\nX-Timeout: {}u\r\nContent-Length: 4\r\n\r\n",
+        "POST /{} HTTP/1.1\r\nHost: x\r\n{key}X-Request-ID: {}-{}\r\nX-Timeout: {}u\r\nContent-Length: 4\r\n\r\n",
         class.name, ask.op.0, ask.number, ask.patience
     );
     stream.write_all(head.as_bytes()).await.ok()?;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod cli;
+pub mod log;
 pub mod net;
 mod platform;
 pub mod program;
--- a/crates/proxy/src/net/discovery.rs
+++ b/crates/proxy/src/net/discovery.rs
@@ -97,11 +97,11 @@
                 *index = Some(list.index);
             }
             Ok(Err(fault)) => {
-                eprintln!("badgerramp: discovery: {fault}");
+                tracing::warn!("discovery: {fault}");
                 return;
             }
             Err(_) => {
-                eprintln!("badgerramp: discovery: no answer");
+                tracing::warn!("discovery: no answer");
                 return;
             }
         }
--- a/crates/proxy/src/net/driver.rs
+++ b/crates/proxy/src/net/driver.rs
@@ -4,10 +4,11 @@
 use super::clock::Clock;
 use super::exchange::{Ended, Reply, Request, Target};
 use super::hosts::{self, Hosts};
+use crate::log::CALLS;
 use badgerramp_decisions::settings::{self, Facts};
 use badgerramp_decisions::{
     Action, Balancer, CallId, CellId, ClassId, Entry, Event, ListKind, Load, Micros, Outcome, ServerId,
-    Settings, State, TenantId, Terms,
+    Settings, State, TenantId, Terms, View,
 };
 use serde::Deserialize;
 use std::cell::RefCell;
@@ -16,6 +17,7 @@
 use std::rc::Rc;
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
+use tracing::debug;
 
 /// What the module is told of a request.
 #[derive(Debug)]
@@ -40,6 +42,18 @@
     Overdue,
 }
 
+impl Answer {
+    /// A word for the log.
+    fn word(&self) -> &'static str {
+        match self {
+            Answer::Served(_) => "served",
+            Answer::Refused { .. } => "refused",
+            Answer::Failed(_) => "failed",
+            Answer::Overdue => "overdue",
+        }
+    }
+}
+
 /// An entry of the list in discovery's form.
 #[derive(Debug, Deserialize)]
 pub struct Endpoint {
@@ -252,6 +266,8 @@
         let call = CallId(core.next_call);
         core.next_call += 1;
         core.open += 1;
+        let id = request.headers.get("x-request-id").and_then(|v| v.to_str().ok()).unwrap_or_default();
+        debug!(target: CALLS, call = call.0, request = id, class = intake.class.0, "taken");
         let deadline = intake.deadline;
         let entry = Call {
             request: Rc::new(request),
@@ -430,7 +446,7 @@
             Action::Log { text } => {
                 let name = |n: &str| Some(&*core.hosts.get(&ServerId(n.parse().ok()?))?.name);
                 let words = text.split(' ').map(|w| name(w).unwrap_or(w));
-                eprintln!("badgerramp: {}", words.collect::<Vec<_>>().join(" "));
+                tracing::info!("{}", words.collect::<Vec<_>>().join(" "));
             }
         }
     }
@@ -440,6 +456,15 @@
         let number = call.attempts.len() as u32;
         let until = until.filter(|&u| u > 0).unwrap_or(Micros::MAX).min(call.deadline);
         call.attempts.push(Attempt { server, sent: now, until, started: false, task: None, out: true });
+        if tracing::enabled!(target: CALLS, tracing::Level::DEBUG) {
+            let name = core.hosts.get(&server).map_or("", |h| &*h.name);
+            let left = until.saturating_sub(now);
+            if let Some(known) = core.balancer.view(now, server) {
+                let View { in_flight, concurrency, strain, failing, warmth, set_aside, .. } = known;
+                debug!(target: CALLS, call = id.0, attempt = number, host = name, left, in_flight, concurrency, strain,
+                    failing, warmth, set_aside, "sent");
+            }
+        }
         let host = core.hosts.get(&server);
         let target = host
             .filter(|h| h.state == State::Ready)
@@ -572,6 +597,7 @@
         if let Some(sender) = call.answer.take() {
             self.open -= 1;
             self.timers.remove(&(call.deadline, Due::Backstop(id)));
+            debug!(target: CALLS, call = id.0, answer = answer.as_ref().map_or("client gone", Answer::word), "ended");
             if let Some(answer) = answer {
                 // The client may be gone: then its connection's end says so.
                 let _ = sender.send(answer);
@@ -591,6 +617,7 @@
             task.abort();
         }
         let elapsed = now.saturating_sub(attempt.sent);
+        debug!(target: CALLS, call = id.0, attempt = number, outcome = ?ended.outcome, elapsed, "over");
         let Ended { outcome, load, reply } = ended;
         match reply {
             Some(reply) if outcome == Outcome::Served => {
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -66,6 +66,7 @@
 
 /// Runs the program.
 pub fn run(operator: Option<PathBuf>) -> Result<(), Fault> {
+    crate::log::start(&badgerramp_config::Log::default());
     let path = std::env::var_os("RELAY_CONFIG").ok_or_else(|| "RELAY_CONFIG is not set".to_owned())?;
     let path = PathBuf::from(path);
     let (config, facts) = read(&path)?;
--- a/crates/proxy/src/program.rs
+++ b/crates/proxy/src/program.rs
@@ -103,7 +103,7 @@
     socket.bind(setup.listen).map_err(bind)?;
     let listener = socket.listen(BACKLOG).map_err(bind)?;
     if let Ok(address) = listener.local_addr() {
-        eprintln!("badgerramp: listening on {address}");
+        tracing::info!("listening on {address}");
     }
     let around = Surroundings { network: Rc::new(Tcp), listener: Rc::new(listener), clock: Clock::start() };
     let hangup = async move || hangups.recv().await.is_some();
@@ -186,7 +186,7 @@
     let reloads = async {
         while hangup().await {
             if let Err(fault) = reload(&running) {
-                eprintln!("badgerramp: the old configuration stays: {fault}");
+                tracing::warn!("the old configuration stays: {fault}");
             }
         }
     };
--- a/crates/proxy/src/sidecar.rs
+++ b/crates/proxy/src/sidecar.rs
@@ -97,6 +97,7 @@
 fn check_same(old: &Config, new: &Config) -> Result<(), String> {
     let same = [
         ("listen", old.listen == new.listen),
+        ("log", old.log == new.log),
         ("limits.memory", old.limits.memory == new.limits.memory),
         ("limits.descriptors", old.limits.descriptors == new.limits.descriptors),
         ("upstream.idle", old.upstream.idle == new.upstream.idle),
@@ -159,6 +160,7 @@
 /// Runs the program.
 pub fn run(path: PathBuf) -> Result<(), Fault> {
     let config = load(&path)?;
+    crate::log::start(&config.log);
     check_descriptors(config.limits.descriptors)?;
     let (mut places, mut known) = (Places::default(), Known::default());
     let setup = setup(config, &mut places, &mut known, seed());
@@ -186,7 +188,7 @@
         running.front.advice.set(config.limits.retry_after);
         *running.front.rules.borrow_mut() =
             Rc::new(Rules::Sidecar(Box::new(Sidecar::new(config, numbers, seed()))));
-        eprintln!("badgerramp: the new configuration holds");
+        tracing::info!("the new configuration holds");
         Ok(())
     };
     Ok(program::run(setup, reload)?)
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -1,12 +1,17 @@
-//! Hosts out of a seeded model: cores, a waiting room, work, faults, cold starts. They keep a ledger of what was
-//! executed, which is what the rules are held against.
+//! Hosts of the world's model behind sockets: cores, a waiting room, work, faults, cold starts. They keep a ledger of what
+//! was executed, which is what the rules are held against.
 
 use crate::host::answer;
 use crate::message::{read, Message};
+use badgerramp_world::{
+    self as world, Arrival, Cold, Done, Draws, Effect, Group, Host, HostSpec, Job, Memory, Micros, OpId,
+    Trouble, Verdict,
+};
 use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -49,13 +54,16 @@
     }
 }
 
-/// What all hosts together have executed.
-#[derive(Debug, Default)]
+/// What all hosts together have executed, and the keys that they remember.
+#[derive(Debug)]
 pub struct Ledger {
+    /// Their common time begins with it.
+    began: Instant,
+    memory: Mutex<Memory>,
     /// Executions of each unsafe request, by its `X-Charge`.
     charges: Mutex<HashMap<String, u32>>,
     /// Executions of each key, by group.
-    keys: Mutex<HashMap<(u32, String), (Instant, u32)>>,
+    keys: Mutex<HashMap<(u32, String), u32>>,
     /// Attempts that came whole, by the first part of their path.
     attempts: Mutex<HashMap<String, u64>>,
 }
@@ -75,18 +83,17 @@
 impl Ledger {
     /// Was this charge executed?
     pub fn charged(&self, charge: &str) -> bool {
-        self.charges.lock().expect("no panics here").contains_key(charge)
+        locked(&self.charges).contains_key(charge)
     }
 
     pub fn tally(&self) -> Tally {
-        let charges = self.charges.lock().expect("no panics here");
+        let charges = locked(&self.charges);
         let mut per_key: HashMap<&str, u32> = HashMap::new();
-        let keys = self.keys.lock().expect("no panics here");
-        for ((_, key), (_, count)) in keys.iter() {
+        let keys = locked(&self.keys);
+        for ((_, key), count) in keys.iter() {
             *per_key.entry(key).or_default() += count;
         }
-        let mut attempts: Vec<_> =
-            self.attempts.lock().expect("no panics here").iter().map(|(c, n)| (c.clone(), *n)).collect();
+        let mut attempts: Vec<_> = locked(&self.attempts).iter().map(|(c, n)| (c.clone(), *n)).collect();
         attempts.sort();
         Tally {
             charges: charges.len(),
@@ -99,42 +106,85 @@
     fn came(&self, message: &Message) {
         let path = message.head.split(' ').nth(1).unwrap_or_default();
         let class = path.trim_start_matches('/').split(['/', '?']).next().unwrap_or_default();
-        *self.attempts.lock().expect("no panics here").entry(class.to_owned()).or_default() += 1;
+        *locked(&self.attempts).entry(class.to_owned()).or_default() += 1;
     }
 
-    /// Executes a request. A repeat of a key within its group and window is dropped.
-    fn execute(&self, message: &Message, group: u32, window: Duration) {
-        if let Some(key) = message.header("idempotency-key") {
-            let mut keys = self.keys.lock().expect("no panics here");
-            let (last, count) = keys.entry((group, key.to_owned())).or_insert((Instant::now(), 0));
-            if *count == 0 || last.elapsed() > window {
-                (*last, *count) = (Instant::now(), *count + 1);
+    /// Notes what came about.
+    fn effected(&self, request: &Request, group: u32) {
+        match request {
+            Request::Keyed(key) => {
+                *locked(&self.keys).entry((group, key.clone())).or_default() += 1;
             }
-        } else if let Some(charge) = message.header("x-charge") {
-            *self.charges.lock().expect("no panics here").entry(charge.to_owned()).or_default() += 1;
+            Request::Charge(charge) => *locked(&self.charges).entry(charge.clone()).or_default() += 1,
+            Request::Plain => {}
         }
     }
 }
 
-#[derive(Default)]
-struct Busy {
-    working: usize,
-    waiting: usize,
+impl Default for Ledger {
+    fn default() -> Self {
+        Ledger {
+            began: Instant::now(),
+            memory: Mutex::default(),
+            charges: Mutex::default(),
+            keys: Mutex::default(),
+            attempts: Mutex::default(),
+        }
+    }
+}
+
+/// What a request is known by.
+#[derive(Clone, Debug)]
+enum Request {
+    Keyed(String),
+    Charge(String),
+    Plain,
+}
+
+impl Request {
+    fn of(message: &Message) -> Self {
+        match (message.header("idempotency-key"), message.header("x-charge")) {
+            (Some(key), _) => Request::Keyed(key.to_owned()),
+            (None, Some(charge)) => Request::Charge(charge.to_owned()),
+            (None, None) => Request::Plain,
+        }
+    }
+
+    fn op(&self) -> OpId {
+        let mut hasher = DefaultHasher::new();
+        match self {
+            Request::Keyed(name) | Request::Charge(name) => name.hash(&mut hasher),
+            Request::Plain => {}
+        }
+        OpId(hasher.finish())
+    }
+}
+
+fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A host and what has to do with its sockets.
+struct State {
+    host: Host,
+    /// Jobs that have ended and whose connections have not seen it yet.
+    ended: HashMap<u64, Done>,
+    tokens: u64,
+    /// Faults that hold now, by their place, and stalls that have been.
+    holds: Vec<bool>,
+    stalls: Vec<u64>,
+    drains: Option<Instant>,
+    late_for_drain: u64,
 }
 
 struct Shared {
     model: Model,
     group: u32,
     ledger: Arc<Ledger>,
-    busy: Mutex<Busy>,
-    free: Condvar,
     started: Instant,
-    draws: Mutex<u64>,
-    /// When requests came, with their work in milliseconds: what a cold host goes by.
-    received: Mutex<Vec<(Instant, f64)>>,
-    drains: Mutex<Option<Instant>>,
-    late_for_drain: Mutex<u64>,
-    fell: Mutex<bool>,
+    draws: Draws,
+    state: Mutex<State>,
+    moved: Condvar,
 }
 
 /// One host of the fleet.
@@ -147,6 +197,38 @@
     shared: Arc<Shared>,
 }
 
+/// Room for the list's way to the client proxy, beside the second that the rule grants.
+const DRAIN_GRACE: Duration = Duration::from_millis(1_050);
+/// The span over which a cold host is watched, and the multiple that it bears.
+const FALL_TIME: Micros = 2_000_000;
+const FALL_MULTIPLE: f64 = 3.0;
+
+impl Model {
+    fn spec(&self, name: &str, group: u32) -> HostSpec {
+        HostSpec {
+            name: name.to_owned(),
+            zone: String::new(),
+            group,
+            kind: String::new(),
+            cores: self.cores as u32,
+            waiting: self.waiting as u32,
+            speed: 1.0,
+            connections: u32::MAX,
+            connection_cost: 0,
+            idle: Micros::MAX,
+            cold: self.cold.map(|(share, time)| Cold {
+                share,
+                time: time.as_micros() as Micros,
+                fall_multiple: FALL_MULTIPLE,
+                fall_time: FALL_TIME,
+            }),
+            crowding: None,
+            jam: None,
+            joins: 0,
+        }
+    }
+}
+
 impl Member {
     /// Starts a host.
     pub fn start(name: &str, group: u32, model: Model, ledger: &Arc<Ledger>) -> Member {
@@ -154,18 +236,28 @@
         let address = listener.local_addr().expect("its address");
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
         let since_ms = if model.cold.is_some() { unix } else { 0 };
+        let draws = Draws::new(model.seed);
+        let mut host = Host::alone(model.spec(name, group), draws);
+        if model.cold.is_some() {
+            host.start(ledger.began.elapsed().as_micros() as Micros);
+        }
+        let state = State {
+            host,
+            ended: HashMap::new(),
+            tokens: 0,
+            holds: vec![false; model.faults.len()],
+            stalls: vec![0; model.faults.len()],
+            drains: None,
+            late_for_drain: 0,
+        };
         let shared = Arc::new(Shared {
-            draws: Mutex::new(model.seed),
             model,
             group,
             ledger: Arc::clone(ledger),
-            busy: Mutex::default(),
-            free: Condvar::new(),
             started: Instant::now(),
-            received: Mutex::default(),
-            drains: Mutex::default(),
-            late_for_drain: Mutex::default(),
-            fell: Mutex::default(),
+            draws,
+            state: Mutex::new(state),
+            moved: Condvar::new(),
         });
         let of_thread = Arc::clone(&shared);
         thread::spawn(move || {
@@ -184,44 +276,25 @@
 
     /// It turns away what comes from now on. The list has to be told by the caller.
     pub fn drain(&self) {
-        *self.shared.drains.lock().expect("no panics here") = Some(Instant::now());
+        let mut state = locked(&self.shared.state);
+        state.drains = Some(Instant::now());
+        state.host.drain();
     }
 
     /// Requests that began later than this long after it began to drain.
     pub fn late_for_drain(&self) -> u64 {
-        *self.shared.late_for_drain.lock().expect("no panics here")
+        locked(&self.shared.state).late_for_drain
     }
 
     /// Was it sent more than three times what it could do, for two seconds, while it was cold?
     pub fn pushed_over(&self) -> bool {
-        *self.shared.fell.lock().expect("no panics here")
+        locked(&self.shared.state).host.fell().is_some()
     }
 }
 
-/// Room for the list's way to the client proxy, beside the second that the rule grants.
-const DRAIN_GRACE: Duration = Duration::from_millis(1_050);
-/// The span over which a cold host is watched, and the multiple that it bears.
-const FALL_TIME: Duration = Duration::from_secs(2);
-const FALL_MULTIPLE: f64 = 3.0;
-
 impl Shared {
-    /// The next number of the seeded sequence (splitmix64), from 0 to 1.
-    fn draw(&self) -> f64 {
-        let mut state = self.draws.lock().expect("no panics here");
-        *state = state.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut z = *state;
-        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
-    }
-
-    fn warmth(&self) -> f64 {
-        match self.model.cold {
-            Some((from, time)) if self.started.elapsed() < time => {
-                from + (1.0 - from) * self.started.elapsed().as_secs_f64() / time.as_secs_f64()
-            }
-            _ => 1.0,
-        }
+    fn now(&self) -> Micros {
+        self.ledger.began.elapsed().as_micros() as Micros
     }
 
     fn serve(&self, stream: TcpStream) {
@@ -237,82 +310,91 @@
     }
 
     fn handle(&self, message: &Message) -> String {
-        let age = self.started.elapsed();
-        let away = || answer("503 Service Unavailable", "X-Not-Processed: 1\r\n", "");
-        let mut fails = None;
-        for fault in &self.model.faults {
-            if let Fault::FailsFast { share, from, until } = *fault {
-                if (from..until).contains(&age) {
-                    fails = Some(self.draw()).filter(|draw| *draw < share).map(|draw| draw < share / 2.0);
-                }
-            }
-        }
-        if let Some(since) = *self.drains.lock().expect("no panics here") {
-            if since.elapsed() > DRAIN_GRACE {
-                *self.late_for_drain.lock().expect("no panics here") += 1;
-            }
-            return away();
+        let request = Request::of(message);
+        let window = self.model.window.as_micros() as Micros;
+        let effect = match request {
+            Request::Keyed(_) => Effect::Keyed { group: Group::Group, window },
+            Request::Charge(_) => Effect::Unsafe,
+            Request::Plain => Effect::Safe,
+        };
+        let mut state = locked(&self.state);
+        let token = state.tokens;
+        state.tokens += 1;
+        let work = self.model.work.mul_f64(0.5 + self.draws.unit((0x0c57, token, 0))).as_micros() as Micros;
+        let job = Job { token, op: request.op(), name: token, effect, work, usual: work, informed: true };
+        let now = self.now();
+        self.troubles(&mut state, now);
+        self.settle(&mut state, now);
+        if state.drains.is_some_and(|since| since.elapsed() > DRAIN_GRACE) {
+            state.late_for_drain += 1;
         }
-        if let Some(after) = fails {
-            if after {
-                self.ledger.execute(message, self.group, self.model.window);
+        let arrival = state.host.arrive(now, job, &mut locked(&self.ledger.memory));
+        let (verdict, report) = match arrival {
+            Arrival::Ended(verdict) => (verdict, state.host.report()),
+            Arrival::Nobody => (Verdict::TurnedAway, state.host.report()),
+            Arrival::Taken => loop {
+                // Whoever looks when a job has ended notes it for the connection that waits.
+                let now = self.now();
+                self.settle(&mut state, now);
+                if let Some(done) = state.ended.remove(&token) {
+                    if done.effected {
+                        self.ledger.effected(&request, self.group);
+                    }
+                    break (done.verdict, done.report);
+                }
+                let left = state.host.due().map_or(1_000, |due| due.saturating_sub(now).max(1));
+                let waited = self.moved.wait_timeout(state, Duration::from_micros(left));
+                state = waited.unwrap_or_else(PoisonError::into_inner).0;
+            },
+        };
+        drop(state);
+        let load = format!("X-Server-Load: TEXT inflight={}, queue={}\r\n", report.in_hand, report.waiting);
+        match verdict {
+            Verdict::Served => answer("200 OK", &load, "done"),
+            Verdict::TurnedAway => answer("503 Service Unavailable", "X-Not-Processed: 1\r\n", ""),
+            Verdict::Failed | Verdict::Reset | Verdict::Spoilt => {
+                answer("500 Internal Server Error", &load, "it fails")
             }
-            return answer("500 Internal Server Error", "", "it fails");
         }
-        let work = self.model.work.mul_f64(0.5 + self.draw());
-        self.note(work);
-        let Some(waiting) = self.enter() else { return away() };
-        thread::sleep(work.div_f64(self.warmth()));
-        self.stall();
-        self.ledger.execute(message, self.group, self.model.window);
-        let mut busy = self.busy.lock().expect("no panics here");
-        busy.working -= 1;
-        let report =
-            format!("X-Server-Load: TEXT inflight={}, queue={}\r\n", busy.working + waiting, busy.waiting);
-        drop(busy);
-        self.free.notify_one();
-        answer("200 OK", &report, "done")
     }
 
-    /// Waits for a core; None if the waiting room is full.
-    fn enter(&self) -> Option<usize> {
-        let mut busy = self.busy.lock().expect("no panics here");
-        if busy.working >= self.model.cores {
-            if busy.waiting >= self.model.waiting {
-                return None;
-            }
-            busy.waiting += 1;
-            while busy.working >= self.model.cores {
-                busy = self.free.wait(busy).expect("no panics here");
-            }
-            busy.waiting -= 1;
+    fn settle(&self, state: &mut State, now: Micros) {
+        let mut done = Vec::new();
+        state.host.advance(now, &mut locked(&self.ledger.memory), &mut done);
+        if !done.is_empty() {
+            state.ended.extend(done.into_iter().map(|d| (d.job.token, d)));
+            self.moved.notify_all();
         }
-        busy.working += 1;
-        Some(busy.waiting)
     }
 
-    fn stall(&self) {
-        for fault in &self.model.faults {
-            if let Fault::Stalls { every, pause } = *fault {
-                let into =
-                    Duration::from_nanos((self.started.elapsed().as_nanos() % every.as_nanos()) as u64);
-                thread::sleep(pause.saturating_sub(into));
+    /// Begins and ends the faults whose time has come.
+    fn troubles(&self, state: &mut State, now: Micros) {
+        let age = self.started.elapsed();
+        for (place, fault) in self.model.faults.iter().enumerate() {
+            match *fault {
+                Fault::FailsFast { share, from, until } => {
+                    let holds = (from..until).contains(&age);
+                    if holds != std::mem::replace(&mut state.holds[place], holds) {
+                        let trouble = Trouble::Fails { host: 0, share, ran: 0.5 };
+                        let fault = world::Fault { from: now, until: Micros::MAX, trouble };
+                        if holds {
+                            state.host.begin(now, &fault);
+                        } else {
+                            state.host.end(&fault);
+                        }
+                    }
+                }
+                Fault::Stalls { every, pause } => {
+                    let nanos = every.as_nanos().max(1);
+                    let number = (age.as_nanos() / nanos) as u64;
+                    let into = Duration::from_nanos((age.as_nanos() % nanos) as u64);
+                    if number > std::mem::replace(&mut state.stalls[place], number) && into < pause {
+                        let until = now + (pause - into).as_micros() as Micros;
+                        let trouble = Trouble::Stalls { host: 0 };
+                        state.host.begin(now, &world::Fault { from: now, until, trouble });
+                    }
+                }
             }
         }
     }
-
-    /// Counts what a cold host is sent within any two seconds against what it can do then.
-    fn note(&self, work: Duration) {
-        let Some((_, time)) = self.model.cold else { return };
-        if self.started.elapsed() > time {
-            return;
-        }
-        let mut received = self.received.lock().expect("no panics here");
-        let now = Instant::now();
-        received.push((now, work.as_secs_f64()));
-        received.retain(|(at, _)| now.duration_since(*at) <= FALL_TIME);
-        let sent: f64 = received.iter().map(|r| r.1).sum();
-        let bears = FALL_MULTIPLE * self.warmth() * self.model.cores as f64 * FALL_TIME.as_secs_f64();
-        *self.fell.lock().expect("no panics here") |= sent > bears;
-    }
 }
--- a/crates/testkit/src/program.rs
+++ b/crates/testkit/src/program.rs
@@ -134,6 +134,11 @@
         }
     }
 
+    /// The lines of its log so far that nobody has looked at.
+    pub fn log(&self) -> Vec<String> {
+        self.log.try_iter().collect()
+    }
+
     /// Waits for its end; true if that came in time and was no failure.
     pub fn ended(&mut self) -> bool {
         let asked = std::time::Instant::now();
--- a/crates/world/src/host.rs
+++ b/crates/world/src/host.rs
@@ -170,6 +170,15 @@
     pub fn new(scenario: &Scenario, place: usize, draws: Draws) -> Self {
         let spec = scenario.hosts[place].clone();
         let zone = scenario.hosts.iter().position(|h| h.zone == spec.zone).unwrap_or(0) as u64;
+        Host::made(place, zone, spec, draws)
+    }
+
+    /// A host that is of no scenario.
+    pub fn alone(spec: HostSpec, draws: Draws) -> Self {
+        Host::made(0, 0, spec, draws)
+    }
+
+    fn made(place: usize, zone: u64, spec: HostSpec, draws: Draws) -> Self {
         Host {
             place,
             zone,
