The lab checks every order of events in small worlds, on the decisions alone

Breadth first over hashed states, with every outcome, drain, restart and leaving client at any point; a counterexample prints as a test. The real play starts this very program as its proxies.

--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -348,7 +348,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Outcome {
     /// Served.
     Served,
--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -150,7 +150,7 @@
 }
 
 /// Decides for one client proxy.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Balancer {
     settings: Settings,
     random: Pcg32,
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -9,7 +9,7 @@
 const BASE_DRIFT: f64 = 120e6;
 
 /// Per-server in-flight budget: steps x concurrency, grown one served trial at a time under a shared backoff.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Budget {
     pub(crate) steps: u32,
     pub(crate) concurrency: f64,
@@ -21,7 +21,7 @@
 }
 
 /// A server as this balancer sees it.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Server {
     pub(crate) id: ServerId,
     pub(crate) zone: ZoneId,
@@ -77,7 +77,7 @@
 }
 
 /// A call from its arrival until it has ended and no attempt is out.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Call {
     pub(crate) class: Class,
     pub(crate) class_id: usize,
@@ -105,7 +105,7 @@
 }
 
 /// Answer times of a class: the present mean and the least it has been, which stands for an unloaded server.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Pace {
     pub(crate) mean: f64,
     pub(crate) base: f64,
@@ -120,7 +120,7 @@
 
 /// How a class's answer times spread: counts by quarters of a doubling, halved when there are many, so that old ones
 /// fade.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Spread {
     counts: [u16; SPREAD_STEPS],
     total: u16,
@@ -163,7 +163,7 @@
 }
 
 /// The servers of one machine kind in one zone, as one: a balancer of little traffic learns of no single one.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Group {
     pub(crate) strain: f64,
     /// Their budget where it is under one call each: the chance that a call may go there.
@@ -257,7 +257,7 @@
 }
 
 /// When which call is due; each has one time at the most.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Timetable {
     due: BTreeSet<(Micros, CallId)>,
     times: BTreeMap<CallId, Micros>,
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -3,7 +3,7 @@
 use crate::course::{Course, Summary};
 use crate::experiment::{self, Compared, Point, Template};
 use crate::play::{Fault, Options, Way};
-use crate::{bench, defects, generate, hunt, report, scenario_file};
+use crate::{bench, check, defects, generate, hunt, report, scenario_file};
 use badgerramp_world::{OpId, Rule, Scenario};
 use clap::{Args, Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
@@ -203,6 +203,15 @@
         #[arg(long, default_value_t = 60)]
         seconds: u64,
     },
+    /// Go through every order of events in small worlds, on the decisions alone.
+    Check {
+        /// Events in a row.
+        #[arg(long, default_value_t = 7)]
+        depth: usize,
+        /// States of one world at the most.
+        #[arg(long, default_value_t = 400_000)]
+        states: usize,
+    },
     /// Requests a second and memory, by fleet and proxies.
     Speed {
         /// Also the large one: 2,000 proxies and 1,000 hosts for a minute.
@@ -274,6 +283,7 @@
         Command::Report { results, html } => page_of(&results, &html),
         Command::Determinism { count, play } => determinism(count, play, stop),
         Command::Defects { root, only, seconds } => defects::table(&root, only.as_deref(), seconds),
+        Command::Check { depth, states } => Ok(checked(depth, states)),
         Command::Speed { large } => bench::speed(large).map(|()| true),
     }
 }
@@ -661,6 +671,30 @@
     Ok(points.iter().all(|p| p.broken == 0))
 }
 
+fn checked(depth: usize, states: usize) -> bool {
+    let mut good = true;
+    for world in check::worlds(depth, states) {
+        let began = Instant::now();
+        let told = check::check(&world);
+        println!(
+            "{} servers, {} second copies, {:?}: {} states, {} steps, all orders of {} events{}, {:.1} s",
+            world.servers,
+            if world.copies { "with" } else { "without" },
+            world.calls,
+            told.states,
+            told.steps,
+            told.depth,
+            if told.cut { " (cut at the bound of states)" } else { "" },
+            began.elapsed().as_secs_f64()
+        );
+        if let Some(found) = &told.broken {
+            good = false;
+            println!("BROKEN {}\n{}", found.what, check::as_test(&world, found));
+        }
+    }
+    good
+}
+
 fn determinism(count: u64, play: Way, stop: &AtomicBool) -> Result<bool, Fault> {
     let digests = |threads: usize| -> Result<Vec<String>, Fault> {
         let bar = bar(count);
--- a/crates/lab/src/defects.rs
+++ b/crates/lab/src/defects.rs
@@ -369,7 +369,9 @@
     command
         .args(["build", "--release", "--quiet", "--locked", "--package", "badgerramp-lab"])
         .current_dir(copy);
-    // One place for all builds: only what a defect touches is built anew.
+    // One place for all builds, and quick ones: only what a defect touches is built anew, and it need not run fast.
+    command.env("CARGO_INCREMENTAL", "1").env("CARGO_PROFILE_RELEASE_OPT_LEVEL", "1");
+    command.env("CARGO_PROFILE_RELEASE_CODEGEN_UNITS", "64");
     command.env("CARGO_TARGET_DIR", copy.join("target"));
     let done = command.output().map_err(|e| Fault::Other(format!("cargo: {e}")))?;
     if !done.status.success() {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,7 +2,11 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+/// The word that makes `badgerramp-lab` the client proxy.
+pub const AS_PROXY: &str = "as-proxy";
+
 pub mod bench;
+pub mod check;
 pub mod cli;
 pub mod course;
 pub mod defects;
