--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -54,6 +54,9 @@
     Process(Proxy),
 }
 
+/// A program, and what comes before its own arguments.
+type Program = (PathBuf, Vec<&'static str>);
+
 /// What can be seen of a proxy that runs in this process.
 type Seen = Rc<RefCell<Option<(Driver, Rc<Descriptors>)>>>;
 
@@ -68,7 +71,7 @@
     /// What the ways outside the proxy may take.
     slack: Micros,
     /// The built program, for a real play.
-    program: PathBuf,
+    program: Program,
     /// Where each proxy finds the list service.
     lists: RefCell<BTreeMap<u32, SocketAddr>>,
     hosts: Vec<Rc<HostCell>>,
@@ -120,8 +123,8 @@
     set.block_on(&runtime, course(Arc::clone(scenario), options, None))
 }
 
-/// Plays a scenario with built programs on loopback. The program is the one beside this, or what
-/// `BADGERRAMP_PROGRAM` names.
+/// Plays a scenario with built programs on loopback. The program is this one itself, as `badgerramp-lab` can be the
+/// client proxy, or the `badgerramp` that `BADGERRAMP_PROGRAM` names.
 ///
 /// # Errors
 /// If the operator's file that it makes is refused, the program does not start, or the load would be beyond all bounds.
@@ -135,13 +138,15 @@
             REAL_MOST / 1_000_000
         )));
     }
-    let program = std::env::var_os("BADGERRAMP_PROGRAM").map(PathBuf::from);
-    let beside = || Some(std::env::current_exe().ok()?.with_file_name("badgerramp"));
-    let program = program.or_else(beside).filter(|p| p.is_file()).ok_or_else(|| {
-        Fault::Other(
-            "the program badgerramp is not built beside this; BADGERRAMP_PROGRAM can name it".to_owned(),
-        )
-    })?;
+    let named = std::env::var_os("BADGERRAMP_PROGRAM").map(PathBuf::from);
+    let own = || std::env::current_exe().map_err(|e| Fault::Other(format!("this program's own path: {e}")));
+    let program = match named {
+        Some(path) if path.is_file() => (path, Vec::new()),
+        Some(path) => {
+            return Err(Fault::Other(format!("BADGERRAMP_PROGRAM: {} is no file", path.display())));
+        }
+        None => (own()?, vec![crate::AS_PROXY]),
+    };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| Fault::Other(format!("runtime: {e}")))?;
     let set = LocalSet::new();
@@ -151,7 +156,7 @@
 async fn course(
     scenario: Arc<Scenario>,
     options: Options,
-    program: Option<PathBuf>,
+    program: Option<Program>,
 ) -> Result<Course, Fault> {
     let (draws, time) = (Draws::new(options.seed), Time::start());
     let zone = |name: &str| scenario.hosts.iter().position(|h| h.zone == name).unwrap_or(0) as u32;
@@ -335,9 +340,9 @@
                 if self.options.trace.is_some() {
                     text.push_str(operator::FOLLOWED);
                 }
-                let program = self.program.display().to_string();
+                let (program, before) = (self.program.0.display().to_string(), self.program.1.clone());
                 // Its start is waited for elsewhere: the stand-ins go on meanwhile.
-                let start = tokio::task::spawn_blocking(move || Proxy::sidecar(&program, &[], &text));
+                let start = tokio::task::spawn_blocking(move || Proxy::sidecar(&program, &before, &text));
                 match start.await {
                     Ok(process) => {
                         loopback.proxies.borrow_mut().insert(proxy, process.address);
--- a/crates/reading/src/mistake.rs
+++ b/crates/reading/src/mistake.rs
@@ -32,10 +32,10 @@
 }
 
 impl Mistakes {
-    /// Those of this text, sorted; the same at the same place is told once.
+    /// Those of this text, sorted; the same of the same key at the same place is told once.
     pub fn new(name: &str, text: &str, mut list: Vec<Mistake>) -> Self {
         list.sort_by(|a, b| (a.span.start, &a.key, &a.reason).cmp(&(b.span.start, &b.key, &b.reason)));
-        list.dedup_by(|a, b| (&a.span, &a.reason) == (&b.span, &b.reason));
+        list.dedup_by(|a, b| (&a.span, &a.reason, &a.key) == (&b.span, &b.reason, &b.key));
         Mistakes { name: name.to_owned(), text: text.to_owned(), list }
     }
 
--- a/crates/testkit/src/program.rs
+++ b/crates/testkit/src/program.rs
@@ -100,12 +100,19 @@
         let log = lines(child.stderr.take().expect("piped"));
         let mut seen = String::new();
         loop {
-            let Ok(line) = log.recv_timeout(LONG) else { panic!("it does not listen: {seen}") };
-            if let Some((_, address)) = line.split_once("listening on ") {
-                let address = address.trim().parse().expect("an address");
-                return Proxy { address, child, log, config };
+            let line = log.recv_timeout(LONG);
+            // In a structured log more may follow the address.
+            let address = line.iter().find_map(|l| Some(l.split_once("listening on ")?.1));
+            let address = address.map(|a| a.trim_end_matches(|c: char| !c.is_ascii_digit()));
+            match (address.map(str::parse), line) {
+                (Some(Ok(address)), _) => return Proxy { address, child, log, config },
+                (None, Ok(line)) => seen += &line,
+                (odd, _) => {
+                    // Nobody else would end it.
+                    let _ = child.kill();
+                    panic!("it does not listen: {odd:?}, {seen}");
+                }
             }
-            seen += &line;
         }
     }
 
