--- a/crates/lab/src/generate.rs
+++ b/crates/lab/src/generate.rs
@@ -106,7 +106,7 @@
 fn class(random: &mut Pcg64Mcg, number: usize) -> Class {
     let deadline = random.gen_range(4..=20) * 100 * MILLI;
     let aim = (deadline as f64 * random.gen_range(0.4..1.0)) as Micros / MILLI * MILLI;
-    let window = deadline;
+    let window = (deadline as f64 * random.gen_range(0.4..1.0)) as Micros / MILLI * MILLI;
     let group = [Group::All, Group::Zone, Group::Group][random.gen_range(0..3)];
     let effect = match random.gen_range(0..4) {
         0 => Effect::Safe,
@@ -115,13 +115,15 @@
     };
     let attempts = random.gen_range(1..=4u32);
     let backoff = if random.gen_bool(0.2) { random.gen_range(1..=30) * MILLI } else { 0 };
-    let share = (deadline - 2 * MILLI) / u64::from(attempts);
+    let keyed = matches!(effect, Effect::Keyed { .. });
+    let room = if keyed { window.min(deadline - 2 * MILLI) } else { deadline - 2 * MILLI };
+    let share = room / u64::from(attempts);
     let free = matches!(effect, Effect::Unsafe) && random.gen_bool(0.5);
     let attempt = (!free && backoff < share).then(|| (share - backoff) / MILLI * MILLI);
     let second_copy = match (effect, random.gen_range(0..4)) {
         (Effect::Unsafe, _) | (_, 0 | 1) => SecondCopy::Off,
         (_, 2) => SecondCopy::Auto,
-        _ => SecondCopy::After(deadline / random.gen_range(4..12) / MILLI * MILLI),
+        _ => SecondCopy::After(window / random.gen_range(4..12) / MILLI * MILLI),
     };
     let second_copy = if attempts < 2 { SecondCopy::Off } else { second_copy };
     let least = random.gen_range(2..=40) * MILLI;
--- a/crates/lab/src/hunt.rs
+++ b/crates/lab/src/hunt.rs
@@ -5,6 +5,7 @@
 use crate::play::{Fault, Options};
 use badgerramp_world::{Broken, Clients, Draws, Micros, Rule, Scenario};
 use std::collections::BTreeMap;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -12,6 +13,20 @@
 /// A way to play a scenario.
 pub type Play = fn(&Arc<Scenario>, Options) -> Result<Course, Fault>;
 
+/// Plays a scenario; code that panics is a find like any other.
+fn guarded(play: Play, scenario: &Arc<Scenario>, options: Options) -> Result<Course, Fault> {
+    let played = catch_unwind(AssertUnwindSafe(|| play(scenario, options)));
+    played.unwrap_or_else(|panic| {
+        let text = panic.downcast_ref::<String>().cloned();
+        let text = text.or_else(|| panic.downcast_ref::<&str>().map(|t| (*t).to_owned())).unwrap_or_default();
+        let mut course = Course::new(Arc::clone(scenario));
+        // When it was is not known: nothing that comes later may be left out because of it.
+        course.broken = vec![Broken { rule: Rule::Crashed, at: Micros::MAX, op: None, text }];
+        course.broken_count = 1;
+        Ok(course)
+    })
+}
+
 /// What makes two finds the same: the rule, and its words without their numbers.
 pub fn signature(broken: &Broken) -> String {
     let mut words = String::new();
@@ -97,7 +112,7 @@
                     return;
                 }
                 let scenario = Arc::new(generate::scenario(number));
-                match play(&scenario, options(number)) {
+                match guarded(play, &scenario, options(number)) {
                     Ok(course) => {
                         let mut found = found.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
                         take(&mut found, number, &course);
@@ -219,7 +234,7 @@
             }
             self.plays += 1;
             let options = Options { seed, ..self.options };
-            let course = (self.play)(&scenario, options).ok()?;
+            let course = guarded(self.play, &scenario, options).ok()?;
             if let Some(broken) = course.broken.iter().find(|b| b.rule == self.rule) {
                 self.options = options;
                 let scenario = Scenario::clone(&scenario);
--- a/crates/lab/src/play/virtually.rs
+++ b/crates/lab/src/play/virtually.rs
@@ -122,6 +122,7 @@
     routed: Vec<Routed>,
     settings: Settings,
     max_open: usize,
+    advice: Micros,
     spares: usize,
     /// Jobs at hosts.
     jobs: FxHashMap<u64, (Wire, Link, Ask)>,
@@ -170,6 +171,7 @@
             proxies: Vec::new(),
             routed,
             max_open: config.limits.open_calls,
+            advice: config.limits.retry_after,
             spares: connections_kept(settings.balancers),
             settings,
             jobs: FxHashMap::default(),
@@ -385,7 +387,9 @@
                 queue.extend(sent);
             }
             Action::Refuse { call, retry_after } => {
-                let told = (retry_after > 0).then_some(retry_after);
+                // As the program's front has it: its own advice where there is none, in whole seconds.
+                let wait = if retry_after == 0 { self.advice } else { retry_after };
+                let told = (wait > 0).then(|| wait.div_ceil(1_000_000) * 1_000_000);
                 self.answer(proxy, call, Answered::Refused, told);
             }
             Action::Fail { call } => self.answer(proxy, call, Answered::Failed, None),
@@ -438,7 +442,7 @@
         self.judge.taken(self.now, ask.op, ask.number, (ask.class, ask.proxy), until);
         if shell.open >= self.max_open {
             self.judge.answered(self.now, ask.op, ask.number, Answered::Refused);
-            self.client_hears(ask, Some(Answered::Refused), None);
+            self.client_hears(ask, Some(Answered::Refused), Some(self.advice).filter(|&a| a > 0));
             return;
         }
         let routed = self.routed[ask.class];
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -224,11 +224,14 @@
     (short.duration, short.clients.rate, short.proxies) = (1_000_000, 40.0, 1);
     let path = std::env::temp_dir().join(format!("badgerramp-lab-followed-{}.toml", std::process::id()));
     std::fs::write(&path, scenario_file::write(&short)).expect("a file");
-    let (code, told, fault) = lab(&["trace", path.to_str().expect("a path"), "--call", "1", "--play", "real"]);
+    let (code, told, fault) =
+        lab(&["trace", path.to_str().expect("a path"), "--call", "1", "--play", "real"]);
     std::fs::remove_file(&path).expect("its file");
     assert_eq!(code, Some(0), "{told}{fault}");
     // What the stand-ins saw, and what the program says of it.
-    for words in ["try 0 at proxy 0", "in the log: {", "\"taken\"", "\"in_flight\":0", "\"outcome\":\"Served\""] {
+    for words in
+        ["try 0 at proxy 0", "in the log: {", "\"taken\"", "\"in_flight\":0", "\"outcome\":\"Served\""]
+    {
         assert!(told.contains(words), "{words}: {told}");
     }
 }
