A keyed attempt that waits for its connection no longer starts after its window

The decision now tells until when the attempt may start, and the driver asks for it right before the first byte.

--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -189,7 +189,7 @@
 fn command(proxy: i64, instance: &mut Instance, action: Action) -> Option<Command> {
     let word = |id: CallId, names: &HashMap<CallId, Name>| names.get(&id).map(|n| n.word.clone());
     Some(match action {
-        Action::Send { call, server, until } => {
+        Action::Send { call, server, until, .. } => {
             let name = instance.names.get_mut(&call)?;
             name.out += 1;
             Command::Route { proxy, call: name.word.clone(), host: server.0, stop_at_us: until }
--- a/crates/adversary/src/lib.rs
+++ b/crates/adversary/src/lib.rs
@@ -140,7 +140,7 @@
         self.balancer.handle(self.now, event, &mut actions);
         for action in actions {
             match action {
-                Action::Send { call, server, until } => self.send(call, server, until),
+                Action::Send { call, server, until, .. } => self.send(call, server, until),
                 Action::Refuse { call, .. } => self.answer(call, Answer::Refused),
                 Action::Fail { call } => self.answer(call, Answer::Failed),
                 Action::Cancel { call, attempt } => {
--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -831,6 +831,10 @@
         server.budget.trial_out |= trial;
         let Some(call) = self.calls.get_mut(&id) else { return };
         let (server, zone, cell, effect) = (server.id, server.zone, server.cell, Effect::Out);
+        let start_by = match (call.binding(), call.class.repeat) {
+            (Some(first), Repeat::Guarded { window, .. }) => Some(first.sent.saturating_add(window)),
+            _ => None,
+        };
         call.attempts.push(Attempt { server, zone, cell, sent: now, trial, crowd, effect });
         let (copies, class_id, terms) = (call.attempts.len(), call.class_id, call.terms);
         // An answer after the aim is worth little: its server is better used by others.
@@ -839,7 +843,7 @@
         let until = (aim < deadline && aim as f64 > now as f64 + usual).then_some(aim);
         let most = Some(now.saturating_add(terms.attempt_time)).filter(|&at| at < deadline);
         let until = until.into_iter().chain(most).min();
-        actions.push(Action::Send { call: id, server, until });
+        actions.push(Action::Send { call: id, server, until, start_by });
         // A second copy as late as can be in time, but not before the first is slow.
         let copy_at = (aim as f64 - SPARE_TIMES * usual).max(arrived as f64 + 1.5 * usual);
         let auto = (!self.sparse() && copy_at + usual <= aim as f64).then_some(copy_at as Micros);
--- a/crates/decisions/tests/terms.rs
+++ b/crates/decisions/tests/terms.rs
@@ -188,3 +188,20 @@
     assert!(!failed(&actions, call), "still of the class it came in");
     assert_eq!(sent(&actions).len(), 1, "which may go again");
 }
+
+/// A connection may take longer to open than the servers remember the key: what goes again tells until when it may start.
+#[test]
+fn a_keyed_call_that_goes_again_must_start_within_its_window() {
+    let start_by = |actions: &[Action]| {
+        actions
+            .iter()
+            .find_map(|a| if let Action::Send { start_by, .. } = a { Some(*start_by) } else { None })
+    };
+    let window = 800 * MS;
+    let mut proxy = Proxy::new(settings(Repeat::Guarded { scope: Scope::All, window }), 4);
+    let (call, actions) = call_with(&mut proxy, 0, Terms::default());
+    assert_eq!(start_by(&actions), Some(None), "nothing binds the first");
+    let first = proxy.now;
+    let actions = proxy.end(call, 0, Outcome::Error, 1);
+    assert_eq!(start_by(&actions), Some(Some(first + window)));
+}
--- a/crates/lab/src/check.rs
+++ b/crates/lab/src/check.rs
@@ -143,7 +143,7 @@
             self.balancer.handle(self.now, event, &mut actions);
             for action in actions {
                 match action {
-                    Action::Send { call, server, until } => {
+                    Action::Send { call, server, until, .. } => {
                         queue.extend(self.send(world, call.0 as usize, server.0, until)?);
                     }
                     Action::Refuse { call, .. } => self.answer(world, call.0 as usize, true)?,
--- a/crates/lab/src/play/shell.rs
+++ b/crates/lab/src/play/shell.rs
@@ -54,6 +54,7 @@
     pub(crate) host: usize,
     pub(crate) sent: Micros,
     pub(crate) until: Micros,
+    pub(crate) start_by: Micros,
     pub(crate) started: bool,
     pub(crate) out: bool,
     pub(crate) link: Option<Link>,
--- a/crates/lab/src/play/virtually.rs
+++ b/crates/lab/src/play/virtually.rs
@@ -382,8 +382,8 @@
 
     fn act(&mut self, proxy: u32, action: Action, queue: &mut std::collections::VecDeque<Event>) {
         match action {
-            Action::Send { call, server, until } => {
-                let sent = self.send(proxy, call, server.0 as usize, until);
+            Action::Send { call, server, until, start_by } => {
+                let sent = self.send(proxy, call, server.0 as usize, (until, start_by));
                 queue.extend(sent);
             }
             Action::Refuse { call, retry_after } => {
@@ -530,7 +530,13 @@
 
     // Attempts.
 
-    fn send(&mut self, proxy: u32, id: CallId, host: usize, until: Option<Micros>) -> Option<Event> {
+    fn send(
+        &mut self,
+        proxy: u32,
+        id: CallId,
+        host: usize,
+        (until, start_by): (Option<Micros>, Option<Micros>),
+    ) -> Option<Event> {
         let shell = &mut self.proxies[proxy as usize];
         let epoch = shell.epoch;
         let Some(call) = shell.calls.get_mut(&id) else {
@@ -540,7 +546,17 @@
         let (attempt, ask) = (call.attempts.len() as u32, call.ask);
         let until = until.filter(|&u| u > 0).unwrap_or(Micros::MAX).min(call.deadline);
         let (sent, answered) = (self.now, call.answered);
-        call.attempts.push(Attempt { host, sent, until, started: false, out: true, link: None, token: None });
+        let start_by = start_by.unwrap_or(Micros::MAX);
+        call.attempts.push(Attempt {
+            host,
+            sent,
+            until,
+            start_by,
+            started: false,
+            out: true,
+            link: None,
+            token: None,
+        });
         let known = shell.hosts.get(host).copied().unwrap_or_default();
         self.course.sent(&ask);
         self.course.step(self.now, 4, ask.op.0, (u64::from(attempt) << 32) | host as u64);
@@ -674,7 +690,7 @@
         let known = shell.hosts[wire.host];
         let open = shell.calls.get(&wire.call).is_some_and(|c| !c.answered);
         let Some(attempt) = self.attempt(&wire) else { return };
-        attempt.started = open && now < attempt.until && known.ready;
+        attempt.started = open && now < attempt.until && now < attempt.start_by && known.ready;
         if !attempt.started {
             attempt.link = Some(link);
             self.keep(wire);
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -62,6 +62,12 @@
     }
 }
 
+/// A keyed call waited for its connection until its window was over, and went out all the same.
+#[test]
+fn a_keyed_attempt_that_waits_for_its_connection_does_not_start_after_its_window() {
+    keeps_the_rules(Way::Sockets, 332..333);
+}
+
 #[test]
 fn the_standing_scenarios_play_and_both_virtual_plays_agree() {
     for (name, mut scenario) in scenarios(&folder()) {
--- a/crates/proxy/src/net/driver.rs
+++ b/crates/proxy/src/net/driver.rs
@@ -114,6 +114,8 @@
     server: ServerId,
     sent: Micros,
     until: Micros,
+    /// Later its first byte must not be written.
+    start_by: Micros,
     /// Its first byte may have been written.
     started: bool,
     /// None once its outcome is in.
@@ -312,7 +314,7 @@
         let Some(call) = calls.get_mut(&call).filter(|c| c.answer.is_some()) else { return false };
         let Some(attempt) = call.attempts.get_mut(attempt as usize).filter(|a| a.out) else { return false };
         let host = hosts.get(&attempt.server);
-        attempt.started = self.clock.now() < attempt.until
+        attempt.started = self.clock.now() < attempt.until.min(attempt.start_by)
             && host.is_some_and(|h| h.state == State::Ready && h.generation == generation);
         attempt.started
     }
@@ -419,7 +421,9 @@
 
     fn act(&self, core: &mut Core, now: Micros, action: Action) {
         match action {
-            Action::Send { call, server, until } => self.send(core, now, (call, server, until)),
+            Action::Send { call, server, until, start_by } => {
+                self.send(core, now, (call, server), (until, start_by));
+            }
             Action::Refuse { call, retry_after } => core.close(call, Some(Answer::Refused { retry_after })),
             Action::Fail { call } => {
                 let last = core.calls.get_mut(&call).and_then(|c| c.last.take());
@@ -451,11 +455,19 @@
         }
     }
 
-    fn send(&self, core: &mut Core, now: Micros, (id, server, until): (CallId, ServerId, Option<Micros>)) {
+    fn send(
+        &self,
+        core: &mut Core,
+        now: Micros,
+        (id, server): (CallId, ServerId),
+        (until, start_by): (Option<Micros>, Option<Micros>),
+    ) {
         let Some(call) = core.calls.get_mut(&id) else { return };
         let number = call.attempts.len() as u32;
         let until = until.filter(|&u| u > 0).unwrap_or(Micros::MAX).min(call.deadline);
-        call.attempts.push(Attempt { server, sent: now, until, started: false, task: None, out: true });
+        let start_by = start_by.unwrap_or(Micros::MAX);
+        let attempt = Attempt { server, sent: now, until, start_by, started: false, task: None, out: true };
+        call.attempts.push(attempt);
         if tracing::enabled!(target: CALLS, tracing::Level::DEBUG) {
             let name = core.hosts.get(&server).map_or("", |h| &*h.name);
             let left = until.saturating_sub(now);
