--- a/crates/lab/src/sockets/memory.rs
+++ b/crates/lab/src/sockets/memory.rs
@@ -104,6 +104,9 @@
     waker: Option<Waker>,
 }
 
+/// Who is at an address, and who waits to be taken in there.
+type Served = (Who, Rc<RefCell<Door>>);
+
 /// A host's word on a connection that comes in: does it take it?
 type Gate = Box<dyn Fn() -> bool>;
 
@@ -112,7 +115,7 @@
     pub(crate) time: Time,
     ways: Ways,
     faults: Vec<Fault>,
-    doors: RefCell<BTreeMap<SocketAddr, (Who, Rc<RefCell<Door>>)>>,
+    doors: RefCell<BTreeMap<SocketAddr, Served>>,
     gates: RefCell<BTreeMap<usize, Gate>>,
     zones: (Vec<u32>, Vec<u32>),
     numbers: RefCell<BTreeMap<(u64, u64), u64>>,
