The pick no longer walks over the fleet: sets kept as servers change

Need: a request cost the decisions in proportion to the hosts: the pick, the look for servers set aside, cold shares and the timer walked over all of them. Change: servers stand in slots; where each stands (up, room, trial, aside, cold) is decided in balance.rs and filed in fleet.rs, in weighted sets that are drawn from in logarithmic time (weighted.rs, a binary indexed tree). What time alone changes is due in order. Lists cost what changed. With over 16 servers set aside a tenth of the calls may try one.

--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -5,10 +5,12 @@
 //! may pass one as the trial that can raise it, and is refused when no server is up.
 
 use crate::api::*;
+use crate::fleet::{Among, Domain, Fleet, Standing};
 use crate::state::*;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
+use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, VecDeque};
 
 /// Most steps of a budget: A105's default for max_connections_per_subchannel.
@@ -51,6 +53,9 @@
 /// Share of the longest wait for a try that is taken for the same patience.
 const PATIENCE_SAME: f64 = 0.95;
 
+/// Servers set aside up to which any call may try one that is due.
+const ASIDE_FEW: usize = 16;
+
 /// Points of the result that asking servers for their load may cost, and the most servers asked for a call.
 const ASK_POINTS: f64 = 0.02;
 const ASK_MOST: usize = 4;
@@ -108,11 +113,39 @@
                 || now.saturating_sub(self.changed) as f64 >= 2.0 * usual)
     }
 
-    /// Set aside and due for the one call that tries it.
-    fn returning(&self, now: Micros, rules: &Rules) -> bool {
-        // All balancers' trials together could push a cold server over.
-        let rested = self.budget.trial_ready(now) && now >= self.not_before;
-        self.listed && self.budget.steps == 0 && rested && self.warmth(now, rules) >= 1.0
+    /// Where it stands at `now`, where answers usually take no longer than `usual`.
+    fn standing(&self, now: Micros, rules: &Rules, usual: f64) -> Standing {
+        let (aside, paused) = (self.listed && self.budget.steps == 0, now < self.not_before);
+        let warm_at = if self.started == 0 { 0 } else { self.started.saturating_add(rules.cold_time) };
+        let (warm, backing_off) = (now >= warm_at, now < self.budget.backoff_end);
+        let up = self.usable(now) && warm;
+        let full = up && self.full(now, rules);
+        let settled = self.changed == 0 || self.settled(now, usual);
+        let may_be_tried = full && !self.budget.trial_out && self.strain <= 1.0;
+        // Times at which it stands elsewhere though nothing happened to it.
+        let settles_at = self.changed.saturating_add((2.0 * usual) as Micros + 1);
+        let times = [
+            (paused, self.not_before),
+            (!warm, warm_at),
+            ((may_be_tried || aside) && backing_off, self.budget.backoff_end),
+            (
+                may_be_tried && !settled && self.answers_since >= self.in_flight.max(1),
+                settles_at.max(now + 1),
+            ),
+        ];
+        let due = times.iter().filter(|t| self.listed && t.0).map(|t| t.1).min();
+        Standing {
+            listed: self.listed,
+            up,
+            room: up && !full,
+            trial: may_be_tried && !backing_off && settled,
+            aside,
+            tested: self.budget.trial_out,
+            // All balancers' trials together could push a cold server over.
+            back_at: self.budget.backoff_end.max(self.not_before).max(warm_at),
+            cold_since: (self.listed && !warm).then_some(self.started.min(now)),
+            due: due.unwrap_or(Micros::MAX),
+        }
     }
 }
 
@@ -154,8 +187,8 @@
 pub struct Balancer {
     settings: Settings,
     random: Pcg32,
-    servers: Vec<Server>,
-    calls: BTreeMap<CallId, Call>,
+    fleet: Fleet,
+    calls: FxHashMap<CallId, Call>,
     hold: VecDeque<CallId>,
     /// Calls that wait for the load of servers.
     asking: Vec<CallId>,
@@ -180,9 +213,9 @@
         Balancer {
             random: Pcg32::seed_from_u64(seed),
             paces: settings.classes.iter().map(Pace::of).collect(),
+            fleet: Fleet::new(settings.zone),
             settings,
-            servers: Vec::new(),
-            calls: BTreeMap::new(),
+            calls: FxHashMap::default(),
             hold: VecDeque::new(),
             asking: Vec::new(),
             told: (0.0, 0.0),
@@ -199,6 +232,9 @@
 
     /// Takes one event at time `now` and appends what is to be done.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        while let Some(place) = self.fleet.overdue(now) {
+            self.refile(now, place);
+        }
         match event {
             Event::Start => actions.extend(self.settings.ask.then_some(Action::Subscribe)),
             Event::Probed { server, outcome, load, .. } => self.probed(now, server, outcome, load, actions),
@@ -214,6 +250,9 @@
                 if let Some((mut tried, class_id)) = self.outcome(call, attempt, outcome) {
                     tried.sent = tried.sent.min(now.saturating_sub(elapsed));
                     self.learn(now, tried, class_id, outcome, actions);
+                    if let Some(place) = self.fleet.place(tried.server) {
+                        self.refile(now, place);
+                    }
                     self.proceed(now, call, outcome, closed, actions);
                 }
             }
@@ -229,7 +268,7 @@
                 self.cancel_others(call, None, actions);
                 self.forget(call);
             }
-            Event::Reconfigure { settings, fresh } => self.reconfigure(*settings, &fresh),
+            Event::Reconfigure { settings, fresh } => self.reconfigure(now, *settings, &fresh),
             Event::Timer => self.timer_at = Micros::MAX,
         }
         self.wake_calls(now, actions);
@@ -243,7 +282,7 @@
 
     /// What is known of a server; None: nothing.
     pub fn view(&self, now: Micros, server: ServerId) -> Option<View> {
-        let server = &self.servers[self.place(server)?];
+        let server = &self.fleet[self.fleet.place(server)?];
         let Server { in_flight, strain, failing, ref budget, .. } = *server;
         let concurrency = f64::from(budget.steps) * budget.concurrency;
         let (warmth, set_aside) = (server.warmth(now, &self.settings.rules), budget.steps == 0);
@@ -269,31 +308,50 @@
             self.ask_failures = 0;
         }
         if kind != ListKind::Delta {
-            self.servers.iter_mut().for_each(|s| s.listed = false);
+            self.fleet.begin_list();
         }
         for entry in entries {
-            let found = self.servers.binary_search_by_key(&entry.server, |s| s.id);
-            let place = found.unwrap_or_else(|place| place);
+            let found = self.fleet.place(entry.server);
             // A restart under the same number is a new, cold process: nothing learned of the old one holds.
-            if found.is_err() || entry.started > self.servers[place].started {
+            let same = found.filter(|&place| entry.started <= self.fleet[place].started);
+            let place = same.unwrap_or_else(|| {
                 let budget = Budget::new(self.settings.balancers);
                 let mut server = Server::new(entry, self.settings.weights, budget);
-                if found.is_ok() {
-                    let old = self.servers.remove(place);
+                if let Some(old) = found.map(|place| &self.fleet[place]) {
                     (server.in_flight, server.budget.trial_out) = (old.in_flight, old.budget.trial_out);
                 }
                 server.rank = self.random.gen();
-                self.servers.insert(place, server);
+                self.fleet.insert(server)
+            });
+            self.fleet.named(place);
+            self.fleet.place_in(place, entry.zone, entry.cell);
+            self.list(now, place, entry.state == State::Ready);
+        }
+        if kind != ListKind::Delta {
+            for place in self.fleet.unnamed() {
+                self.list(now, place, false);
             }
-            let server = &mut self.servers[place];
-            server.listed = entry.state == State::Ready;
-            (server.zone, server.cell) = (entry.zone, entry.cell);
         }
-        self.servers.retain(|s| s.listed || s.in_flight > 0);
+        self.fleet.forget_left();
+    }
+
+    /// Whether a server takes calls, by the list.
+    fn list(&mut self, now: Micros, place: usize, listed: bool) {
+        self.fleet[place].listed = listed;
+        if !listed {
+            self.fleet.leaves(place);
+        }
+        self.refile(now, place);
+    }
+
+    /// Notes where a server stands after a change to it.
+    fn refile(&mut self, now: Micros, place: usize) {
+        let standing = self.fleet[place].standing(now, &self.settings.rules, self.longest_usual());
+        self.fleet.file(place, standing);
     }
 
     /// Classes that stay keep what was learned of them. Open calls carry their own class and terms with them.
-    fn reconfigure(&mut self, settings: Settings, fresh: &[ClassId]) {
+    fn reconfigure(&mut self, now: Micros, settings: Settings, fresh: &[ClassId]) {
         let known = self.paces.len();
         self.paces.extend(settings.classes.iter().skip(known).map(Pace::of));
         for &ClassId(place) in fresh {
@@ -302,6 +360,10 @@
             }
         }
         self.settings = settings;
+        self.fleet.set_zone(self.settings.zone);
+        for place in self.fleet.slots() {
+            self.refile(now, place);
+        }
     }
 
     // Calls.
@@ -425,13 +487,13 @@
     /// As many waiting as in work, or nearly all cores busy, is as much as an answer at its limit.
     fn report(&mut self, id: CallId, attempt: u32, load: Load) {
         let Some(tried) = self.calls.get(&id).and_then(|c| c.attempts.get(attempt as usize)) else { return };
-        let Some(place) = self.place(tried.server) else { return };
+        let Some(place) = self.fleet.place(tried.server) else { return };
         let crowding = match load {
             Load { in_hand: Some(all), waiting: Some(waiting), .. } => waiting / (all - waiting).max(1.0),
             Load { busy: Some(busy), .. } => busy / BUSY_FULL,
             _ => return,
         };
-        self.servers[place].crowding = if crowding.is_finite() { crowding.clamp(0.0, 4.0) } else { 0.0 };
+        self.fleet[place].crowding = if crowding.is_finite() { crowding.clamp(0.0, 4.0) } else { 0.0 };
     }
 
     /// What a server's answer, or its absence, teaches.
@@ -447,12 +509,12 @@
         let elapsed = now.saturating_sub(sent);
         let (first, longest, longest_aim) = (self.first_backoff(), self.longest_usual(), self.longest_aim());
         let may_set_aside = self.may_set_aside();
-        let Some(place) = self.place(id) else { return };
+        let Some(place) = self.fleet.place(id) else { return };
         let pace = self.paces.get_mut(class_id);
         let aim = self.settings.classes.get(class_id).map_or(f64::MAX, |c| c.aim as f64);
         let limit =
             pace.as_ref().map_or(f64::MAX, |p| (p.base * STRAIN_TIMES).min(aim * STRAIN_AIM).max(p.base));
-        let server = &mut self.servers[place];
+        let server = &mut self.fleet[place];
         server.in_flight = server.in_flight.saturating_sub(1);
         let late = if outcome == Outcome::TimedOut && server.answered > sent { 2.0 } else { 0.0 };
         let mut strain = (elapsed as f64 / limit).clamp(late, 4.0);
@@ -550,20 +612,19 @@
 
     /// Never most of the fleet: trouble seen everywhere is not the servers' own.
     fn may_set_aside(&self) -> bool {
-        let aside = self.listed().filter(|s| s.budget.steps == 0).count();
-        (aside + 1) * 2 <= self.listed().count()
-    }
-
-    fn listed(&self) -> impl Iterator<Item = &Server> {
-        self.servers.iter().filter(|s| s.listed)
+        (self.fleet.aside() + 1) * 2 <= self.fleet.listed()
     }
 
     /// After an attempt that did not serve: again, or the end.
     fn again(&mut self, now: Micros, id: CallId, outcome: Outcome, actions: &mut Actions) {
+        let next = now.saturating_add(self.calls[&id].terms.backoff);
+        let some = match self.domain(next, id) {
+            Some(Domain::All) => self.fleet.listed() > 0,
+            Some(Domain::Only(places)) => !places.is_empty(),
+            None => false,
+        };
         let call = &self.calls[&id];
-        let next = now.saturating_add(call.terms.backoff);
         let in_time = next as f64 + self.usual(call.class_id, call.class.aim) < call.aim_at() as f64;
-        let some = self.servers.iter().any(|s| s.listed && call.may_go(next, s, self.settings.tick));
         let allowed = call.terms.resend == Resend::Any || call.binding().is_none();
         let paid = self.retries >= 1.0 || outcome == Outcome::NoConnection;
         if !(in_time && some && allowed && call.more() && paid && !call.streaming) {
@@ -618,63 +679,107 @@
         }
     }
 
+    /// Where a call may go by what it has run: anywhere, to those that drop its repeats, or nowhere.
+    fn domain(&mut self, now: Micros, id: CallId) -> Option<Domain> {
+        let call = &self.calls[&id];
+        match (call.binding(), call.class.repeat) {
+            (None, _) | (_, Repeat::Free) => Some(Domain::All),
+            (Some(first), Repeat::Guarded { scope, window })
+                if now.saturating_add(self.settings.tick) < first.sent.saturating_add(window) =>
+            {
+                let place = (scope, first.zone, first.cell);
+                Some(self.fleet.sharing(&mut self.random, place))
+            }
+            _ => None,
+        }
+    }
+
+    /// Are there servers among these that none of the call's attempts went to?
+    fn any_untried(&self, call: &Call, among: Among, domain: &Domain) -> bool {
+        let in_set = |place: usize| self.fleet.contains(among, place);
+        if call.attempts.is_empty() {
+            return true;
+        }
+        match domain {
+            Domain::Only(places) => places.iter().any(|&p| in_set(p) && call.untried(&self.fleet[p])),
+            Domain::All => {
+                let tried = call.attempts.iter().enumerate().filter(|(n, a)| {
+                    let first = call.attempts[..*n].iter().all(|b| b.server != a.server);
+                    first && self.fleet.place(a.server).is_some_and(in_set)
+                });
+                tried.count() < self.fleet.count(among)
+            }
+        }
+    }
+
     fn route(&mut self, now: Micros, id: CallId) -> Route {
-        let (rules, tick) = (self.settings.rules, self.settings.tick);
-        let rules = &rules;
-        let longest = self.longest_usual();
-        let ready = |s: &Server| {
-            s.budget.trial_ready(now)
-                && s.strain <= 1.0
-                && (s.changed == 0 || s.settled(now, longest))
-                && s.warmth(now, rules) >= 1.0
-        };
-        if self.listed().next().is_some() && self.listed().all(|s| s.budget.steps == 0) {
-            let first = self.listed().map(|s| s.budget.backoff_end).min().unwrap_or(now);
-            return Route::Refuse { retry_after: first.saturating_sub(now).max(self.first_backoff()) };
+        let rules = self.settings.rules;
+        let listed = self.fleet.listed();
+        if listed > 0 && self.fleet.aside() == listed {
+            let wait = self.fleet.first_back().saturating_sub(now);
+            return Route::Refuse { retry_after: wait.max(self.first_backoff()) };
         }
-        if !self.servers.iter().any(|s| s.usable(now) && (!s.full(now, rules) || ready(s))) {
+        let open =
+            self.fleet.count(Among::Room) + self.fleet.count(Among::Trial) + self.fleet.count(Among::Cold);
+        if open == 0 {
             return Route::Hold;
         }
         if let Some(server) = self.cold_draw(now, id) {
             return Route::Send { server, trial: false };
         }
-        let call = &self.calls[&id];
+        let Some(domain) = self.domain(now, id) else { return Route::Hold };
         // Cold ones only if there is no other.
-        let warm = |s: &Server| s.warmth(now, rules) >= 1.0;
-        let some_warm = self.servers.iter().any(|s| s.usable(now) && warm(s));
-        let allowed = |s: &Server| s.usable(now) && (warm(s) || !some_warm) && call.may_go(now, s, tick);
-        let mut up: Vec<usize> = (0..self.servers.len()).filter(|&i| allowed(&self.servers[i])).collect();
-        if up.iter().any(|&i| call.untried(&self.servers[i])) {
-            up.retain(|&i| call.untried(&self.servers[i]));
-        }
-        if self.sparse() {
-            let at = |i: usize| &self.servers[i];
-            let group = |i: usize| self.groups.get(&(at(i).zone, at(i).kind));
-            up.retain(|&i| group(i).is_none_or(|g| g.share >= call.chance));
-            // Own zone first, where crossing costs: others' when it has no room.
-            let near = |i: usize| at(i).zone == self.settings.zone;
-            let crossing = self.settings.charges.cross_zone > 0.0 && call.found_full == 0;
-            if crossing && up.iter().any(|&i| near(i) && !at(i).full(now, rules)) {
-                up.retain(|&i| near(i));
-            }
-        }
-        let mut room: Vec<usize> =
-            up.iter().copied().filter(|&i| !self.servers[i].full(now, rules)).collect();
+        let (up, room) = match self.fleet.count(Among::Up) {
+            0 => (Among::Cold, Among::Cold),
+            _ => (Among::Up, Among::Room),
+        };
+        let fresh = self.any_untried(&self.calls[&id], up, &domain);
+        let sparse = self.sparse();
+        let Balancer { fleet, calls, groups, random, settings, .. } = self;
+        let call = &calls[&id];
+        let fits = |s: &Server| {
+            let group = || groups.get(&(s.zone, s.kind)).is_none_or(|g| g.share >= call.chance);
+            s.usable(now) && (!fresh || call.untried(s)) && (!sparse || group())
+        };
+        let with_room = |s: &Server| fits(s) && !s.full(now, &rules);
         // A stable few, more when they were full: they bound connections, and what they show is fresh.
-        if self.sparse() {
-            room.sort_unstable_by_key(|&i| self.servers[i].rank);
-            room.truncate(SUBSET << self.calls[&id].found_full.min(BACKOFF_DOUBLINGS));
-            up.retain(|i| room.contains(i) || room.is_empty());
+        let few = SUBSET << call.found_full.min(BACKOFF_DOUBLINGS);
+        let mut stable = Vec::new();
+        // Own zone first, where crossing costs: others' when it has no room.
+        if sparse && settings.charges.cross_zone > 0.0 && call.found_full == 0 {
+            stable = fleet.preferred(true, (room, &domain), few, with_room);
         }
-        let trials: Vec<usize> = up.iter().copied().filter(|&i| ready(&self.servers[i])).collect();
-        if let Some(servers) = (!room.is_empty()).then(|| self.ask(now, id, &room)).flatten() {
-            return if servers.is_empty() { Route::Hold } else { Route::Ask { servers } };
+        if sparse && stable.is_empty() {
+            stable = fleet.preferred(false, (room, &domain), few, with_room);
         }
-        let first = self.two_choices(now, &up).filter(|server| room.contains(server));
-        if let Some(server) = first.or_else(|| self.two_choices(now, &room)) {
+        let first = if sparse {
+            if let Some(servers) = (!stable.is_empty()).then(|| self.ask(now, id, &stable)).flatten() {
+                return if servers.is_empty() { Route::Hold } else { Route::Ask { servers } };
+            }
+            self.two_choices(now, &stable)
+        } else {
+            // Two of all that are up; one that is full is redrawn among those with room.
+            let pair = fleet.draw(random, (up, &domain), 2, fits);
+            let first = self.best(now, &pair).filter(|&server| !self.fleet[server].full(now, &rules));
+            first.or_else(|| {
+                let Balancer { fleet, calls, random, .. } = self;
+                let call = &calls[&id];
+                let fits = |s: &Server| s.usable(now) && (!fresh || call.untried(s)) && !s.full(now, &rules);
+                let pair = fleet.draw(random, (room, &domain), 2, fits);
+                self.best(now, &pair)
+            })
+        };
+        if let Some(server) = first {
             return Route::Send { server, trial: false };
         }
-        self.two_choices(now, &trials).map_or(Route::Hold, |server| Route::Send { server, trial: true })
+        let Balancer { fleet, calls, groups, random, .. } = self;
+        let call = &calls[&id];
+        let fits = |s: &Server| {
+            let group = || groups.get(&(s.zone, s.kind)).is_none_or(|g| g.share >= call.chance);
+            (!fresh || call.untried(s)) && (!sparse || group())
+        };
+        let pair = fleet.draw(random, (Among::Trial, &domain), 2, fits);
+        self.best(now, &pair).map_or(Route::Hold, |server| Route::Send { server, trial: true })
     }
 
     /// Servers to ask before this call goes: a balancer of little traffic knows nothing fresh of nearly all.
@@ -699,7 +804,7 @@
     /// Is an even part of a server's calls under one? Then own calls in flight tell little.
     fn sparse(&self) -> bool {
         let balancers = f64::from(self.settings.balancers);
-        balancers > START_CONCURRENCY && balancers > self.listed().count() as f64
+        balancers > START_CONCURRENCY && balancers > self.fleet.listed() as f64
     }
 
     fn ask_wait(&self, call: &Call) -> Micros {
@@ -709,7 +814,7 @@
     fn start_asking(&mut self, now: Micros, id: CallId, servers: &[usize], actions: &mut Actions) {
         let wake = now + self.ask_wait(&self.calls[&id]);
         let Some(call) = self.calls.get_mut(&id) else { return };
-        (call.asks, call.asks_at) = (servers.iter().map(|&i| self.servers[i].id).collect(), now);
+        (call.asks, call.asks_at) = (servers.iter().map(|&i| self.fleet[i].id).collect(), now);
         actions.extend(call.asks.iter().map(|&server| Action::Probe { server }));
         self.asking.push(id);
         self.wakes.set(id, Some(wake));
@@ -717,13 +822,14 @@
 
     /// A server told its load, or did not answer: then it is taken for the most loaded.
     fn probed(&mut self, now: Micros, id: ServerId, outcome: Outcome, load: Load, actions: &mut Actions) {
-        let Some(place) = self.place(id) else { return };
+        let Some(place) = self.fleet.place(id) else { return };
         let told = load.in_hand.filter(|l| outcome == Outcome::Served && l.is_finite());
-        let server = &mut self.servers[place];
+        let server = &mut self.fleet[place];
         (server.in_hand, server.asked) = (told.map_or(f64::MAX, |l| l.max(0.0)), now);
         for call in std::mem::take(&mut self.asking) {
             let Some(c) = self.calls.get(&call).filter(|c| !c.asks.is_empty()) else { continue };
-            let waits = |&id: &ServerId| self.place(id).is_some_and(|p| self.servers[p].asked < c.asks_at);
+            let waits =
+                |&id: &ServerId| self.fleet.place(id).is_some_and(|p| self.fleet[p].asked < c.asks_at);
             if c.asks.iter().any(waits) {
                 self.asking.push(call);
             } else {
@@ -739,12 +845,12 @@
         let (rules, tick, most) = (self.settings.rules, self.settings.tick, self.crowd_limit(id));
         let mut places = Vec::new();
         for server in asked {
-            let Some(place) = self.place(server) else { continue };
-            let server = &mut self.servers[place];
+            let Some(place) = self.fleet.place(server) else { continue };
+            let server = &mut self.fleet[place];
             if server.asked < since {
                 (server.in_hand, server.asked) = (f64::MAX, now);
             }
-            let (server, load) = (&self.servers[place], self.servers[place].load(now, &rules));
+            let (server, load) = (&self.fleet[place], self.fleet[place].load(now, &rules));
             let held = server.in_hand / (server.in_hand + 1.0);
             self.pressure += ((held * load / most).min(1.0) - self.pressure) * SMOOTHING;
             // What all balancers hold there counts against the budget of all: else each adds its one call.
@@ -770,8 +876,7 @@
     /// Calls in hand for a server's size at which this call would take too long, learned from all servers'
     /// answers as one. It starts as if some had shown the start figure: all come before it is learned.
     fn crowd_limit(&self, id: CallId) -> f64 {
-        let size = self.listed().map(|s| s.size).sum::<f64>().max(f64::MIN_POSITIVE);
-        let start = START_CONCURRENCY * self.listed().count() as f64 / size;
+        let start = START_CONCURRENCY * self.fleet.listed() as f64 / self.fleet.size().max(f64::MIN_POSITIVE);
         let aim = self.calls[&id].class.aim as f64 * CROWD_AIM;
         let (time, crowd) = (self.told.0 + aim / SMOOTHING, self.told.1 + start / SMOOTHING);
         aim * crowd / time.max(1.0)
@@ -782,14 +887,18 @@
     fn cold_draw(&mut self, now: Micros, id: CallId) -> Option<usize> {
         let call = self.calls.get_mut(&id).filter(|c| c.lot && c.attempts.is_empty())?;
         call.lot = false;
+        if self.fleet.count(Among::Cold) == 0 {
+            return None;
+        }
         let (lot, rules) = (self.unit(), self.settings.rules);
-        let present = |s: &Server| s.size * s.warmth(now, &rules);
-        let mut mark = lot * self.listed().map(present).sum::<f64>() / COLD_DUTY;
-        let place = self.servers.iter().position(|s| {
-            mark -= if s.listed && s.warmth(now, &rules) < 1.0 { present(s) } else { 0.0 };
-            mark < 0.0
-        })?;
-        let server = &self.servers[place];
+        let cold = self.fleet.cold_size(now, &rules);
+        let all = self.fleet.size() - self.fleet.cold_full_size() + cold;
+        if lot * all >= cold * COLD_DUTY {
+            return None;
+        }
+        let Balancer { fleet, random, .. } = self;
+        let place = fleet.draw_cold(random, |s| s.warmth(now, &rules))?;
+        let server = &self.fleet[place];
         (server.usable(now) && !server.full(now, &rules)).then_some(place)
     }
 
@@ -800,7 +909,8 @@
 
     /// Random servers, each with a chance in proportion to its size.
     fn draw(&mut self, among: &[usize], count: usize) -> Vec<usize> {
-        let drawn = among.choose_multiple_weighted(&mut self.random, count, |&i| self.servers[i].size);
+        let Balancer { fleet, random, .. } = self;
+        let drawn = among.choose_multiple_weighted(random, count, |&i| fleet[i].size);
         drawn.map(|places| places.copied().collect()).unwrap_or_default()
     }
 
@@ -808,7 +918,7 @@
     fn best(&self, now: Micros, among: &[usize]) -> Option<usize> {
         let rules = &self.settings.rules;
         let load = |i: usize| {
-            let server = &self.servers[i];
+            let server = &self.fleet[i];
             (server.in_flight, server.load(now, rules), self.expected(now, server))
         };
         among.iter().copied().reduce(|a, b| if load(b) < load(a) { b } else { a })
@@ -823,14 +933,16 @@
 
     fn send(&mut self, now: Micros, id: CallId, place: usize, trial: bool, actions: &mut Actions) {
         let fresh_for = self.ask_wait(&self.calls[&id]);
-        let server = &mut self.servers[place];
+        let server = &mut self.fleet[place];
         let fresh = server.asked != 0 && server.in_hand < f64::MAX && server.asked + fresh_for > now;
         let crowd = if fresh { server.load(now, &self.settings.rules) } else { 0.0 };
         server.in_flight += 1;
         server.in_hand += 1.0;
         server.budget.trial_out |= trial;
+        self.refile(now, place);
         let Some(call) = self.calls.get_mut(&id) else { return };
-        let (server, zone, cell, effect) = (server.id, server.zone, server.cell, Effect::Out);
+        let &Server { id: server, zone, cell, .. } = &self.fleet[place];
+        let effect = Effect::Out;
         let start_by = match (call.binding(), call.class.repeat) {
             (Some(first), Repeat::Guarded { window, .. }) => Some(first.sent.saturating_add(window)),
             _ => None,
@@ -859,14 +971,12 @@
     }
 
     fn drain_hold(&mut self, now: Micros, actions: &mut Actions) {
-        for place in 0..self.servers.len() {
-            if !self.hold.is_empty() && self.servers[place].returning(now, &self.settings.rules) {
-                let mut held = self.hold.iter().take(LOOK_PAST);
-                let Some(index) = held.position(|id| self.may_test(&self.calls[id])) else { break };
-                let id = self.hold[index];
-                self.take(index);
-                self.send(now, id, place, true, actions);
-            }
+        while let Some(place) = self.fleet.returning(now).filter(|_| !self.hold.is_empty()) {
+            let mut held = self.hold.iter().take(LOOK_PAST);
+            let Some(index) = held.position(|id| self.may_test(&self.calls[id])) else { break };
+            let id = self.hold[index];
+            self.take(index);
+            self.send(now, id, place, true, actions);
         }
         let mut index = 0;
         while let Some(&id) = self.hold.get(index) {
@@ -896,8 +1006,8 @@
     /// A set-aside server is tried by a call that can go again, where the site has such calls.
     fn may_test(&self, call: &Call) -> bool {
         let repeats = |c: &Class| c.repeat != Repeat::SingleShot;
-        // Else trials of many servers set aside would take most calls of a balancer of little traffic.
-        let few = !self.sparse() || call.chance < SMOOTHING;
+        // Else trials of many servers set aside would take most calls, or those of a quiet balancer.
+        let few = !self.sparse() && self.fleet.aside() <= ASIDE_FEW || call.chance < SMOOTHING;
         few && call.attempts.is_empty()
             && (repeats(&call.class) || !self.settings.classes.iter().any(repeats))
     }
@@ -940,7 +1050,7 @@
     fn set_timer(&mut self, now: Micros, actions: &mut Actions) {
         let mut next = self.ask_at.min(self.wakes.next().unwrap_or(Micros::MAX));
         if !self.hold.is_empty() {
-            let due = self.listed().flat_map(|s| [s.budget.backoff_end, s.not_before]).filter(|&at| at > now);
+            let due = self.fleet.next_due().into_iter();
             let asks = self.hold.front().map(|id| self.calls[id].ask_next).filter(|&at| at > now);
             next = due.chain(asks).fold(next, Micros::min);
         }
@@ -950,10 +1060,6 @@
         }
     }
 
-    fn place(&self, id: ServerId) -> Option<usize> {
-        self.servers.binary_search_by_key(&id, |s| s.id).ok()
-    }
-
     fn first_backoff(&self) -> Micros {
         ((self.longest_aim() * BACKOFF_AIM) as Micros).max(1_000)
     }
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -27,8 +27,10 @@
 
 mod api;
 mod balance;
+mod fleet;
 pub mod settings;
 mod state;
+mod weighted;
 
 pub use api::*;
 pub use balance::Balancer;
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -193,13 +193,6 @@
     }
 }
 
-impl Budget {
-    /// May a trial go out?
-    pub(crate) fn trial_ready(&self, now: Micros) -> bool {
-        !self.trial_out && now >= self.backoff_end
-    }
-}
-
 impl Server {
     /// Is it up, apart from its budget?
     pub(crate) fn usable(&self, now: Micros) -> bool {
