--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -150,19 +150,6 @@
 }
 
 impl Call {
-    /// May this call go again, here? Proof over all its attempts decides, never the last outcome alone.
-    fn may_go(&self, now: Micros, server: &Server, tick: Micros) -> bool {
-        match (self.binding(), self.class.repeat) {
-            (None, _) | (_, Repeat::Free) => true,
-            (Some(_), Repeat::SingleShot) => false,
-            (Some(first), Repeat::Guarded { scope, window }) => {
-                let zone = scope == Scope::Zone && first.zone == server.zone;
-                let inside = scope == Scope::All || zone || scope == Scope::Cell && first.cell == server.cell;
-                inside && now.saturating_add(tick) < first.sent.saturating_add(window)
-            }
-        }
-    }
-
     /// May it have another attempt, by their number?
     fn more(&self) -> bool {
         (self.attempts.len() as u32) < self.terms.attempts
@@ -679,11 +666,13 @@
         }
     }
 
-    /// Where a call may go by what it has run: anywhere, to those that drop its repeats, or nowhere.
+    /// Where a call may go by what it has run: anywhere, to those that drop its repeats, or nowhere. Proof over
+    /// all its attempts decides, never the last outcome alone.
     fn domain(&mut self, now: Micros, id: CallId) -> Option<Domain> {
         let call = &self.calls[&id];
         match (call.binding(), call.class.repeat) {
             (None, _) | (_, Repeat::Free) => Some(Domain::All),
+            (Some(_), Repeat::SingleShot) => None,
             (Some(first), Repeat::Guarded { scope, window })
                 if now.saturating_add(self.settings.tick) < first.sent.saturating_add(window) =>
             {
@@ -842,7 +831,7 @@
     fn decide(&mut self, now: Micros, id: CallId, actions: &mut Actions) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         let (asked, since) = (std::mem::take(&mut call.asks), call.asks_at);
-        let (rules, tick, most) = (self.settings.rules, self.settings.tick, self.crowd_limit(id));
+        let (rules, most, domain) = (self.settings.rules, self.crowd_limit(id), self.domain(now, id));
         let mut places = Vec::new();
         for server in asked {
             let Some(place) = self.fleet.place(server) else { continue };
@@ -855,7 +844,7 @@
             self.pressure += ((held * load / most).min(1.0) - self.pressure) * SMOOTHING;
             // What all balancers hold there counts against the budget of all: else each adds its one call.
             let room = !server.full(now, &rules) && (load <= most || server.in_hand < 1.0);
-            if room && server.usable(now) && self.calls[&id].may_go(now, server, tick) {
+            if room && server.usable(now) && domain.as_ref().is_some_and(|d| d.holds(place)) {
                 places.push(place);
             }
         }
--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -57,6 +57,16 @@
     Only(Vec<usize>),
 }
 
+impl Domain {
+    /// Is this server one of them?
+    pub(crate) fn holds(&self, slot: usize) -> bool {
+        match self {
+            Domain::All => true,
+            Domain::Only(slots) => slots.contains(&slot),
+        }
+    }
+}
+
 /// Slots drawn for one call.
 pub(crate) type Drawn = SmallVec<[usize; 4]>;
 
--- a/crates/lab/src/defects.rs
+++ b/crates/lab/src/defects.rs
@@ -23,6 +23,7 @@
 }
 
 const MODULE: &str = "crates/decisions/src/balance.rs";
+const FLEET: &str = "crates/decisions/src/fleet.rs";
 const STATE: &str = "crates/decisions/src/state.rs";
 const API: &str = "crates/decisions/src/api.rs";
 const DRIVER: &str = "crates/proxy/src/net/driver.rs";
@@ -37,7 +38,7 @@
         what: "an unsafe call goes again without proof",
         play: "virtual",
         edits: &[
-            (MODULE, "(Some(_), Repeat::SingleShot) => false,", "(Some(_), Repeat::SingleShot) => true,"),
+            (MODULE, "(Some(_), Repeat::SingleShot) => None,", "(Some(_), Repeat::SingleShot) => Some(Domain::All),"),
             // The file's own word stands guard as well.
             (MODULE, "call.terms.resend == Resend::Any || call.binding().is_none();", "true;"),
         ],
@@ -46,13 +47,13 @@
         name: "resend-outside-group",
         what: "a keyed call goes again outside its group",
         play: "virtual",
-        edits: &[(MODULE, "let inside = scope == Scope::All || zone || scope == Scope::Cell && first.cell == server.cell;", "let inside = true;")],
+        edits: &[(MODULE, "let place = (scope, first.zone, first.cell);", "let place = (Scope::All, first.zone, first.cell);")],
     },
     Defect {
         name: "zone-for-cell",
         what: "the group of a keyed call is taken for its zone",
         play: "virtual",
-        edits: &[(MODULE, "scope == Scope::Cell && first.cell == server.cell;", "scope == Scope::Cell && first.zone == server.zone;")],
+        edits: &[(FLEET, "Scope::Cell => self.cells.get(cell.0),", "Scope::Cell => self.zones.get(zone.0),")],
     },
     Defect {
         name: "last-outcome-alone",
@@ -95,13 +96,13 @@
         name: "drain-ignored",
         what: "a host that drains still counts as ready",
         play: "virtual",
-        edits: &[(MODULE, "server.listed = entry.state == State::Ready;", "server.listed = entry.state != State::Gone;")],
+        edits: &[(MODULE, "self.list(now, place, entry.state == State::Ready);", "self.list(now, place, entry.state != State::Gone);")],
     },
     Defect {
         name: "gone-stays",
         what: "what a whole list leaves out stays listed",
         play: "virtual",
-        edits: &[(MODULE, "self.servers.iter_mut().for_each(|s| s.listed = false);", "self.servers.iter_mut().for_each(|_| {});")],
+        edits: &[(MODULE, "for place in self.fleet.unnamed() {", "for place in self.fleet.unnamed().into_iter().take(0) {")],
     },
     Defect {
         name: "cold-as-warm",
@@ -113,7 +114,7 @@
         name: "restart-unseen",
         what: "a restart under the same name keeps what was learned",
         play: "virtual",
-        edits: &[(MODULE, "if found.is_err() || entry.started > self.servers[place].started {", "if found.is_err() {")],
+        edits: &[(MODULE, "found.filter(|&place| entry.started <= self.fleet[place].started);", "found;")],
     },
     Defect {
         name: "slot-leaked",
@@ -185,7 +186,7 @@
         name: "window-doubled",
         what: "a keyed call goes again until twice its window",
         play: "virtual",
-        edits: &[(MODULE, "inside && now.saturating_add(tick) < first.sent.saturating_add(window)", "inside && now.saturating_add(tick) < first.sent.saturating_add(window * 2)")],
+        edits: &[(MODULE, "if now.saturating_add(self.settings.tick) < first.sent.saturating_add(window) =>", "if now.saturating_add(self.settings.tick) < first.sent.saturating_add(window * 2) =>")],
     },
     Defect {
         name: "list-asked-once",
@@ -203,7 +204,7 @@
         name: "set-aside-for-good",
         what: "a host that was set aside is never tried again",
         play: "virtual",
-        edits: &[(MODULE, "self.listed && self.budget.steps == 0 && rested && self.warmth(now, rules) >= 1.0", "self.listed && self.budget.steps == 0 && rested && self.warmth(now, rules) > 1.0")],
+        edits: &[(MODULE, "back_at: self.budget.backoff_end.max(self.not_before).max(warm_at),", "back_at: Micros::MAX,")],
     },
     Defect {
         name: "start-unasked",
@@ -218,7 +219,7 @@
         what: "a connection is used again whatever has come in on it",
         play: "sockets",
         edits: &[
-            (HOSTS, "if !current || !link.alive().await {", "if !current {"),
+            (HOSTS, "if !current || !link.settled().await {", "if !current {"),
             (HOSTS, "&& link.generation == target.generation && link.alive().await {", "&& link.generation == target.generation {"),
         ],
     },
--- a/crates/proxy/src/net/admit.rs
+++ b/crates/proxy/src/net/admit.rs
@@ -304,10 +304,7 @@
     named.iter().for_each(|name| {
         headers.remove(name);
     });
-    let own: Vec<HeaderName> = headers.keys().filter(|name| !hosts::passes(name)).cloned().collect();
-    own.iter().for_each(|name| {
-        headers.remove(name);
-    });
+    hosts::strip(headers);
 }
 
 /// The only value of a header.
--- a/crates/proxy/src/net/clients.rs
+++ b/crates/proxy/src/net/clients.rs
@@ -40,6 +40,7 @@
     number: u64,
     clock: Clock,
     stream: Rc<dyn Stream>,
+    client: IpAddr,
     descriptor: Cell<Option<Descriptor>>,
     phase: Cell<Phase>,
     /// When the phase began; for a first head, when the client connected.
@@ -88,7 +89,7 @@
 
     /// The address that the client connected from.
     pub fn client(&self) -> IpAddr {
-        self.stream.peer().unwrap_or(IpAddr::from([0, 0, 0, 0]))
+        self.client
     }
 
     /// The head of a request is in. Tells since when it has been coming.
@@ -198,6 +199,7 @@
         let seat = Rc::new(Seat {
             number,
             clock,
+            client: stream.peer().unwrap_or(IpAddr::from([0, 0, 0, 0])),
             stream,
             descriptor: Cell::new(descriptor),
             phase: Cell::new(Phase::Idle),
--- a/crates/proxy/src/net/exchange.rs
+++ b/crates/proxy/src/net/exchange.rs
@@ -14,6 +14,7 @@
 pub struct Request {
     pub method: Method,
     pub uri: Uri,
+    /// None that concerns its client's connection alone.
     pub headers: HeaderMap,
     pub body: Bytes,
     pub manner: Rc<Manner>,
--- a/crates/proxy/src/net/front.rs
+++ b/crates/proxy/src/net/front.rs
@@ -4,12 +4,12 @@
 use super::clients::{Clients, Noted, Seat, UNASKED};
 use super::driver::{Answer, Driver, Intake};
 use super::exchange::{Reply, Request};
-use super::hosts::Hosts;
+use super::hosts::{self, Hosts};
 use super::socket::{Listener, Stream};
 use super::{Descriptors, Room};
 use badgerramp_decisions::{CallId, Micros};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Collected, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
@@ -197,10 +197,16 @@
             entered => entered,
         };
         let Some(_held) = self.room.take(length.unwrap_or(body_most)) else { return self.refused(0) };
-        let body = Limited::new(body, body_most).collect();
         let late = clock.instant(since.saturating_add(UNASKED));
-        let body = match tokio::time::timeout_at(late, body).await {
-            Ok(Ok(body)) => body.to_bytes(),
+        let body = match body.is_end_stream() {
+            true => Ok(Ok(Bytes::new())),
+            false => {
+                let body = Box::pin(Limited::new(body, body_most).collect());
+                tokio::time::timeout_at(late, body).await.map(|read| read.map(Collected::to_bytes))
+            }
+        };
+        let body = match body {
+            Ok(Ok(body)) => body,
             Ok(Err(fault)) if fault.is::<LengthLimitError>() => {
                 return bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
             }
@@ -216,7 +222,11 @@
         }
         let resent = parts.headers.get("x-retried").is_some_and(|v| v.as_bytes() == b"1");
         let intake = Intake { class, tenant, deadline: clock.now() + time, resent, terms };
-        let (method, uri, headers) = (parts.method, parts.uri, parts.headers);
+        let (method, uri, mut headers) = (parts.method, parts.uri, parts.headers);
+        if !self.plain_http {
+            // Plain HTTP has had it done where its routes were looked up.
+            hosts::strip(&mut headers);
+        }
         let request = Request { method, uri, headers, body, manner };
         let Some((call, answer)) = self.driver.request(intake, request) else {
             return self.refused(0);
--- a/crates/proxy/src/net/hosts.rs
+++ b/crates/proxy/src/net/hosts.rs
@@ -8,7 +8,7 @@
 use badgerramp_decisions::settings::Transport;
 use badgerramp_decisions::{Load, Micros, Outcome, ServerId};
 use badgerramp_route::Verdict;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
@@ -17,6 +17,7 @@
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::fmt::Write;
 use std::future::{poll_fn, Future};
 use std::io;
 use std::pin::{pin, Pin};
@@ -92,8 +93,13 @@
     /// end or a second copy of an answer, is looked for in the kernel: the runtime may not know of it yet, and
     /// would have it read as the answer to the next request.
     async fn alive(&mut self) -> bool {
+        self.settled().await && self.stream.quiet()
+    }
+
+    /// Is it ready for a request, as far as the runtime knows?
+    async fn settled(&mut self) -> bool {
         let ended = poll_fn(|cx| Poll::Ready(Pin::new(&mut self.connection).poll(cx).is_ready())).await;
-        !ended && self.sender.is_ready() && self.stream.quiet()
+        !ended && self.sender.is_ready()
     }
 
     /// One exchange, driven from here.
@@ -351,7 +357,8 @@
 
     async fn keep(&self, server: ServerId, mut link: Link) {
         let current = self.current.borrow().get(&server) == Some(&link.generation);
-        if !current || !link.alive().await {
+        // The kernel is asked before its next use, when there is more to know.
+        if !current || !link.settled().await {
             return;
         }
         link.idle_since = self.clock.now();
@@ -375,7 +382,8 @@
 ) -> Ended {
     let mut link = match hosts.checkout(&target).await {
         Some(link) => link,
-        None => match hosts.connect(&target, request.manner.connect).await {
+        // Apart, as it is rare and large: the task of each attempt is as large as its largest part.
+        None => match Box::pin(hosts.connect(&target, request.manner.connect)).await {
             Ok(link) => link,
             Err(outcome) => return outcome.into(),
         },
@@ -412,38 +420,50 @@
     Ended { outcome, load, reply: Some(Reply { status: parts.status, headers: parts.headers, body }) }
 }
 
+const X_TIMEOUT: HeaderName = HeaderName::from_static("x-timeout");
+const X_SERVER_LOAD: HeaderName = HeaderName::from_static("x-server-load");
+
 /// Headers that concern one connection only (RFC 9110, 7.6.1), and those that are written anew.
 pub fn passes(name: &HeaderName) -> bool {
-    let own = [
-        "connection",
-        "content-length",
-        "expect",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "x-timeout",
-    ];
-    !own.contains(&name.as_str())
+    !matches!(
+        name.as_str(),
+        "connection"
+            | "content-length"
+            | "expect"
+            | "keep-alive"
+            | "proxy-connection"
+            | "te"
+            | "trailer"
+            | "transfer-encoding"
+            | "upgrade"
+            | "x-timeout"
+    )
+}
+
+/// Takes out all that does not pass.
+pub fn strip(headers: &mut HeaderMap) {
+    let own: Vec<HeaderName> = headers.keys().filter(|name| !passes(name)).cloned().collect();
+    own.iter().for_each(|name| {
+        headers.remove(name);
+    });
 }
 
 fn message(request: &Request, left: Micros) -> Option<hyper::Request<Full<Bytes>>> {
     let mut message = hyper::Request::new(Full::new(request.body.clone()));
     *message.method_mut() = request.method.clone();
     *message.uri_mut() = request.uri.clone();
+    let mut time = BytesMut::with_capacity(21);
+    // Writing to a buffer does not fail.
+    let _ = write!(time, "{left}u");
     let headers = message.headers_mut();
-    for (name, value) in request.headers.iter().filter(|(name, _)| passes(name)) {
-        headers.append(name, value.clone());
-    }
-    headers.insert("x-timeout", HeaderValue::from_str(&format!("{left}u")).ok()?);
+    *headers = request.headers.clone();
+    headers.insert(X_TIMEOUT, HeaderValue::from_maybe_shared(time.freeze()).ok()?);
     Some(message)
 }
 
 /// The load report of an answer: the first that tells anything.
 fn loads(headers: &HeaderMap) -> Load {
-    let mut reports = headers.get_all("x-server-load").iter().map(load);
+    let mut reports = headers.get_all(X_SERVER_LOAD).iter().map(load);
     reports.find(|load| *load != Load::default()).unwrap_or_default()
 }
 
--- a/crates/proxy/src/net/socket.rs
+++ b/crates/proxy/src/net/socket.rs
@@ -10,7 +10,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 
 /// A stream of bytes both ways. It is read and written through a shared reference, as more than one part of the program
@@ -48,12 +48,27 @@
     fn poll_accept(&self, cx: &mut Context<'_>) -> Poll<io::Result<Rc<dyn Stream>>>;
 }
 
+/// A read that left room took all there was: the socket is noted as not readable, so that the next look at it asks the
+/// system nothing. What comes from now on is told anew, as readiness is edge-triggered, and an end is never forgotten.
+trait Drained {
+    fn drained(&self);
+}
+
+impl Drained for TcpStream {
+    fn drained(&self) {
+        let _ = self.try_io(Interest::READABLE, || Err::<(), _>(io::ErrorKind::WouldBlock.into()));
+    }
+}
+
 impl Stream for TcpStream {
     fn poll_read(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         loop {
-            match self.try_read(buf.initialize_unfilled()) {
+            // Into what is not initialized: to clear the whole of a large buffer first costs more than most reads.
+            match self.try_read_buf(buf) {
                 Ok(count) => {
-                    buf.advance(count);
+                    if count > 0 && buf.remaining() > 0 {
+                        self.drained();
+                    }
                     return Poll::Ready(Ok(()));
                 }
                 Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => {
