Subsets of a large fleet, and turns at the list service for many proxies

Need: a proxy of little traffic held connections to every endpoint of its fleet, and proxies that start together asked the list service together until none was served. Change: crates/subset decides, without I/O or clock, which endpoints a proxy keeps to (teams of proxies deal the fleet out by a hash of names), when it grows and shrinks, and when the list is asked for. The operator's file has [subset] and [list], whose bounds over all proxies are reckoned and checked at load; beside the platform neither is allowed. The driver tells the module of the subset alone.

--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -2,6 +2,7 @@
 
 use crate::expressions::{self, Expressions};
 use crate::log::{self, Log};
+use crate::subset::{self, ListTerms, SubsetTerms};
 use crate::timing::{self, Draft, Facts, Figure};
 use crate::{clients_borne, ANSWER_ROOM};
 use badgerramp_decisions::{
@@ -20,8 +21,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-const FILE: [&str; 10] =
-    ["platform", "listen", "limits", "log", "upstream", "defaults", "class", "route", "no_route", "expect"];
+const FILE: [&str; 12] = [
+    "platform", "listen", "limits", "log", "upstream", "subset", "list", "defaults", "class", "route",
+    "no_route", "expect",
+];
 const LIMITS: [&str; 5] = ["memory", "descriptors", "open_calls", "body", "retry_after"];
 const UPSTREAM: [&str; 10] = [
     "endpoints",
@@ -75,6 +78,10 @@
     pub routes: Table,
     /// The answer where no route takes a request.
     pub no_route: NoRoute,
+    /// The endpoints of a large fleet that the proxy keeps to; `None`: all.
+    pub subset: Option<SubsetTerms>,
+    /// How the list service is asked where many do.
+    pub list: Option<ListTerms>,
     /// What the program writes of what it does.
     pub log: Log,
     /// What is no mistake and worth a look.
@@ -298,7 +305,9 @@
             top.read(self.notes, "platform", ("this is not a flag", "true or false"), DeValue::as_bool);
         let usage = if platform.is_some_and(|p| p.value) { Use::Platform } else { Use::Alone };
         if usage == Use::Platform {
-            for name in ["listen", "limits", "log", "upstream", "no_route"].into_iter().filter(|n| top.has(n))
+            for name in ["listen", "limits", "log", "upstream", "subset", "list", "no_route"]
+                .into_iter()
+                .filter(|n| top.has(n))
             {
                 if let Some((_, span, _)) = top.iter().find(|(n, ..)| *n == name) {
                     let reason = "the platform sets this: beside its settings a file only narrows";
@@ -319,6 +328,8 @@
         let listen = address(self.notes, &top, "listen");
         let limits = self.limits(&top);
         let upstream = top.section(self.notes, "upstream", &UPSTREAM).map(|section| self.upstream(&section));
+        let subset = subset::subset(self.notes, &top, upstream.as_ref());
+        let list = subset::list(self.notes, &top, upstream.as_ref());
         let defaults = match top.section(self.notes, "defaults", &timing::KEYS) {
             Some(section) => Draft::read(self.notes, &section),
             None => Draft::default(),
@@ -373,6 +384,8 @@
             classes,
             routes: built?,
             no_route,
+            subset,
+            list,
             log,
             warnings,
             source,
--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -276,6 +276,11 @@
         Some(View { listed: server.listed, in_flight, concurrency, strain, failing, warmth, set_aside })
     }
 
+    /// Servers that the list names ready, and how many of these are set aside.
+    pub fn listed(&self) -> (usize, usize) {
+        (self.fleet.listed(), self.fleet.aside())
+    }
+
     /// Calls that are known, those in the hold, and the trials, second copies and resends that are saved up.
     pub fn totals(&self) -> (usize, usize, f64) {
         (self.calls.len(), self.hold.len(), self.retries)
@@ -666,8 +671,8 @@
         }
     }
 
-    /// Where a call may go by what it has run: anywhere, to those that drop its repeats, or nowhere. Proof over
-    /// all its attempts decides, never the last outcome alone.
+    /// Where a call may go by what it has run: anywhere, to those that drop its repeats, or nowhere. Proof
+    /// over all its attempts decides, never the last outcome alone.
     fn domain(&mut self, now: Micros, id: CallId) -> Option<Domain> {
         let call = &self.calls[&id];
         match (call.binding(), call.class.repeat) {
--- a/crates/proxy/src/net/discovery.rs
+++ b/crates/proxy/src/net/discovery.rs
@@ -3,7 +3,8 @@
 
 use super::driver::{Driver, List};
 use super::socket::{Network, Socket};
-use badgerramp_decisions::ListKind;
+use badgerramp_decisions::{ListKind, Micros};
+use badgerramp_subset::Poll;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -32,6 +33,13 @@
 /// next call continues the watch, and keeps a confused service from being asked without end.
 const CALM: Duration = Duration::from_millis(50);
 
+/// When the service is asked, where an operator has many proxies ask it.
+pub struct Pace {
+    pub poll: Poll,
+    /// Without a call for this long the proxy is idle.
+    pub idle_after: Micros,
+}
+
 struct Link {
     sender: SendRequest<Empty<Bytes>>,
     task: JoinHandle<()>,
@@ -50,8 +58,11 @@
     network: Rc<dyn Network>,
     mut address: watch::Receiver<SocketAddr>,
     mut index: Option<u64>,
+    mut pace: Option<Pace>,
 ) {
     let mut moved = false;
+    // Where many ask one service, each takes its turn: the module's own pauses are made for a few.
+    let mut turn = pace.as_mut().map_or(0, |p| p.poll.first());
     loop {
         if !moved {
             tokio::select! {
@@ -64,8 +75,9 @@
         moved = tokio::select! {
             biased;
             () = changed(&mut address) => true,
-            () = follow(&driver, &*network, at, &mut index) => false,
+            () = follow(&driver, &*network, at, &mut index, (turn, &mut pace)) => false,
         };
+        turn = pace.as_mut().map_or(0, |p| if moved { p.poll.first() } else { p.poll.failed() });
         if moved {
             index = None;
         } else {
@@ -82,12 +94,24 @@
 }
 
 /// Watches at one address until that fails.
-async fn follow(driver: &Driver, network: &dyn Network, address: SocketAddr, index: &mut Option<u64>) {
+async fn follow(
+    driver: &Driver,
+    network: &dyn Network,
+    address: SocketAddr,
+    index: &mut Option<u64>,
+    (turn, pace): (Micros, &mut Option<Pace>),
+) {
+    if turn > 0 {
+        tokio::time::sleep(Duration::from_micros(turn)).await;
+    }
     let mut link = None;
     loop {
         let asked = Instant::now();
-        let patience = if index.is_some() { WAIT + SILENCE } else { FETCH };
-        match tokio::time::timeout(patience, ask(&mut link, network, address, *index)).await {
+        let wait = pace
+            .as_mut()
+            .map_or(WAIT, |p| Duration::from_micros(p.poll.wait(driver.quiet_for() >= p.idle_after)));
+        let patience = if index.is_some() { wait + SILENCE } else { FETCH };
+        match tokio::time::timeout(patience, ask(&mut link, network, address, (*index, wait))).await {
             Ok(Ok(list)) => {
                 let kind = if list.snapshot { ListKind::Full } else { ListKind::Delta };
                 driver.members(kind, &list.endpoints);
@@ -95,6 +119,9 @@
                     tokio::time::sleep(CALM).await;
                 }
                 *index = Some(list.index);
+                if let Some(pace) = pace {
+                    pace.poll.answered();
+                }
             }
             Ok(Err(fault)) => {
                 tracing::warn!("discovery: {fault}");
@@ -112,7 +139,7 @@
     link: &mut Option<Link>,
     network: &dyn Network,
     address: SocketAddr,
-    index: Option<u64>,
+    (index, wait): (Option<u64>, Duration),
 ) -> Result<List, String> {
     let open = match link.take().filter(|l| l.sender.is_ready()) {
         Some(open) => open,
@@ -120,7 +147,7 @@
     };
     let open = link.insert(open);
     let path = match index {
-        Some(index) => format!("/catalog/members?index={index}&wait={}", WAIT.as_millis()),
+        Some(index) => format!("/catalog/members?index={index}&wait={}", wait.as_millis()),
         None => "/catalog/members".to_owned(),
     };
     let request = hyper::Request::get(path).header(HOST, address.to_string()).body(Empty::new());
--- a/crates/proxy/src/net/driver.rs
+++ b/crates/proxy/src/net/driver.rs
@@ -10,6 +10,7 @@
     Action, Balancer, CallId, CellId, ClassId, Entry, Event, ListKind, Load, Micros, Outcome, ServerId,
     Settings, State, TenantId, Terms, View,
 };
+use badgerramp_subset::{Changes, Health, Subset};
 use serde::Deserialize;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
@@ -107,6 +108,14 @@
     state: State,
     /// Stands for a process at an address, and for no other: connections of an earlier one are not used.
     generation: u64,
+    /// What the list last said of it, where the module is told of a subset alone.
+    entry: Option<Entry>,
+}
+
+/// The subset that the module is told of, and what it was told at last.
+struct Chosen {
+    subset: Subset,
+    settings: Settings,
 }
 
 #[derive(Debug)]
@@ -164,6 +173,9 @@
     module_due: Option<Micros>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
+    chosen: Option<Chosen>,
+    /// When a call last came.
+    called: Micros,
 }
 
 /// The driver as the other parts see it.
@@ -177,8 +189,18 @@
 }
 
 impl Driver {
-    pub fn new(seed: u64, facts: Facts, keep_errors: bool, clock: Clock, sockets: Rc<Hosts>) -> Self {
+    pub fn new(
+        seed: u64,
+        facts: Facts,
+        keep_errors: bool,
+        subset: Option<Subset>,
+        clock: Clock,
+        sockets: Rc<Hosts>,
+    ) -> Self {
+        let chosen = subset.map(|subset| Chosen { subset, settings: facts.settings.clone() });
         let core = Core {
+            chosen,
+            called: clock.now(),
             balancer: Balancer::new(seed, facts.settings),
             tenants: facts.tenants,
             max_open: facts.transport.max_open,
@@ -248,8 +270,14 @@
     }
 
     /// Other settings hold for what comes from now on.
-    pub fn reconfigure(&self, settings: Settings, fresh: Vec<ClassId>, max_open: usize) {
-        self.core.borrow_mut().max_open = max_open;
+    pub fn reconfigure(&self, mut settings: Settings, fresh: Vec<ClassId>, max_open: usize) {
+        let mut core = self.core.borrow_mut();
+        core.max_open = max_open;
+        if let Some(chosen) = &mut core.chosen {
+            chosen.settings = settings.clone();
+            settings.balancers = chosen.subset.sharing();
+        }
+        drop(core);
         self.event(Event::Reconfigure { settings: Box::new(settings), fresh });
     }
 
@@ -265,6 +293,8 @@
         if core.open >= core.max_open {
             return None;
         }
+        core.called = self.clock.now();
+        core.pulse(self.clock.now());
         let call = CallId(core.next_call);
         core.next_call += 1;
         core.open += 1;
@@ -334,11 +364,15 @@
         let mut entries = Vec::new();
         let mut core = self.core.borrow_mut();
         let core = &mut *core;
+        let mut touched = Vec::new();
         if matches!(kind, ListKind::Full | ListKind::Cached) {
             let named: HashSet<&str> = list.iter().map(|e| e.name.as_str()).collect();
             let gone: Vec<_> =
                 core.numbers.keys().filter(|name| !named.contains(&***name)).cloned().collect();
-            gone.iter().for_each(|name| core.forget(name, &self.sockets));
+            for name in gone {
+                touched.extend(core.numbers.get(&name).map(|s| s.0));
+                core.forget(&name, &self.sockets);
+            }
         }
         for endpoint in list {
             let state = match endpoint.status.as_str() {
@@ -363,10 +397,7 @@
                 self.sockets.open(server, host.generation);
             }
             (host.state, host.address, host.started) = (state, address, started);
-            if state == State::Gone {
-                core.forget(&endpoint.name, &self.sockets);
-            }
-            entries.push(Entry {
+            let entry = Entry {
                 server,
                 state,
                 zone: settings::zone(&endpoint.zone),
@@ -374,12 +405,50 @@
                 kind: settings::kind(&endpoint.kind),
                 weight: endpoint.weight,
                 started,
-            });
+            };
+            host.entry = core.chosen.is_some().then_some(entry);
+            if let Some(chosen) = &mut core.chosen {
+                touched.push(server.0);
+                match state {
+                    State::Ready => {
+                        let near = entry.zone == chosen.settings.zone;
+                        chosen.subset.add(server.0, &endpoint.name, near);
+                    }
+                    _ => chosen.subset.remove(server.0),
+                }
+            }
+            if state == State::Gone {
+                core.forget(&endpoint.name, &self.sockets);
+            }
+            entries.push(entry);
+        }
+        if core.chosen.is_some() {
+            core.choose(self.clock.now(), kind, &touched);
+        } else {
+            core.events.push_back(Event::Members { kind, entries });
         }
-        core.events.push_back(Event::Members { kind, entries });
         self.run_with(core);
     }
 
+    /// Looks whether the subset still fits what is asked of it.
+    pub fn pulse(&self) {
+        let mut core = self.core.borrow_mut();
+        core.pulse(self.clock.now());
+        self.run_with(&mut core);
+    }
+
+    /// How long no call has come.
+    pub fn quiet_for(&self) -> Micros {
+        self.clock.now().saturating_sub(self.core.borrow().called)
+    }
+
+    /// Hosts of the list that the module is told of, and all.
+    pub fn chosen(&self) -> (usize, usize) {
+        let core = self.core.borrow();
+        let all = core.hosts.values().filter(|h| h.state == State::Ready).count();
+        (core.chosen.as_ref().map_or(all, |c| c.subset.standing().members), all)
+    }
+
     /// Asking for the list failed, or the watch broke.
     pub fn members_failed(&self) {
         self.event(Event::Members { kind: ListKind::Failed, entries: Vec::new() });
@@ -591,7 +660,8 @@
         self.next_host += 1;
         self.numbers.insert(Rc::clone(&name), number);
         // Draining until it is known better: whatever its first entry says is news.
-        let host = Host { name, address: None, started: 0, state: State::Draining, generation: 0 };
+        let host =
+            Host { name, address: None, started: 0, state: State::Draining, generation: 0, entry: None };
         self.hosts.insert(number, host);
         Some(number)
     }
@@ -600,7 +670,56 @@
         if let Some(number) = self.numbers.remove(name) {
             self.hosts.remove(&number);
             sockets.close(number);
+            if let Some(chosen) = &mut self.chosen {
+                chosen.subset.remove(number.0);
+            }
+        }
+    }
+
+    /// The list has changed: the module is told what that makes of the subset.
+    fn choose(&mut self, now: Micros, kind: ListKind, touched: &[u32]) {
+        let Some(chosen) = &mut self.chosen else { return };
+        let changes = chosen.subset.listed(now, touched);
+        if kind == ListKind::Delta {
+            // A member may have changed and stayed one.
+            let stay = touched.iter().copied().filter(|&id| chosen.subset.holds(id));
+            let joined = changes.joined.iter().copied().chain(stay).collect();
+            self.tell(kind, &Changes { joined, left: changes.left });
+        } else {
+            let joined = chosen.subset.members().collect();
+            self.tell(kind, &Changes { joined, left: Vec::new() });
+        }
+    }
+
+    /// Grows or shrinks the subset by how its members fare.
+    fn pulse(&mut self, now: Micros) {
+        let Some(chosen) = &mut self.chosen else { return };
+        let ((listed, aside), (calls, waiting, _)) = (self.balancer.listed(), self.balancer.totals());
+        let health = Health { usable: listed - aside, in_flight: calls - waiting, waiting };
+        let changes = chosen.subset.pulse(now, health);
+        if !changes.is_empty() {
+            self.tell(ListKind::Delta, &changes);
+        }
+    }
+
+    /// Tells the module of the subset; and of how many proxies share its members, where that is another number now.
+    fn tell(&mut self, kind: ListKind, changes: &Changes) {
+        let gone = |&id: &u32| {
+            let entry =
+                self.hosts.get(&ServerId(id)).and_then(|h| h.entry).filter(|e| e.state != State::Ready);
+            entry.unwrap_or(Entry { server: ServerId(id), state: State::Gone, ..Entry::default() })
+        };
+        let joined = changes.joined.iter().filter_map(|id| self.hosts.get(&ServerId(*id))?.entry);
+        let entries = changes.left.iter().map(gone).chain(joined).collect();
+        if let Some(chosen) = &mut self.chosen {
+            let (sharing, told) = (chosen.subset.sharing(), chosen.settings.balancers);
+            if sharing.abs_diff(told) * 4 > told {
+                chosen.settings.balancers = sharing;
+                let settings = Box::new(chosen.settings.clone());
+                self.events.push_back(Event::Reconfigure { settings, fresh: Vec::new() });
+            }
         }
+        self.events.push_back(Event::Members { kind, entries });
     }
 
     /// Gives the final answer, if it has not been given yet.
@@ -665,12 +784,21 @@
     use std::time::{SystemTime, UNIX_EPOCH};
 
     fn driver() -> Driver {
+        driver_with(None)
+    }
+
+    fn driver_with(subset: Option<Subset>) -> Driver {
         let clock = Clock::start();
         let transport = Transport { max_open: 9, conn_idle: 60_000_000, connect_timeout: 9_000_000 };
-        let sockets =
-            Hosts::new(transport, 1, (Descriptors::new(9), Room::new(1 << 20)), Rc::new(Tcp), clock);
+        let sockets = Hosts::new(
+            transport,
+            (16, Micros::MAX),
+            (Descriptors::new(9), Room::new(1 << 20)),
+            Rc::new(Tcp),
+            clock,
+        );
         let facts = Facts { settings: Settings::default(), classes: vec![], tenants: vec![], transport };
-        Driver::new(7, facts, false, clock, sockets)
+        Driver::new(7, facts, false, subset, clock, sockets)
     }
 
     fn request() -> Request {
@@ -736,6 +864,43 @@
         assert_ne!(driver.core.borrow().numbers["s49"], number);
     }
 
+    /// Of a large fleet the module hears of the subset alone; what drains, joins or fails shows at once.
+    #[tokio::test(flavor = "current_thread")]
+    async fn the_module_is_told_of_the_subset_alone_and_of_every_change_to_it() {
+        let instance = badgerramp_subset::Instance { number: 3, count: 500 };
+        let driver = driver_with(Some(Subset::new(badgerramp_subset::Need::of(10), instance)));
+        let list = |names: &[u32], status: &str| -> Vec<Endpoint> {
+            let one = |n: &u32| format!(r#"{{"name":"s{n}","address":"127.0.0.1:9","status":"{status}"}}"#);
+            let text = format!("[{}]", names.iter().map(one).collect::<Vec<_>>().join(","));
+            serde_json::from_str(&text).expect("a list")
+        };
+        let told = || driver.core.borrow().balancer.listed().0;
+        let members =
+            || driver.core.borrow().chosen.as_ref().map_or(vec![], |c| c.subset.members().collect());
+        driver.members(ListKind::Full, &list(&(0..1_000).collect::<Vec<_>>(), "up"));
+        let first: Vec<u32> = members();
+        assert_eq!((told(), driver.chosen()), (first.len(), (first.len(), 1_000)));
+        assert!((5..=40).contains(&first.len()), "{first:?}");
+        assert!(
+            driver.core.borrow().chosen.as_ref().is_some_and(|c| c.settings.balancers < 20),
+            "500 share 1,000"
+        );
+        // Numbers are given in the list's order.
+        driver.members(ListKind::Delta, &list(&first[..2], "draining"));
+        assert_eq!((told(), members().len()), (first.len() - 2, first.len() - 2));
+        assert!(first[..2].iter().all(|n| !members().contains(n)));
+        driver.members(ListKind::Delta, &list(&first[..1], "up"));
+        assert!(members().contains(&first[0]) && told() == members().len());
+        // The whole list without one of them.
+        let rest: Vec<u32> = (0..1_000).filter(|n| *n != first[3]).collect();
+        driver.members(ListKind::Full, &list(&rest, "up"));
+        assert!(!members().contains(&first[3]) && told() == members().len());
+        // All of the rest go: others take their place.
+        driver.members(ListKind::Delta, &list(&members(), "removed"));
+        assert!(told() >= 5 && told() == members().len());
+        assert!(driver.audit().is_empty());
+    }
+
     /// More than the settings allow are turned away before the module sees them.
     #[tokio::test(flavor = "current_thread")]
     async fn calls_are_bounded_and_a_client_that_leaves_makes_room() {
--- a/crates/proxy/src/net/hosts.rs
+++ b/crates/proxy/src/net/hosts.rs
@@ -251,14 +251,14 @@
 }
 
 impl Hosts {
+    /// Keeps so many idle connections to a host, for no longer than `idle` or what the hosts' own time allows.
     pub fn new(
         transport: Transport,
-        balancers: u32,
+        (spares, idle): (usize, Micros),
         (descriptors, room): (Rc<Descriptors>, Rc<Room>),
         network: Rc<dyn Network>,
         clock: Clock,
     ) -> Rc<Self> {
-        let spares = badgerramp_config::connections_kept(balancers);
         Rc::new(Hosts {
             idle: RefCell::default(),
             current: RefCell::default(),
@@ -268,7 +268,7 @@
             descriptors,
             clock,
             // Well ahead of the host, which may close it any time from then on.
-            idle_most: transport.conn_idle / 4 * 3,
+            idle_most: (transport.conn_idle / 4 * 3).min(idle),
             spares,
         })
     }
@@ -510,8 +510,13 @@
             conn_idle: 60_000_000,
             connect_timeout: Duration::from_secs(9).as_micros() as Micros,
         };
-        let hosts =
-            Hosts::new(transport, 1, (Descriptors::new(9), Room::new(1 << 20)), Rc::new(Tcp), Clock::start());
+        let hosts = Hosts::new(
+            transport,
+            (16, Micros::MAX),
+            (Descriptors::new(9), Room::new(1 << 20)),
+            Rc::new(Tcp),
+            Clock::start(),
+        );
         let target = Target { server: ServerId(0), address, generation: 0 };
         let (method, uri, headers) = (Method::GET, Uri::from_static("/a"), HeaderMap::new());
         let answers = std::sync::Arc::new(badgerramp_route::Answers::platform());
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -83,6 +83,8 @@
         descriptors: config.limits.sockets,
         memory: config.limits.memory_mb << 20,
         members: Members::Discovery { address: config.discovery, known, index },
+        subset: None,
+        list: None,
         rules: rules_of,
         // What is refused without advice comes of a crowd, which passes in answer times rather than aims.
         advice: (longest_aim / ADVICE_AIM).max(1_000),
--- a/crates/proxy/src/program.rs
+++ b/crates/proxy/src/program.rs
@@ -9,9 +9,12 @@
 use crate::net::hosts::Hosts;
 use crate::net::socket::{Listener, Network, Tcp};
 use crate::net::{Descriptors, Room};
-use badgerramp_config::{clients_borne, Mistakes, DESCRIPTORS_RESERVED};
+use badgerramp_config::{
+    clients_borne, connections_kept, ListTerms, Mistakes, SubsetTerms, DESCRIPTORS_RESERVED,
+};
 use badgerramp_decisions::settings::Facts;
 use badgerramp_decisions::{ListKind, Micros};
+use badgerramp_subset::{Poll, Subset};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -62,6 +65,10 @@
     pub descriptors: usize,
     pub memory: usize,
     pub members: Members,
+    /// The endpoints that it keeps to; `None`: all.
+    pub subset: Option<SubsetTerms>,
+    /// How the list service is asked where many do.
+    pub list: Option<ListTerms>,
     pub rules: Rules,
     /// When a client may come back that is refused without the module's advice; 0: none is given.
     pub advice: Micros,
@@ -142,9 +149,17 @@
     // The rest is for buffers, which are bounded by the number of connections.
     let bytes = Room::new(setup.memory / 4);
     let counted = (Rc::clone(&descriptors), Rc::clone(&bytes));
-    let balancers = setup.facts.settings.balancers;
-    let hosts = Hosts::new(setup.facts.transport, balancers, counted, Rc::clone(&network), clock);
-    let driver = Driver::new(setup.seed, setup.facts, setup.plain_http, clock, Rc::clone(&hosts));
+    let kept = match setup.subset {
+        Some(terms) => (terms.kept, terms.idle),
+        None => (connections_kept(setup.facts.settings.balancers), Micros::MAX),
+    };
+    let hosts = Hosts::new(setup.facts.transport, kept, counted, Rc::clone(&network), clock);
+    let subset = setup.subset.map(|terms| Subset::new(terms.need, terms.instance));
+    let driver = Driver::new(setup.seed, setup.facts, setup.plain_http, subset, clock, Rc::clone(&hosts));
+    let pace = setup.list.map(|terms| discovery::Pace {
+        poll: Poll::new(terms.poll, setup.seed),
+        idle_after: terms.idle_after,
+    });
     driver.start();
     let (address, index) = match setup.members {
         Members::Discovery { address, known, index } => {
@@ -164,7 +179,7 @@
     let driver_of_watch = driver.clone();
     let mut watch = Task(tokio::task::spawn_local(async move {
         match address {
-            Some(_) => discovery::run(driver_of_watch, network, moves, index).await,
+            Some(_) => discovery::run(driver_of_watch, network, moves, index, pace).await,
             None => std::future::pending().await,
         }
     }));
@@ -194,6 +209,7 @@
         loop {
             tokio::time::sleep(Duration::from_millis(250)).await;
             hosts.sweep();
+            running.driver.pulse();
             front.clients.sweep(clock.now());
         }
     };
--- a/crates/proxy/src/sidecar.rs
+++ b/crates/proxy/src/sidecar.rs
@@ -101,6 +101,8 @@
         ("limits.memory", old.limits.memory == new.limits.memory),
         ("limits.descriptors", old.limits.descriptors == new.limits.descriptors),
         ("upstream.idle", old.upstream.idle == new.upstream.idle),
+        ("subset", old.subset == new.subset),
+        ("list", old.list == new.list),
         ("upstream.discovery", old.upstream.discovery.is_some() == new.upstream.discovery.is_some()),
     ];
     let changed: Vec<&str> = same.into_iter().filter(|(_, same)| !same).map(|(key, _)| key).collect();
@@ -146,6 +148,8 @@
         descriptors: config.limits.descriptors,
         memory: config.limits.memory,
         members,
+        subset: config.subset,
+        list: config.list,
         advice: config.limits.retry_after,
         rules: Rules::Sidecar(Box::new(Sidecar::new(config, numbers, seed))),
         plain_http: true,
--- /dev/null
+++ b/crates/subset/src/deal.rs
@@ -0,0 +1,116 @@
+//! How a fleet is dealt out to teams of proxies.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// A team has at the most two to this power members, so that their parts still differ by whole endpoints.
+const SPLITS_MOST: u32 = 20;
+/// The part may leave the wanted size by this much, up or down, before the fleet is dealt anew: a fleet that breathes
+/// round a limit must not move all connections each time.
+const SLACK: f64 = 1.6;
+
+/// A proxy's place: its team, and its own part of the circle on which endpoints lie.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Team {
+    /// Which team, from 0.
+    pub number: u32,
+    /// Where its part begins, as the first bits of an endpoint's place.
+    pub first: u64,
+}
+
+/// Into how many parts the fleet is dealt: two to the power of `splits`, each about as large as was wanted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Deal {
+    splits: u32,
+}
+
+impl Deal {
+    /// How so many endpoints are dealt where parts of `wanted` are asked for, by what `self` has done so far.
+    #[must_use]
+    pub fn for_fleet(self, endpoints: usize, wanted: usize) -> Self {
+        let parts = endpoints as f64 / wanted.max(1) as f64;
+        let now = f64::from(1_u32 << self.splits);
+        if parts <= now * SLACK && parts >= now / SLACK {
+            return self;
+        }
+        Deal { splits: (parts.max(1.0).log2().round() as u32).min(SPLITS_MOST) }
+    }
+
+    /// Proxies of a team, each with one part.
+    pub fn members(self) -> u32 {
+        1 << self.splits
+    }
+
+    /// How often it may double its part before it has the whole fleet.
+    pub fn doublings(self) -> u32 {
+        self.splits
+    }
+
+    /// The place of the proxy with this number.
+    pub fn team(self, proxy: u32) -> Team {
+        let place = u64::from(proxy & (self.members() - 1));
+        // Neighbours by number lie far apart, so that those that started together widen into different parts.
+        let first = if self.splits == 0 { 0 } else { place.reverse_bits() };
+        Team { number: proxy >> self.splits, first }
+    }
+
+    /// The places, from the first to the last, that belong to a proxy that has doubled its part so often.
+    pub fn part(self, team: Team, doublings: u32) -> (u64, u64) {
+        let bits = self.splits.saturating_sub(doublings);
+        if bits == 0 {
+            return (0, u64::MAX);
+        }
+        let mask = u64::MAX << (64 - bits);
+        (team.first & mask, team.first & mask | !mask)
+    }
+}
+
+/// Where an endpoint lies for a team. It depends on nothing else, so all proxies agree on it, in this and every later
+/// version: XXH3 is a published function.
+pub fn place(endpoint: &str, team: u32) -> u64 {
+    xxh3_64_with_seed(endpoint.as_bytes(), u64::from(team))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_team_deals_every_place_to_exactly_one_member() {
+        for splits in 0..8 {
+            let deal = Deal { splits };
+            let mut parts: Vec<(u64, u64)> =
+                (0..deal.members()).map(|p| deal.part(deal.team(p), 0)).collect();
+            parts.sort_unstable();
+            assert_eq!((parts[0].0, parts[parts.len() - 1].1), (0, u64::MAX));
+            assert!(parts.windows(2).all(|w| w[0].1 + 1 == w[1].0), "{parts:?}");
+        }
+    }
+
+    #[test]
+    fn a_wider_part_holds_the_narrower_and_the_widest_is_all() {
+        let deal = Deal { splits: 6 };
+        for proxy in 0..200 {
+            let team = deal.team(proxy);
+            for doublings in 0..deal.doublings() {
+                let ((a, b), (c, d)) = (deal.part(team, doublings), deal.part(team, doublings + 1));
+                assert!(c <= a && b <= d && (b - a) < (d - c));
+            }
+            assert_eq!(deal.part(team, deal.doublings()), (0, u64::MAX));
+        }
+    }
+
+    #[test]
+    fn a_fleet_that_breathes_is_not_dealt_anew() {
+        let deal = Deal::default().for_fleet(1_000, 20);
+        assert_eq!(deal.members(), 64);
+        assert!((801..2_048).all(|n| deal.for_fleet(n, 20) == deal));
+        assert_eq!(deal.for_fleet(5_000, 20).members(), 256);
+        assert_eq!(deal.for_fleet(10, 20).members(), 1, "fewer than are asked for: all");
+    }
+
+    /// Proxies of another version must deal alike.
+    #[test]
+    fn places_are_the_same_in_every_version() {
+        assert_eq!(place("", 0), 0x2d06_8005_38d3_94c2, "the published value of XXH3-64 of nothing");
+    }
+}
