A rig of thousands of proxies; subsets in scenarios; what news of a list costs

Need: bounds on what many proxies hold and ask are to be seen on real processes, and subsets to be under the lab's judges. Change: badgerramp-bench quiet plays calm, a new endpoint and a common restart with stand-ins that count; a scenario names a subset, which the plays on sockets use, and every fourth drawn one has one; badgerramp-bench list measures news. A round of the list service counts two questions a proxy, the list and its watch.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,9 +2,12 @@
 //! memory, by size of the fleet and number of clients. `docs/large-fleets.md` has the command and its figures.
 #![forbid(unsafe_code)]
 
+mod chart;
 mod hosts;
+mod list;
 mod load;
 mod plain;
+mod quiet;
 
 use clap::{Parser, Subcommand};
 use std::error::Error;
@@ -52,6 +55,27 @@
         #[arg(long, default_value = "")]
         extra: String,
     },
+    /// Many quiet proxies as real processes: connections and questions against the stated bounds.
+    Quiet {
+        #[arg(long, default_value_t = 2_000)]
+        proxies: u32,
+        #[arg(long, default_value_t = 1_000)]
+        endpoints: usize,
+        /// Seconds of the calm scene.
+        #[arg(long, default_value_t = 20)]
+        seconds: u64,
+        /// Requests a second to all proxies together.
+        #[arg(long, default_value_t = 200.0)]
+        rate: f64,
+        /// Where the chart of questions goes.
+        #[arg(long)]
+        svg: Option<PathBuf>,
+    },
+    /// What news of a long list costs.
+    List {
+        #[arg(long, value_delimiter = ',', default_value = "100,1000,10000")]
+        endpoints: Vec<usize>,
+    },
     /// Memory of the program that holds no connection, by size of the fleet.
     Memory {
         #[arg(long, value_delimiter = ',', default_value = "12,1000,10000")]
@@ -88,6 +112,11 @@
             let course = Course { seconds, rounds, other, extra };
             runtime()?.block_on(fleet(&endpoints, &connections, &course))
         }
+        What::Quiet { proxies, endpoints, seconds, rate, svg } => {
+            let plan = quiet::Plan { proxies, endpoints, seconds, rate, svg };
+            tokio::task::LocalSet::new().block_on(&runtime()?, quiet::play(&plan))
+        }
+        What::List { endpoints } => list::play(&endpoints),
         What::Memory { endpoints } => runtime()?.block_on(memory(&endpoints)),
         What::Pinned { core, program, arguments } => {
             let mut cores = rustix::thread::CpuSet::new();
--- a/crates/lab/src/generate.rs
+++ b/crates/lab/src/generate.rs
@@ -71,6 +71,8 @@
         name,
         duration,
         proxies,
+        // Apart from the sequence of draws: what a number stands for must not change with it.
+        subset: if number % 4 == 3 { 2 + (number / 4 % 5) as u32 } else { 0 },
         classes,
         hosts,
         clients,
--- a/crates/lab/src/operator.rs
+++ b/crates/lab/src/operator.rs
@@ -12,8 +12,14 @@
 /// As above.
 pub const DESCRIPTORS: usize = 1_024;
 
-/// The text of the file of a proxy in `zone`: clients connect at `listen`, the list service is at `discovery`.
-pub fn text(scenario: &Scenario, listen: SocketAddr, discovery: SocketAddr, zone: &str) -> String {
+/// The text of the file of this proxy, which is in `zone`: clients connect at `listen`, the list service is at
+/// `discovery`.
+pub fn text(
+    scenario: &Scenario,
+    (proxy, zone): (u32, &str),
+    listen: SocketAddr,
+    discovery: SocketAddr,
+) -> String {
     let limits = format!("[limits]\nmemory = \"{MEMORY_MIB}MiB\"\ndescriptors = {DESCRIPTORS}\n");
     let mut out = format!("listen = \"{listen}\"\n\n{limits}\n[upstream]\n");
     let time = |micros: u64| format!("\"{}\"", show_duration(micros));
@@ -36,6 +42,9 @@
             time(cold.fall_time)
         );
     }
+    if scenario.subset > 0 {
+        let _ = write!(out, "\n[subset]\ninstance = {proxy}\nsize = {}\n", scenario.subset);
+    }
     for class in &scenario.classes {
         let _ = write!(
             out,
@@ -96,5 +105,5 @@
 pub fn read(scenario: &Scenario) -> Result<Config, Mistakes> {
     let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
     let name = format!("the operator's file of {:?}", scenario.name);
-    badgerramp_config::parse(&name, &text(scenario, SocketAddr::from(([127, 0, 0, 1], 0)), nowhere, "z"))
+    badgerramp_config::parse(&name, &text(scenario, (0, "z"), SocketAddr::from(([127, 0, 0, 1], 0)), nowhere))
 }
--- a/crates/lab/src/scenario_file.rs
+++ b/crates/lab/src/scenario_file.rs
@@ -9,9 +9,9 @@
 use std::fmt::Write;
 use std::path::Path;
 
-const FILE: [&str; 11] = [
-    "name", "duration", "proxies", "clients", "class", "host", "network", "list", "fault", "request",
-    "judged",
+const FILE: [&str; 12] = [
+    "name", "duration", "proxies", "subset", "clients", "class", "host", "network", "list", "fault",
+    "request", "judged",
 ];
 const CLIENTS: [&str; 9] =
     ["rate", "retries", "pause", "patience", "tide", "tide_time", "busy", "leaves", "tenants"];
@@ -162,6 +162,8 @@
     let name = keys.text("name", "a scenario");
     let duration = keys.time("duration", 1);
     let proxies = keys.integer("proxies", 1..=PROXIES_MOST, 1) as u32;
+    // What the operator's file allows; 0 is no subset.
+    let subset = keys.integer("subset", 0..=10_000, 0) as u32;
     let classes = classes(keys.notes, &file);
     let hosts = hosts(keys.notes, &file);
     let empty = DeTable::new();
@@ -182,6 +184,7 @@
         name,
         duration,
         proxies,
+        subset,
         classes,
         hosts,
         clients,
@@ -498,6 +501,7 @@
     out.text("name", &scenario.name);
     out.time("duration", scenario.duration);
     out.raw("proxies", scenario.proxies);
+    out.raw("subset", scenario.subset);
     let clients = &scenario.clients;
     out.table("[clients]");
     out.number("rate", clients.rate);
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -330,13 +330,14 @@
         let zone = proxy_zone(&self.scenario, proxy);
         let running = match &self.around {
             Around::Memory(world) => {
-                let text = operator::text(&self.scenario, proxy_address(proxy), list_address(), zone);
+                let text =
+                    operator::text(&self.scenario, (proxy, zone), proxy_address(proxy), list_address());
                 self.start_inside(world, proxy, &text)
             }
             Around::Real(loopback) => {
                 let listen = SocketAddr::from(([127, 0, 0, 1], 0));
                 let list = self.lists.borrow().get(&proxy).copied().unwrap_or_else(list_address);
-                let mut text = operator::text(&self.scenario, listen, list, zone);
+                let mut text = operator::text(&self.scenario, (proxy, zone), listen, list);
                 if self.options.trace.is_some() {
                     text.push_str(operator::FOLLOWED);
                 }
--- a/crates/subset/src/poll.rs
+++ b/crates/subset/src/poll.rs
@@ -9,6 +9,8 @@
 const DOUBLINGS: u32 = 6;
 /// First pause after a failure, if the service could bear all proxies at once.
 const PAUSE_LEAST: Micros = 200_000;
+/// Questions of a proxy that has no list: for the list, and for what changes of it.
+const QUESTIONS: u32 = 2;
 /// Share of what the service bears that a round of all proxies takes.
 const BUSY_MOST: f64 = 0.8;
 
@@ -26,9 +28,9 @@
 }
 
 impl PollTerms {
-    /// Time in which all proxies can ask once without crowding the service.
+    /// Time in which all proxies can have the list and begin their watch without crowding the service.
     pub fn round(&self) -> Micros {
-        (f64::from(self.proxies) / (self.rate.max(0.001) * BUSY_MOST) * 1e6) as Micros
+        (f64::from(QUESTIONS * self.proxies) / (self.rate.max(0.001) * BUSY_MOST) * 1e6) as Micros
     }
 }
 
--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -11,6 +11,8 @@
     pub duration: Micros,
     /// Client proxies.
     pub proxies: u32,
+    /// Hosts that each proxy keeps to; 0: all. The play on the decisions alone knows no subsets.
+    pub subset: u32,
     /// Kinds of calls.
     pub classes: Vec<Class>,
     /// Hosts, each for itself.
