News of the list spreads the next questions; idle connections have a floor of zero

Need: after one piece of news 2,000 watches ended together and asked again together, 125 a second being borne. The rig says why a request was not served.

--- a/crates/bench/src/quiet.rs
+++ b/crates/bench/src/quiet.rs
@@ -316,10 +316,15 @@
                 stream.write_all(b"GET /safe HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").await?;
                 let mut answer = Vec::new();
                 stream.read_to_end(&mut answer).await?;
-                std::io::Result::Ok(answer.starts_with(b"HTTP/1.1 200"))
+                std::io::Result::Ok(
+                    String::from_utf8_lossy(&answer).lines().next().unwrap_or_default().to_owned(),
+                )
             };
-            if matches!(tokio::time::timeout(Duration::from_secs(6), exchange).await, Ok(Ok(true))) {
-                served.set(served.get() + 1);
+            match tokio::time::timeout(Duration::from_secs(6), exchange).await {
+                Ok(Ok(line)) if line.starts_with("HTTP/1.1 200") => served.set(served.get() + 1),
+                Ok(Ok(line)) => println!("  not served: {line:?}"),
+                Ok(Err(fault)) => println!("  not served: {fault}"),
+                Err(_) => println!("  not served: no answer"),
             }
         });
     }
--- a/crates/proxy/src/net/discovery.rs
+++ b/crates/proxy/src/net/discovery.rs
@@ -118,9 +118,12 @@
                 if *index == Some(list.index) && asked.elapsed() < CALM {
                     tokio::time::sleep(CALM).await;
                 }
-                *index = Some(list.index);
+                let news = index.replace(list.index) != Some(list.index);
                 if let Some(pace) = pace {
                     pace.poll.answered();
+                    if news {
+                        tokio::time::sleep(Duration::from_micros(pace.poll.told())).await;
+                    }
                 }
             }
             Ok(Err(fault)) => {
--- a/crates/proxy/src/net/hosts.rs
+++ b/crates/proxy/src/net/hosts.rs
@@ -497,6 +497,11 @@
 
     /// One attempt at a stub that reads a little and answers `text`.
     fn attempt_at(text: &'static str, may_start: bool) -> Ended {
+        attempt_keeping(text, may_start, (16, Micros::MAX)).0
+    }
+
+    /// The same, with so many connections kept for so long; tells also how many are left after a sweep.
+    fn attempt_keeping(text: &'static str, may_start: bool, kept: (usize, Micros)) -> (Ended, usize) {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("its address");
         std::thread::spawn(move || {
@@ -504,6 +509,8 @@
             if stream.read(&mut [0; 4096]).is_ok_and(|n| n > 0) {
                 stream.write_all(text.as_bytes()).expect("an open connection");
             }
+            // Open until the other side closes.
+            let _ = stream.read(&mut [0]);
         });
         let transport = Transport {
             max_open: 9,
@@ -512,18 +519,22 @@
         };
         let hosts = Hosts::new(
             transport,
-            (16, Micros::MAX),
+            kept,
             (Descriptors::new(9), Room::new(1 << 20)),
             Rc::new(Tcp),
             Clock::start(),
         );
+        hosts.open(ServerId(0), 0);
         let target = Target { server: ServerId(0), address, generation: 0 };
         let (method, uri, headers) = (Method::GET, Uri::from_static("/a"), HeaderMap::new());
         let answers = std::sync::Arc::new(badgerramp_route::Answers::platform());
         let manner = Rc::new(Manner { connect: 9_000_000, answers, body_most: 1 << 16 });
         let request = Request { method, uri, headers, body: Bytes::new(), manner };
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        runtime.block_on(attempt(&hosts, target, &request, || 1_000, || may_start))
+        let ended = runtime.block_on(attempt(&hosts, target, &request, || 1_000, || may_start));
+        hosts.sweep();
+        let left = hosts.idle.borrow().values().map(Vec::len).sum();
+        (ended, left)
     }
 
     #[test]
@@ -559,6 +570,15 @@
         assert_eq!(stale.limit(), Micros::MAX);
     }
 
+    /// A quiet proxy among thousands holds nothing open: the floor is zero.
+    #[test]
+    fn connections_are_kept_as_many_and_as_long_as_is_set() {
+        let answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        assert_eq!(attempt_keeping(answer, true, (1, Micros::MAX)).1, 1);
+        assert_eq!(attempt_keeping(answer, true, (0, Micros::MAX)).1, 0);
+        assert_eq!(attempt_keeping(answer, true, (1, 0)).1, 0);
+    }
+
     #[test]
     fn what_may_not_start_any_more_is_not_sent() {
         let ended = attempt_at("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false);
--- a/crates/subset/src/poll.rs
+++ b/crates/subset/src/poll.rs
@@ -68,6 +68,13 @@
         self.failures = 0;
     }
 
+    /// The pause before the next question after one that brought news: all proxies had it at the same moment, and ask
+    /// again together. The list has an index, so nothing is lost meanwhile; it is only heard later.
+    pub fn told(&mut self) -> Micros {
+        self.failures = 0;
+        self.within(self.terms.round() / u64::from(QUESTIONS))
+    }
+
     /// How long the next question may wait for news. A little less at random: watches that began together must not
     /// end together for ever.
     pub fn wait(&mut self, idle: bool) -> Micros {
