A subset grows when most of its members fail, and a file must leave room for its connections

Need: never more than half of the hosts are set aside, so a subset whose members all fail at once never showed it by that figure. A subset could keep more connections than the file's descriptors bear. Quiet proxies woke four times a second. Change: the decisions count hosts that are set aside or fail most of their calls; the check at load holds most times kept against the descriptors; a proxy without connections looks once a second.

--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -328,7 +328,7 @@
         let listen = address(self.notes, &top, "listen");
         let limits = self.limits(&top);
         let upstream = top.section(self.notes, "upstream", &UPSTREAM).map(|section| self.upstream(&section));
-        let subset = subset::subset(self.notes, &top, upstream.as_ref());
+        let subset = subset::subset(self.notes, &top, upstream.as_ref(), limits.as_ref());
         let list = subset::list(self.notes, &top, upstream.as_ref());
         let defaults = match top.section(self.notes, "defaults", &timing::KEYS) {
             Some(section) => Draft::read(self.notes, &section),
--- a/crates/config/src/subset.rs
+++ b/crates/config/src/subset.rs
@@ -1,6 +1,7 @@
 //! `[subset]` and `[list]`: what a proxy among many keeps and asks.
 
-use crate::file::Upstream;
+use crate::file::{Limits, Upstream};
+use crate::{clients_borne, DESCRIPTORS_RESERVED};
 use badgerramp_decisions::Micros;
 use badgerramp_reading::values::show_duration;
 use badgerramp_reading::{Notes, Section};
@@ -66,6 +67,7 @@
     notes: &mut Notes,
     top: &Section<'_>,
     upstream: Option<&Upstream>,
+    limits: Option<&Limits>,
 ) -> Option<SubsetTerms> {
     let section = top.section(notes, "subset", &SUBSET)?;
     section.want(notes, "instance", "the number of this proxy among all, from 0");
@@ -103,6 +105,20 @@
     let instance = Instance { number: number?.value as u32, count };
     let terms = SubsetTerms { need, instance, kept, idle, endpoints };
     size?;
+    if let Some(limits) = limits {
+        let fleet = endpoints.unwrap_or(usize::MAX);
+        let held = need.most.min(fleet) * kept;
+        let room =
+            limits.descriptors.saturating_sub(DESCRIPTORS_RESERVED + clients_borne(limits.descriptors));
+        if held > room {
+            let reason = format!(
+                "{} endpoints with {kept} idle connections each hold more than there is room for",
+                need.most
+            );
+            let allowed = format!("at most {room} of limits.descriptors: a smaller `most` or `kept`");
+            notes.add((&section.of("most"), &section.span), reason, held.to_string(), allowed);
+        }
+    }
     let most = section.integer(notes, "connections_per_endpoint", 1..=10_000_000);
     if let Some(most) = most {
         let key = section.of("connections_per_endpoint");
--- a/crates/config/tests/subset.rs
+++ b/crates/config/tests/subset.rs
@@ -49,6 +49,8 @@
     let narrow = format!("{subset}endpoints = 1000\nconnections_per_endpoint = 249");
     refused(&narrow, &["subset.connections_per_endpoint", "249", "2000 proxies", "at least 250"]);
     assert!(file(DISCOVERY, &format!("{subset}endpoints = 1000\nconnections_per_endpoint = 250")).is_ok());
+    let wide = format!("[limits]\ndescriptors = 256\n{subset}kept = 2");
+    refused(&wide, &["subset.most", "160", "at most 132"]);
     refused("[list]\nrate = 100\nwait = \"10s\"", &["list.rate", "200.0 questions a second", "100"]);
     assert!(file(DISCOVERY, "[list]\nrate = 200\nwait = \"10s\"").is_ok());
 }
--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -139,6 +139,7 @@
             up,
             room: up && !full,
             trial: may_be_tried && !backing_off && settled,
+            troubled: self.listed && (aside || self.failing > FAIL_LIMIT),
             aside,
             tested: self.budget.trial_out,
             // All balancers' trials together could push a cold server over.
@@ -276,9 +277,10 @@
         Some(View { listed: server.listed, in_flight, concurrency, strain, failing, warmth, set_aside })
     }
 
-    /// Servers that the list names ready, and how many of these are set aside.
+    /// Servers that the list names ready, and how many of these are set aside or fail. Never more than half
+    /// are set aside, so that alone would not tell of a fleet that fails as a whole.
     pub fn listed(&self) -> (usize, usize) {
-        (self.fleet.listed(), self.fleet.aside())
+        (self.fleet.listed(), self.fleet.troubled())
     }
 
     /// Calls that are known, those in the hold, and the trials, second copies and resends that are saved up.
--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -24,6 +24,8 @@
     pub(crate) room: bool,
     /// ... or is full, but one trial may pass it.
     pub(crate) trial: bool,
+    /// It is set aside or fails most of its calls.
+    pub(crate) troubled: bool,
     /// It is set aside, and whether a trial that may bring it back is out there.
     pub(crate) aside: bool,
     pub(crate) tested: bool,
@@ -121,6 +123,7 @@
     cold_moment: u128,
     listed: usize,
     aside: usize,
+    troubled: usize,
     tested: usize,
     /// When each standing changes by time alone, and from when those set aside may be tried.
     due: BTreeSet<(Micros, u32)>,
@@ -179,6 +182,11 @@
         self.aside
     }
 
+    /// How many that are listed are set aside or fail.
+    pub(crate) fn troubled(&self) -> usize {
+        self.troubled
+    }
+
     /// Sum of the sizes of all that are listed.
     pub(crate) fn size(&self) -> f64 {
         weighted::size(self.listed_weight)
@@ -343,6 +351,7 @@
             }
         }
         self.aside = self.aside + usize::from(new.aside) - usize::from(old.aside);
+        self.troubled = self.troubled + usize::from(new.troubled) - usize::from(old.troubled);
         let tested = |s: Standing| usize::from(s.aside && s.tested);
         self.tested = self.tested + tested(new) - tested(old);
         let back = |s: Standing| (s.aside && !s.tested).then_some((s.back_at, key));
--- a/crates/proxy/src/net/driver.rs
+++ b/crates/proxy/src/net/driver.rs
@@ -694,8 +694,8 @@
     /// Grows or shrinks the subset by how its members fare.
     fn pulse(&mut self, now: Micros) {
         let Some(chosen) = &mut self.chosen else { return };
-        let ((listed, aside), (calls, waiting, _)) = (self.balancer.listed(), self.balancer.totals());
-        let health = Health { usable: listed - aside, in_flight: calls - waiting, waiting };
+        let ((listed, troubled), (calls, waiting, _)) = (self.balancer.listed(), self.balancer.totals());
+        let health = Health { usable: listed - troubled, in_flight: calls - waiting, waiting };
         let changes = chosen.subset.pulse(now, health);
         if !changes.is_empty() {
             self.tell(ListKind::Delta, &changes);
--- a/crates/proxy/src/net/hosts.rs
+++ b/crates/proxy/src/net/hosts.rs
@@ -286,6 +286,11 @@
         self.current.borrow_mut().remove(&server);
     }
 
+    /// Is no connection idle?
+    pub fn none_idle(&self) -> bool {
+        self.idle.borrow().is_empty()
+    }
+
     /// Closes what has been idle for too long.
     pub fn sweep(&self) {
         let now = self.clock.now();
--- a/crates/proxy/src/program.rs
+++ b/crates/proxy/src/program.rs
@@ -28,6 +28,10 @@
 /// Connections waiting to be accepted.
 const BACKLOG: u32 = 1_024;
 
+/// How often connections that are overdue are looked for, while there are any and while there are none.
+const SWEEP: Duration = Duration::from_millis(250);
+const SWEEP_QUIET: Duration = Duration::from_secs(1);
+
 /// Why the program ends.
 #[derive(Debug)]
 pub enum Fault {
@@ -207,7 +211,9 @@
     };
     let sweep = async {
         loop {
-            tokio::time::sleep(Duration::from_millis(250)).await;
+            // Thousands of quiet proxies on one machine must not keep it awake.
+            let quiet = hosts.none_idle() && front.clients.count() == 0;
+            tokio::time::sleep(if quiet { SWEEP_QUIET } else { SWEEP }).await;
             hosts.sweep();
             running.driver.pulse();
             front.clients.sweep(clock.now());
