--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -305,7 +305,7 @@
             top.read(self.notes, "platform", ("this is not a flag", "true or false"), DeValue::as_bool);
         let usage = if platform.is_some_and(|p| p.value) { Use::Platform } else { Use::Alone };
         if usage == Use::Platform {
-            for name in ["listen", "limits", "log", "upstream", "subset", "list", "no_route"]
+            for name in ["listen", "limits", "upstream", "subset", "list", "no_route"]
                 .into_iter()
                 .filter(|n| top.has(n))
             {
--- a/crates/proxy/src/log.rs
+++ b/crates/proxy/src/log.rs
@@ -14,6 +14,9 @@
 /// The target of what happens to single calls.
 pub const CALLS: &str = "badgerramp::calls";
 
+/// The target of what happens to clients' connections: what ends before it is a call is told here alone.
+pub const CLIENTS: &str = "badgerramp::clients";
+
 /// Lines that have passed in the present second, and those that were left out.
 struct Passed {
     since: Instant,
--- a/crates/proxy/src/net/clients.rs
+++ b/crates/proxy/src/net/clients.rs
@@ -87,6 +87,11 @@
         self.leave.notified().await;
     }
 
+    /// Its number, counted from the start; none returns.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
     /// The address that the client connected from.
     pub fn client(&self) -> IpAddr {
         self.client
--- a/crates/proxy/src/net/front.rs
+++ b/crates/proxy/src/net/front.rs
@@ -7,6 +7,7 @@
 use super::hosts::{self, Hosts};
 use super::socket::{Listener, Stream};
 use super::{Descriptors, Room};
+use crate::log::CLIENTS;
 use badgerramp_decisions::{CallId, Micros};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Collected, Full, LengthLimitError, Limited};
@@ -26,6 +27,7 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
+use tracing::debug;
 
 /// Most bytes of a request's head.
 const HEAD_MOST: usize = 32 * 1024;
@@ -125,6 +127,7 @@
         });
         let crowded = full || descriptor.is_none();
         let seat = self.clients.enter(stream, descriptor, clock);
+        debug!(target: CLIENTS, seat = seat.number(), count = self.clients.count(), crowded, "connected");
         tokio::task::spawn_local(Rc::clone(self).connection(seat, closing, crowded));
     }
 
@@ -133,8 +136,12 @@
             let (front, seat) = (Rc::clone(&self), Rc::clone(&seat));
             async move {
                 let since = seat.opened();
+                let id =
+                    request.headers().get("x-request-id").and_then(|v| v.to_str().ok()).unwrap_or_default();
+                debug!(target: CLIENTS, seat = seat.number(), request = id, crowded, since, "asked");
                 let mut response =
                     if crowded { front.refused(0) } else { front.request(request, &seat, since).await };
+                debug!(target: CLIENTS, seat = seat.number(), status = response.status().as_u16(), "answered");
                 // What came before the answer belongs to no request that a client of ours would send.
                 if crowded || seat.surplus() {
                     close(&mut response);
@@ -160,6 +167,7 @@
                 // How a client's connection ends concerns nobody: its calls are dropped with it.
                 _ = connection.as_mut() => break,
                 () = seat.leaves() => {
+                    debug!(target: CLIENTS, seat = seat.number(), "is to leave");
                     // The last answer may still be on its way out.
                     connection.as_mut().graceful_shutdown();
                     let _ = tokio::time::timeout(LEAVE, connection.as_mut()).await;
@@ -172,6 +180,7 @@
             }
         }
         let _ = tokio::time::timeout(LEAVE, seat.linger()).await;
+        debug!(target: CLIENTS, seat = seat.number(), "left");
         self.clients.leave(&seat);
     }
 
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -66,7 +66,9 @@
 
 /// Runs the program.
 pub fn run(operator: Option<PathBuf>) -> Result<(), Fault> {
-    crate::log::start(&badgerramp_config::Log::default());
+    // What is wrong with the file is told after this, by `rules`; its log is the default one then.
+    let log = operator.as_deref().and_then(|file| badgerramp_config::load(file).ok()).map(|c| c.log);
+    crate::log::start(&log.unwrap_or_default());
     let path = std::env::var_os("RELAY_CONFIG").ok_or_else(|| "RELAY_CONFIG is not set".to_owned())?;
     let path = PathBuf::from(path);
     let (config, facts) = read(&path)?;
