--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -201,7 +201,7 @@
         Balancer {
             random: Pcg32::seed_from_u64(seed),
             paces: settings.classes.iter().map(Pace::of).collect(),
-            fleet: Fleet::new(settings.zone),
+            fleet: Fleet::default(),
             settings,
             calls: FxHashMap::default(),
             hold: VecDeque::new(),
@@ -354,7 +354,6 @@
             }
         }
         self.settings = settings;
-        self.fleet.set_zone(self.settings.zone);
         for place in self.fleet.slots() {
             self.refile(now, place);
         }
@@ -731,7 +730,7 @@
         };
         let fresh = self.any_untried(&self.calls[&id], up, &domain);
         let sparse = self.sparse();
-        let Balancer { fleet, calls, groups, random, settings, .. } = self;
+        let Balancer { fleet, calls, groups, random, .. } = self;
         let call = &calls[&id];
         let fits = |s: &Server| {
             let group = || groups.get(&(s.zone, s.kind)).is_none_or(|g| g.share >= call.chance);
@@ -740,14 +739,9 @@
         let with_room = |s: &Server| fits(s) && !s.full(now, &rules);
         // A stable few, more when they were full: they bound connections, and what they show is fresh.
         let few = SUBSET << call.found_full.min(BACKOFF_DOUBLINGS);
-        let mut stable = Vec::new();
-        // Own zone first, where crossing costs: others' when it has no room.
-        if sparse && settings.charges.cross_zone > 0.0 && call.found_full == 0 {
-            stable = fleet.preferred(true, (room, &domain), few, with_room);
-        }
-        if sparse && stable.is_empty() {
-            stable = fleet.preferred(false, (room, &domain), few, with_room);
-        }
+        // Not the own zone first: what a zone's proxies ask for is no measure of what its servers bear, no
+        // proxy sees the others', and full servers cost more than crossing does.
+        let stable = if sparse { fleet.preferred((room, &domain), few, with_room) } else { Vec::new() };
         let first = if sparse {
             if let Some(servers) = (!stable.is_empty()).then(|| self.ask(now, id, &stable)).flatten() {
                 return if servers.is_empty() { Route::Hold } else { Route::Ask { servers } };
--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -128,10 +128,8 @@
     /// When each standing changes by time alone, and from when those set aside may be tried.
     due: BTreeSet<(Micros, u32)>,
     back: BTreeSet<(Micros, u32)>,
-    /// Servers with room, and cold ones, in this balancer's own order of preference: all, and those of its zone.
+    /// Servers with room, and cold ones, in this balancer's own order of preference.
     ranked: BTreeSet<(u32, u32)>,
-    near: BTreeSet<(u32, u32)>,
-    zone: ZoneId,
     zones: Members,
     cells: Members,
     /// No longer listed, but something is still out there.
@@ -157,11 +155,6 @@
 }
 
 impl Fleet {
-    /// An empty fleet, seen from this zone.
-    pub(crate) fn new(zone: ZoneId) -> Self {
-        Fleet { zone, ..Fleet::default() }
-    }
-
     /// The slot of a server, if it is known.
     pub(crate) fn place(&self, id: ServerId) -> Option<usize> {
         self.places.get(&id).map(|&slot| slot as usize)
@@ -282,13 +275,6 @@
         self.leaving.insert(self.slots[slot].id);
     }
 
-    /// Another zone of this balancer's own.
-    pub(crate) fn set_zone(&mut self, zone: ZoneId) {
-        self.zone = zone;
-        let near = |&&(_, slot): &&(u32, u32)| self.slots[slot as usize].zone == zone;
-        self.near = self.ranked.iter().filter(near).copied().collect();
-    }
-
     /// Zone and cell of a listed server are as the list says now.
     pub(crate) fn place_in(&mut self, slot: usize, zone: ZoneId, cell: CellId) {
         let (old_zone, old_cell) = (self.slots[slot].zone, self.slots[slot].cell);
@@ -323,13 +309,10 @@
         }
         let ranked = |s: Standing| s.room || s.cold_since.is_some();
         if ranked(old) != ranked(new) {
-            let near = zone == self.zone;
             if ranked(new) {
                 self.ranked.insert((rank, key));
-                near.then(|| self.near.insert((rank, key)));
             } else {
                 self.ranked.remove(&(rank, key));
-                near.then(|| self.near.remove(&(rank, key)));
             }
         }
         if old.cold_since != new.cold_since {
@@ -465,24 +448,21 @@
         last
     }
 
-    /// The first that pass in this balancer's own order, at the most so many, of its zone only or of all.
+    /// The first that pass in this balancer's own order, at the most so many.
     pub(crate) fn preferred(
         &self,
-        near: bool,
         (among, domain): (Among, &Domain),
         count: usize,
         pass: impl Fn(&Server) -> bool,
     ) -> Vec<usize> {
         let fits = |slot: &usize| self.set(among).contains(*slot) && pass(&self.slots[*slot]);
         if let Domain::Only(slots) = domain {
-            let at_home = |slot: &usize| !near || self.slots[*slot].zone == self.zone;
-            let mut slots: Vec<usize> = slots.iter().copied().filter(|s| fits(s) && at_home(s)).collect();
+            let mut slots: Vec<usize> = slots.iter().copied().filter(fits).collect();
             slots.sort_unstable_by_key(|&slot| (self.slots[slot].rank, slot));
             slots.truncate(count);
             return slots;
         }
-        let ranked = if near { &self.near } else { &self.ranked };
-        let slots = ranked.iter().take(LOOKS.max(count)).map(|&(_, slot)| slot as usize);
+        let slots = self.ranked.iter().take(LOOKS.max(count)).map(|&(_, slot)| slot as usize);
         slots.filter(fits).take(count).collect()
     }
 }
