Calls are turned back as servers tell of a crowd, where proxies outnumber servers

Cause: nothing bounds what all proxies hold at a server together. Budget::new gives each at least one call at each server, so 300 proxies may hold 300 calls where a server bears a dozen before it turns slower; `preferred` passes over those that are full to ever more servers. Servers told of it in each answer, but balance.rs used that only for each server's own budget, which can't fall under one call. The groups' share is cut by answers of half the aim, when the crowd has long stood. Ruled out: zones (spread 1.6 to 1.7), descriptors (194 of 608), failures of connections (3 in the windows that tip).

Change: crowd.rs, without I/O or clock: a server's last word (waiting for each in work) while fresh, then all servers' of the last second; silence (a time-out, turned away) is the most. Calls without an attempt are turned back by it, none at 0.5, all at 1.5. Tests in crowd.rs and sparse.rs; the latter fail without it.

--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -5,6 +5,7 @@
 //! may pass one as the trial that can raise it, and is refused when no server is up.
 
 use crate::api::*;
+use crate::crowd::{turned_back, Crowd};
 use crate::fleet::{Among, Domain, Fleet, Standing};
 use crate::state::*;
 use rand::seq::SliceRandom;
@@ -164,10 +165,21 @@
 
 /// Where a call goes.
 enum Route {
-    Send { server: usize, trial: bool },
-    Ask { servers: Vec<usize> },
+    Send {
+        server: usize,
+        trial: bool,
+    },
+    Ask {
+        servers: Vec<usize>,
+    },
     Hold,
-    Refuse { retry_after: Micros },
+    Refuse {
+        retry_after: Micros,
+    },
+    /// Refused, as the servers are crowded.
+    TurnBack {
+        retry_after: Micros,
+    },
 }
 
 /// Decides for one client proxy.
@@ -186,6 +198,8 @@
     pressure: f64,
     /// Strain of late of each machine kind in each zone.
     groups: BTreeMap<(ZoneId, KindId), Group>,
+    /// Crowding that servers told of with their answers.
+    crowd: Crowd,
     wakes: Timetable,
     paces: Vec<Pace>,
     retries: f64,
@@ -209,6 +223,7 @@
             told: (0.0, 0.0),
             pressure: 1.0,
             groups: BTreeMap::new(),
+            crowd: Crowd::default(),
             wakes: Timetable::default(),
             retries: RETRY_SAVED,
             timer_at: Micros::MAX,
@@ -234,7 +249,7 @@
             }
             Event::Request { .. } => {}
             Event::Outcome { call, attempt, outcome, elapsed, closed, load } => {
-                self.report(call, attempt, load);
+                self.report(now, call, attempt, load);
                 if let Some((mut tried, class_id)) = self.outcome(call, attempt, outcome) {
                     tried.sent = tried.sent.min(now.saturating_sub(elapsed));
                     self.learn(now, tried, class_id, outcome, actions);
@@ -478,7 +493,7 @@
     }
 
     /// As many waiting as in work, or nearly all cores busy, is as much as an answer at its limit.
-    fn report(&mut self, id: CallId, attempt: u32, load: Load) {
+    fn report(&mut self, now: Micros, id: CallId, attempt: u32, load: Load) {
         let Some(tried) = self.calls.get(&id).and_then(|c| c.attempts.get(attempt as usize)) else { return };
         let Some(place) = self.fleet.place(tried.server) else { return };
         let crowding = match load {
@@ -486,7 +501,12 @@
             Load { busy: Some(busy), .. } => busy / BUSY_FULL,
             _ => return,
         };
-        self.fleet[place].crowding = if crowding.is_finite() { crowding.clamp(0.0, 4.0) } else { 0.0 };
+        let crowding = if crowding.is_finite() { crowding.clamp(0.0, 4.0) } else { 0.0 };
+        self.fleet[place].crowding = crowding;
+        // How busy cores are tells of no crowd: they are all busy long before one waits.
+        if load.waiting.is_some() && self.sparse() {
+            self.crowd.told(now, &mut self.fleet[place], crowding);
+        }
     }
 
     /// What a server's answer, or its absence, teaches.
@@ -501,7 +521,7 @@
         let Attempt { server: id, sent, trial, .. } = tried;
         let elapsed = now.saturating_sub(sent);
         let (first, longest, longest_aim) = (self.first_backoff(), self.longest_usual(), self.longest_aim());
-        let may_set_aside = self.may_set_aside();
+        let (may_set_aside, sparse) = (self.may_set_aside(), self.sparse());
         let Some(place) = self.fleet.place(id) else { return };
         let pace = self.paces.get_mut(class_id);
         let aim = self.settings.classes.get(class_id).map_or(f64::MAX, |c| c.aim as f64);
@@ -553,6 +573,10 @@
         if outcome == Outcome::Served {
             server.answered = now;
         }
+        // What is crowded most tells nothing: it answers nothing in time, or turns away unseen.
+        if sparse && matches!(outcome, Outcome::TimedOut | Outcome::TurnedAway) {
+            self.crowd.silent(now, server);
+        }
         // Latency well above an unloaded server's is the sign, beside refusals, of too much in flight.
         if outcome == Outcome::TurnedAway {
             server.budget.cut(CUT_FULL, 0.0);
@@ -760,6 +784,11 @@
             })
         };
         if let Some(server) = first {
+            let (place, call) = (&self.fleet[server], &self.calls[&id]);
+            let crowding = self.crowd.expected(now, place.word);
+            if sparse && call.attempts.is_empty() && call.chance < turned_back(crowding) {
+                return Route::TurnBack { retry_after: self.first_backoff() };
+            }
             return Route::Send { server, trial: false };
         }
         let Balancer { fleet, calls, groups, random, .. } = self;
@@ -980,6 +1009,7 @@
                     self.take(index);
                     self.start_asking(now, id, &servers, actions);
                 }
+                Route::TurnBack { retry_after } => self.give_up(id, retry_after, actions),
                 Route::Refuse { retry_after } => {
                     if !std::mem::replace(&mut self.refusing, true) {
                         actions.push(Action::Log { text: "no server is up: refusing".to_owned() });
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -27,6 +27,7 @@
 
 mod api;
 mod balance;
+mod crowd;
 mod fleet;
 pub mod settings;
 mod state;
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -1,6 +1,7 @@
 //! What a balancer remembers: records only. Every decision on them is in `src/balance.rs`.
 
 use crate::api::*;
+use crate::crowd::Word;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Weight of a new answer in a class's mean: about twenty are remembered.
@@ -40,6 +41,8 @@
     pub(crate) answers_since: u32,
     /// Its last report, as strain.
     pub(crate) crowding: f64,
+    /// Its last word of how crowded it is.
+    pub(crate) word: Word,
     /// What it held for all balancers when it was last asked, and when that was.
     pub(crate) in_hand: f64,
     pub(crate) asked: Micros,
--- a/crates/decisions/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -362,6 +362,8 @@
         proxy.event(Event::Outcome { call, attempt: 0, outcome, elapsed, closed: true, load });
         proxy.wait(100 * MS);
     }
+    // What servers told is stale by then: no call is turned back for it.
+    proxy.wait(5_000 * MS);
     assert_eq!(sent(&proxy.call().1).len(), 1, "the budget's own call");
     sent(&proxy.call().1).len() == 1
 }
--- a/crates/decisions/tests/sparse.rs
+++ b/crates/decisions/tests/sparse.rs
@@ -242,3 +242,61 @@
         (0..40).flat_map(|_| sent(&proxy.call().1)).map(|s| s.1).collect();
     assert_eq!(went.len(), 40, "a hot balancer starves at no subset");
 }
+
+/// Each of hundreds of balancers has one call at a server, within its budget; together they held the servers past
+/// what they bear until nearly all answers came too late.
+#[test]
+fn calls_are_turned_back_as_servers_tell_of_a_crowd_and_not_where_few_balancers_share_them() {
+    let went = |settings: Settings, crowding: f64, pause: Micros| {
+        let mut proxy = Proxy::new(settings, 30);
+        let answer = |proxy: &mut Proxy, actions: &[Action], call| {
+            let Some(&(_, _)) = sent(actions).first() else { return false };
+            proxy.now += 40 * MS;
+            let load = Load {
+                in_hand: Some(4.0 * (1.0 + crowding)),
+                waiting: Some(4.0 * crowding),
+                ..Load::default()
+            };
+            let (attempt, outcome, elapsed) = (0, Outcome::Served, 40 * MS);
+            proxy.event(Event::Outcome { call, attempt, outcome, elapsed, closed: true, load });
+            true
+        };
+        for _ in 0..40 {
+            let (call, actions) = proxy.call();
+            answer(&mut proxy, &actions, call);
+            proxy.now += 20 * MS;
+        }
+        proxy.now += pause;
+        // All at about one time: none has an answer that another could go by.
+        let (mut went, mut at_once) = (0, 0);
+        for _ in 0..20 {
+            let (call, actions) = proxy.call();
+            went += usize::from(!sent(&actions).is_empty());
+            at_once += usize::from(!sent(&actions).is_empty() || refused(&actions, call));
+        }
+        assert_eq!(at_once, 20, "none waits to be told");
+        went
+    };
+    assert_eq!(went(many(false), 0.0, 0), 20);
+    assert!((2..=18).contains(&went(many(false), 1.0, 0)), "{}", went(many(false), 1.0, 0));
+    assert!(went(many(false), 3.0, 0) <= 1);
+    assert_eq!(went(many(false), 3.0, 5_000 * MS), 20, "it is found out when the crowd has gone");
+    assert_eq!(went(Settings { balancers: 3, ..many(false) }, 3.0, 0), 20);
+}
+
+#[test]
+fn a_call_that_may_have_run_is_not_turned_back() {
+    let mut proxy = Proxy::new(many(false), 30);
+    for _ in 0..12 {
+        let (call, actions) = proxy.call();
+        if !sent(&actions).is_empty() {
+            proxy.now += 40 * MS;
+            let load = Load { in_hand: Some(16.0), waiting: Some(12.0), ..Load::default() };
+            let (attempt, outcome, elapsed) = (0, Outcome::Error, 40 * MS);
+            let actions =
+                proxy.event(Event::Outcome { call, attempt, outcome, elapsed, closed: false, load });
+            assert_eq!(sent(&actions).len(), 1, "it goes again: {actions:?}");
+        }
+        proxy.now += 300 * MS;
+    }
+}
