--- a/crates/proxy/src/net/front.rs
+++ b/crates/proxy/src/net/front.rs
@@ -111,6 +111,7 @@
 
     /// Running out of descriptors must not end the program: idle connections go first.
     async fn short_of_sockets(&self, fault: &io::Error) {
+        tracing::warn!("a client's connection could not be taken: {fault}");
         let aborted = [io::ErrorKind::ConnectionAborted, io::ErrorKind::ConnectionReset];
         let evicts = || self.hosts.evict() || self.clients.evict(self.driver.clock().now());
         if !aborted.contains(&fault.kind()) && !evicts() {
