--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -315,7 +315,7 @@
                         (name, &span),
                         reason,
                         format!("`{name}`"),
-                        "defaults, classes and routes",
+                        "log, defaults, classes and routes",
                     );
                 }
             }
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -90,6 +90,27 @@
     }
 }
 
+/// What is harmless in one proxy may be harmful in all: eighty of them on 21 hosts, through a common restart, a burst of
+/// cold hosts, a lost zone, a crowded list service, lost answers and a spike.
+#[test]
+fn many_proxies_keep_the_rules_together() {
+    let all = scenarios(&folder().join("fleet"));
+    assert_eq!(all.len(), 6);
+    for (name, scenario) in all {
+        let scenario = Arc::new(scenario);
+        // The socket code is slow in a test's build: two of them are enough to see that it does the same.
+        let both = name.contains("lost-answers") || name.contains("cold-burst");
+        let sockets = both.then_some((Way::Sockets, 1));
+        for (way, seed) in [(Way::Virtual, 1), (Way::Virtual, 2)].into_iter().chain(sockets) {
+            let course = way.play(&scenario, Options { seed, ..Options::default() }).expect("a play");
+            assert_eq!(course.broken, [], "{name}, {}, {seed}", way.name());
+            // Proxies without a list serve nothing: what a crowded list service leaves is not judged here.
+            let listed = !name.contains("list") && !name.contains("restart");
+            assert!(!listed || course.total().goodput() > 0.85, "{name}: {}", course.total().goodput());
+        }
+    }
+}
+
 #[test]
 fn the_same_seed_gives_the_same_course_and_another_does_not() {
     for way in [Way::Virtual, Way::Sockets] {
