The crowd's module takes a word, not a server: no circle between it and the records

Need: crowd.rs took the server's record and state.rs its word, a circle. Now the word alone goes in, and the bound of a report is named in one place. No decision changes.

--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -5,7 +5,7 @@
 //! may pass one as the trial that can raise it, and is refused when no server is up.
 
 use crate::api::*;
-use crate::crowd::{turned_back, Crowd};
+use crate::crowd::{self, turned_back, Crowd};
 use crate::fleet::{Among, Domain, Fleet, Standing};
 use crate::state::*;
 use rand::seq::SliceRandom;
@@ -501,11 +501,11 @@
             Load { busy: Some(busy), .. } => busy / BUSY_FULL,
             _ => return,
         };
-        let crowding = if crowding.is_finite() { crowding.clamp(0.0, 4.0) } else { 0.0 };
+        let crowding = if crowding.is_finite() { crowding.clamp(0.0, crowd::MOST) } else { 0.0 };
         self.fleet[place].crowding = crowding;
         // How busy cores are tells of no crowd: they are all busy long before one waits.
         if load.waiting.is_some() && self.sparse() {
-            self.crowd.told(now, &mut self.fleet[place], crowding);
+            self.crowd.told(now, &mut self.fleet[place].word, crowding);
         }
     }
 
@@ -575,7 +575,7 @@
         }
         // What is crowded most tells nothing: it answers nothing in time, or turns away unseen.
         if sparse && matches!(outcome, Outcome::TimedOut | Outcome::TurnedAway) {
-            self.crowd.silent(now, server);
+            self.crowd.silent(now, &mut server.word);
         }
         // Latency well above an unloaded server's is the sign, beside refusals, of too much in flight.
         if outcome == Outcome::TurnedAway {
--- a/crates/decisions/src/crowd.rs
+++ b/crates/decisions/src/crowd.rs
@@ -2,7 +2,6 @@
 //! balancer turn back: for a fleet of more balancers than servers, where no balancer's own calls show it.
 
 use crate::api::Micros;
-use crate::state::Server;
 
 /// Time over which a word of a server's load fades: servers tell it anew about as often.
 const FADES: f64 = 1_000_000.0;
@@ -32,16 +31,16 @@
 impl Crowd {
     /// A server told of this crowding. What was heard longer ago counts less, so a balancer of few calls goes by
     /// its last word, and one of many by all of the last second.
-    pub(crate) fn told(&mut self, now: Micros, server: &mut Server, crowding: f64) {
-        server.word = Word { crowding, at: now };
+    pub(crate) fn told(&mut self, now: Micros, word: &mut Word, crowding: f64) {
+        *word = Word { crowding, at: now };
         let passed = now.saturating_sub(std::mem::replace(&mut self.heard, now)) as f64;
         let weight = (1.0 - (-passed / FADES).exp()).max(WEIGHT_LEAST);
         self.level += (crowding - self.level) * weight;
     }
 
     /// A server answered nothing in time, or turned a call away: what is crowded most tells nothing.
-    pub(crate) fn silent(&mut self, now: Micros, server: &mut Server) {
-        self.told(now, server, MOST);
+    pub(crate) fn silent(&mut self, now: Micros, word: &mut Word) {
+        self.told(now, word, MOST);
     }
 
     /// The crowding to expect of a server with this word: its own while that is fresh, later all servers', and none
@@ -67,22 +66,22 @@
 
     #[test]
     fn a_servers_own_word_counts_while_it_is_fresh_and_all_servers_later() {
-        let (mut crowd, mut own, mut other) = (Crowd::default(), Server::default(), Server::default());
+        let (mut crowd, mut own, mut other) = (Crowd::default(), Word::default(), Word::default());
         crowd.told(9 * S, &mut own, 0.0);
         (0..200).for_each(|n| crowd.told(9 * S + n, &mut other, 3.0));
-        let at = |now, server: &Server| crowd.expected(now, server.word);
+        let at = |now, word: &Word| crowd.expected(now, *word);
         assert!(at(9 * S + 200, &own) < 0.1 && at(9 * S + 200, &other) > 2.9);
         assert!((0.5..1.0).contains(&at(10 * S, &own)), "{}", at(10 * S, &own));
         assert!(at(20 * S, &own) < 0.01 && at(20 * S, &other) < 0.01, "what is long ago says nothing");
-        let met_by_none = Server::default();
+        let met_by_none = Word::default();
         assert!(at(9 * S + 200, &met_by_none) > 2.5, "it is like those that are known");
     }
 
     #[test]
     fn one_word_of_a_balancer_of_few_calls_weighs_as_much_as_many_of_another() {
-        let (mut quiet, mut busy, mut server) = (Crowd::default(), Crowd::default(), Server::default());
-        quiet.told(10 * S, &mut server, 2.0);
-        (1..=100).for_each(|n| busy.told(9 * S + n * 10_000, &mut server, 2.0));
+        let (mut quiet, mut busy, mut word) = (Crowd::default(), Crowd::default(), Word::default());
+        quiet.told(10 * S, &mut word, 2.0);
+        (1..=100).for_each(|n| busy.told(9 * S + n * 10_000, &mut word, 2.0));
         assert!(quiet.level > 1.9 && busy.level > 1.2, "{} {}", quiet.level, busy.level);
     }
 
