--- a/crates/config/tests/files.rs
+++ b/crates/config/tests/files.rs
@@ -109,6 +109,15 @@
         assert_eq!((route.class, route.timing.attempts, route.timing.total), (1, 1, 800_000));
     }
 
+    /// What is written on standard error is no setting of the platform's: single calls must be followed there too.
+    #[test]
+    fn it_may_set_the_log() {
+        let text = "platform = true\n[log]\nlevel = 'debug'\nrate = 100000\n";
+        let config = parse("p.toml", text).unwrap_or_else(|m| panic!("{m}"));
+        assert_eq!((config.log.level, config.log.rate), (badgerramp_config::Level::Debug, 100_000));
+        assert!(narrow(&config, &facts()).is_ok());
+    }
+
     #[test]
     fn it_widens_nothing() {
         for (line, key) in [
