--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 mod chart;
+mod control;
 mod hosts;
 mod list;
 mod load;
@@ -81,6 +82,13 @@
         #[arg(long, value_delimiter = ',', default_value = "12,1000,10000")]
         endpoints: Vec<usize>,
     },
+    /// A client proxy for the platform's bench that refuses every request at once and logs its id: what is lost with
+    /// it in the program's place was not lost by the program.
+    Control {
+        /// Never answer one request, as NAME:NUMBER, so that the bench can be seen to name it.
+        #[arg(long, value_name = "NAME:NUMBER")]
+        ignore: Option<control::Ignored>,
+    },
     /// The program under measure, pinned to a core.
     #[command(hide = true)]
     Pinned { core: usize, program: PathBuf, arguments: Vec<String> },
@@ -117,6 +125,7 @@
             tokio::task::LocalSet::new().block_on(&runtime()?, quiet::play(&plan))
         }
         What::List { endpoints } => list::play(&endpoints),
+        What::Control { ignore } => Ok(control::serve(ignore)?),
         What::Memory { endpoints } => runtime()?.block_on(memory(&endpoints)),
         What::Pinned { core, program, arguments } => {
             let mut cores = rustix::thread::CpuSet::new();
