Decisions of a policy change that holds everywhere or nowhere, and a model check of them

Need: a change of policy reaches proxies one by one, so that one half sends again what the other holds for unsafe. Change: crates/policy has the proxy's side (what may begin now, leases counted from the question), the leader's (who can still act under an older mode), the agreed record (publish, middle, advance, abort, floors) and the meet of what two policies make of a request; no I/O, no clock. Nothing of it is used by the program yet.

--- /dev/null
+++ b/crates/policy/src/holder.rs
@@ -0,0 +1,311 @@
+//! The proxy's side: which mode it holds, until when, and what it may begin now.
+//!
+//! A lease is counted from the moment at which the proxy *asked* for it, on a clock that goes on while the machine
+//! sleeps; control counts it from the moment at which it answered, which is later. So it ends here first.
+
+use crate::{Generation, Identity, Micros, Mode};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+
+/// What a proxy does when its lease has run out and control can't be had.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum CutOff {
+    /// Turns every call away.
+    #[default]
+    Refuse,
+    /// Begins only what its policy declares as its floor, which no change may leave while it may be acted under.
+    Narrow,
+    /// Goes on under the mode that it has. A change waits for it.
+    Keep,
+}
+
+/// What is set for a proxy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Terms {
+    /// What it does when cut off.
+    pub cut_off: CutOff,
+    /// A question that is not answered within this is given up.
+    pub answer_within: Micros,
+    /// Pause after a question that came to nothing.
+    pub pause: Micros,
+}
+
+/// The proxy's question to control.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Ask {
+    /// Who asks.
+    pub identity: Identity,
+    /// Grows with each question of this proxy: control takes none that is older than one it has had.
+    pub number: u64,
+    /// The revision that it acts under, and none older from here on; 0: none.
+    pub acting: u64,
+    /// The generations whose text it has read and found good.
+    pub has: BTreeSet<Generation>,
+    /// A generation that it can't read.
+    pub unread: Option<Unread>,
+    /// What it does when cut off.
+    pub cut_off: CutOff,
+}
+
+/// Why a proxy can't take a generation.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Unread {
+    /// Which.
+    pub generation: Generation,
+    /// Why, for people.
+    pub reason: String,
+}
+
+/// Control's answer: a mode, lent for a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Grant {
+    /// The question that it answers.
+    pub number: u64,
+    /// What to act under.
+    pub mode: Mode,
+    /// For how long, counted from when the question was asked.
+    pub lease: Micros,
+}
+
+/// What a grant came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answered {
+    /// The proxy acts under it. `again`: control waits to hear so; ask at once.
+    Taken {
+        /// Ask at once.
+        again: bool,
+    },
+    /// Texts of these generations are wanted first; the old mode stays until its lease ends.
+    Wants,
+    /// It answers no question that is out, or is older than what is held. Nothing changed.
+    Late,
+}
+
+/// Why nothing may begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Closed {
+    /// No mode was ever lent to this start of the program. A copy on disk does not stand in for it.
+    NoLease,
+    /// The lease has run out.
+    RunOut,
+    /// Control holds this start of the program for dead and has gone on without it.
+    Evicted,
+}
+
+/// What may begin now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Admission {
+    /// What this mode allows: a generation, or what both of two allow alike.
+    Under(Mode),
+    /// Only the floor of this generation.
+    Floor(Generation),
+    /// Nothing.
+    Closed(Closed),
+}
+
+/// What a proxy holds.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Holder {
+    identity: Identity,
+    terms: Terms,
+    /// What it acts under, and until when.
+    held: Option<(Mode, Micros)>,
+    /// The question that is out: its number and when it was asked.
+    out: Option<(u64, Micros)>,
+    number: u64,
+    next: Micros,
+    has: BTreeSet<Generation>,
+    unread: Option<Unread>,
+    evicted: bool,
+}
+
+impl Holder {
+    /// A proxy that has just started: it holds nothing, whatever its disk says. `has` are the generations whose texts
+    /// it has from there, so that they need not be sent again.
+    pub fn new(identity: Identity, terms: Terms, has: BTreeSet<Generation>) -> Self {
+        Holder {
+            identity,
+            terms,
+            held: None,
+            out: None,
+            number: 0,
+            next: 0,
+            has,
+            unread: None,
+            evicted: false,
+        }
+    }
+
+    /// What may begin at `now`. A call begins at the moment at which the clock was read for this.
+    pub fn admission(&self, now: Micros) -> Admission {
+        if self.evicted {
+            return Admission::Closed(Closed::Evicted);
+        }
+        match (self.held, self.terms.cut_off) {
+            (None, _) => Admission::Closed(Closed::NoLease),
+            (Some((mode, until)), _) if now < until => Admission::Under(mode),
+            (Some((mode, _)), CutOff::Keep) => Admission::Under(mode),
+            // What is in force when it is cut off stays admissible; what was to come may not come.
+            (Some((mode, _)), CutOff::Narrow) => Admission::Floor(mode.old),
+            (Some(_), CutOff::Refuse) => Admission::Closed(Closed::RunOut),
+        }
+    }
+
+    /// What it acts under, and until when, whether that has passed or not.
+    pub fn held(&self) -> Option<(Mode, Micros)> {
+        self.held
+    }
+
+    /// When [`Holder::ask`] is due, with no question out; `None` while one is.
+    pub fn due(&self) -> Option<Micros> {
+        (self.out.is_none() && !self.evicted).then_some(self.next)
+    }
+
+    /// When the question that is out is given up.
+    pub fn gives_up(&self) -> Option<Micros> {
+        self.out.map(|(_, asked)| asked.saturating_add(self.terms.answer_within))
+    }
+
+    /// The question to send now. One that is out is given up by this.
+    pub fn ask(&mut self, now: Micros) -> Ask {
+        self.number += 1;
+        self.out = Some((self.number, now));
+        Ask {
+            identity: self.identity.clone(),
+            number: self.number,
+            acting: self.held.map_or(0, |(mode, _)| mode.revision),
+            has: self.has.clone(),
+            unread: self.unread.clone(),
+            cut_off: self.terms.cut_off,
+        }
+    }
+
+    /// Control has news: ask as soon as may be.
+    pub fn news(&mut self, now: Micros) {
+        self.next = self.next.min(now);
+    }
+
+    /// A text was read and found good.
+    pub fn read(&mut self, generation: Generation) {
+        self.has.insert(generation);
+        if self.unread.as_ref().is_some_and(|u| u.generation == generation) {
+            self.unread = None;
+        }
+    }
+
+    /// A text can't be read; control is told why with the next question.
+    pub fn cannot_read(&mut self, generation: Generation, reason: String) {
+        self.unread = Some(Unread { generation, reason });
+    }
+
+    /// Texts of generations that nothing can come back to are let go.
+    pub fn forget(&mut self, keep: impl Fn(Generation) -> bool) {
+        self.has.retain(|&g| keep(g));
+    }
+
+    /// Control's answer. The texts that came with it have been read before ([`Holder::read`]).
+    pub fn answered(&mut self, now: Micros, grant: Grant) -> Answered {
+        let Some((number, asked)) = self.out.filter(|(number, _)| *number == grant.number) else {
+            return Answered::Late;
+        };
+        self.out = None;
+        // Asked for anew after a third: two questions may come to nothing before the lease ends.
+        self.next = asked.saturating_add(grant.lease / 3).max(now);
+        let Mode { revision, old, new } = grant.mode;
+        if self.held.is_some_and(|(held, _)| held.revision > revision) {
+            return Answered::Late;
+        }
+        if !self.has.contains(&old) || !self.has.contains(&new) {
+            self.next = now.saturating_add(self.terms.pause);
+            return Answered::Wants;
+        }
+        let changed = self.held.is_none_or(|(held, _)| held.revision != revision);
+        let until = asked.saturating_add(grant.lease);
+        debug_assert!(number <= self.number);
+        self.held = Some((grant.mode, until));
+        let again = changed && grant.mode.is_middle();
+        if again {
+            self.next = now;
+        }
+        Answered::Taken { again }
+    }
+
+    /// The question came to nothing: no way there, no answer in time, or a refusal.
+    pub fn came_to_nothing(&mut self, now: Micros) {
+        self.out = None;
+        self.next = now.saturating_add(self.terms.pause);
+    }
+
+    /// Control holds this start of the program for dead. Nothing begins any more.
+    pub fn evict(&mut self) {
+        self.evicted = true;
+        self.out = None;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn holder(cut_off: CutOff) -> Holder {
+        let identity = Identity { name: "p".to_owned(), incarnation: 1 };
+        let terms = Terms { cut_off, answer_within: 100, pause: 50 };
+        Holder::new(identity, terms, BTreeSet::from([Generation(1), Generation(2)]))
+    }
+
+    fn grant(number: u64, mode: Mode) -> Grant {
+        Grant { number, mode, lease: 300 }
+    }
+
+    #[test]
+    fn a_lease_runs_from_the_question() {
+        let mut holder = holder(CutOff::Refuse);
+        assert_eq!(holder.admission(0), Admission::Closed(Closed::NoLease));
+        let ask = holder.ask(1_000);
+        let mode = Mode::settled(1, Generation(1));
+        assert_eq!(holder.answered(1_090, grant(ask.number, mode)), Answered::Taken { again: false });
+        assert_eq!(holder.admission(1_299), Admission::Under(mode));
+        assert_eq!(holder.admission(1_300), Admission::Closed(Closed::RunOut));
+        assert_eq!(holder.due(), Some(1_100));
+    }
+
+    #[test]
+    fn what_is_late_older_or_unread_changes_nothing() {
+        let mut holder = holder(CutOff::Refuse);
+        let first = holder.ask(0);
+        let second = holder.ask(100);
+        let middle = Mode { revision: 5, old: Generation(1), new: Generation(2) };
+        assert_eq!(holder.answered(110, grant(first.number, middle)), Answered::Late);
+        assert_eq!(holder.admission(110), Admission::Closed(Closed::NoLease));
+        assert_eq!(holder.answered(120, grant(second.number, middle)), Answered::Taken { again: true });
+        let third = holder.ask(130);
+        assert_eq!(third.acting, 5);
+        let older = Mode::settled(4, Generation(1));
+        assert_eq!(holder.answered(140, grant(third.number, older)), Answered::Late);
+        assert_eq!(holder.admission(140), Admission::Under(middle));
+        let fourth = holder.ask(150);
+        let unread = Mode { revision: 7, old: Generation(2), new: Generation(3) };
+        assert_eq!(holder.answered(160, grant(fourth.number, unread)), Answered::Wants);
+        assert_eq!(holder.admission(160), Admission::Under(middle));
+        holder.cannot_read(Generation(3), "a key that it does not know".to_owned());
+        assert_eq!(holder.ask(170).unread.map(|u| u.generation), Some(Generation(3)));
+    }
+
+    #[test]
+    fn cut_off_it_does_what_it_was_told_to() {
+        for (cut_off, then) in [
+            (CutOff::Refuse, Admission::Closed(Closed::RunOut)),
+            (CutOff::Narrow, Admission::Floor(Generation(1))),
+            (CutOff::Keep, Admission::Under(Mode { revision: 5, old: Generation(1), new: Generation(2) })),
+        ] {
+            let mut holder = holder(cut_off);
+            let ask = holder.ask(0);
+            let middle = Mode { revision: 5, old: Generation(1), new: Generation(2) };
+            holder.answered(1, grant(ask.number, middle));
+            assert_eq!(holder.admission(299), Admission::Under(middle));
+            assert_eq!(holder.admission(300), then);
+            holder.evict();
+            assert_eq!(holder.admission(10), Admission::Closed(Closed::Evicted));
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/judge.rs
@@ -0,0 +1,113 @@
+//! The properties, judged from a history of begun calls in the order of real time. It shares nothing with the
+//! decisions but the numbers of generations.
+
+use crate::{Generation, Identity, Mode};
+use std::collections::BTreeSet;
+
+/// A call that began.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Begun {
+    /// Where.
+    pub identity: Identity,
+    /// Under what.
+    pub mode: Mode,
+}
+
+/// A property that broke.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// P1: it began under `mode` after a call had begun under a generation past that.
+    Mixed {
+        /// The call.
+        begun: Begun,
+        /// The oldest generation under which a call had begun by then.
+        after: Generation,
+    },
+    /// P2: a generation that came to nothing was begun under.
+    NotInForce(Begun),
+    /// P2: the fleet was told that a generation is in force, and a call began under an older one.
+    BehindForce {
+        /// The call.
+        begun: Begun,
+        /// What was in force.
+        force: Generation,
+    },
+}
+
+/// Watches a history.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Judge {
+    /// No call may begin wholly under what is older than this.
+    past: Generation,
+    force: Generation,
+    dead: BTreeSet<Generation>,
+    /// Generations under which alone calls began.
+    alone: BTreeSet<Generation>,
+}
+
+impl Judge {
+    /// A call began.
+    pub fn begun(&mut self, begun: &Begun) -> Option<Fault> {
+        let Mode { old, new, .. } = begun.mode;
+        if old == new {
+            self.alone.insert(new);
+        }
+        // In the middle a call is bound to the old one, and goes by no more than the new one allows too.
+        if self.dead.contains(&old) {
+            return Some(Fault::NotInForce(begun.clone()));
+        }
+        if new < self.force {
+            return Some(Fault::BehindForce { begun: begun.clone(), force: self.force });
+        }
+        if new < self.past {
+            return Some(Fault::Mixed { begun: begun.clone(), after: self.past });
+        }
+        self.past = self.past.max(old);
+        None
+    }
+
+    /// A publisher heard that this is in force.
+    pub fn in_force(&mut self, generation: Generation) {
+        self.force = self.force.max(generation);
+    }
+
+    /// A publisher heard that this is not in force. False: calls have begun under it.
+    #[must_use]
+    pub fn not_in_force(&mut self, generation: Generation) -> bool {
+        self.dead.insert(generation);
+        !self.alone.contains(&generation)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn begun(old: u64, new: u64) -> Begun {
+        let mode = Mode { revision: 0, old: Generation(old), new: Generation(new) };
+        Begun { identity: Identity { name: "p".to_owned(), incarnation: 1 }, mode }
+    }
+
+    #[test]
+    fn old_beside_middle_and_middle_beside_new_are_not_mixed() {
+        let mut judge = Judge::default();
+        for (old, new) in [(1, 1), (1, 2), (1, 1), (1, 2), (2, 2), (1, 2), (2, 3), (2, 2)] {
+            assert_eq!(judge.begun(&begun(old, new)), None, "{old} {new}");
+        }
+        assert!(matches!(judge.begun(&begun(1, 1)), Some(Fault::Mixed { .. })));
+        assert_eq!(judge.begun(&begun(3, 3)), None);
+        assert!(matches!(judge.begun(&begun(1, 2)), Some(Fault::Mixed { .. })));
+    }
+
+    #[test]
+    fn both_ends_of_a_change_bind() {
+        let mut judge = Judge::default();
+        judge.begun(&begun(1, 2));
+        assert!(judge.not_in_force(Generation(2)));
+        assert!(matches!(judge.begun(&begun(2, 2)), Some(Fault::NotInForce(_))));
+        assert!(!judge.not_in_force(Generation(2)));
+        judge.in_force(Generation(3));
+        assert!(matches!(judge.begun(&begun(1, 1)), Some(Fault::BehindForce { .. })));
+        assert_eq!(judge.begun(&begun(1, 3)), None);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,41 @@
+//! A change of policy takes hold everywhere or nowhere: what a client proxy may begin now and under which terms, and
+//! when its control may take the next step. Without I/O, clock or randomness of its own.
+//!
+//! Control holds one [`Mode`]: either one generation, or two in their middle. A proxy acts under the mode that control
+//! last lent it, for as long as the lease runs. In the middle it admits only what both generations allow alike
+//! ([`meet`]). Control leaves the middle for the new generation when no proxy can act under an older mode any more: it
+//! has told so, or its lease has run out. So at any time old stands beside middle, or middle beside new, and old never
+//! beside new. `docs/policy-design.md` weighs this against other ways.
+#![forbid(unsafe_code)]
+
+mod holder;
+mod judge;
+mod leases;
+mod meet;
+mod mode;
+mod record;
+
+pub use holder::{Admission, Answered, Ask, Closed, CutOff, Grant, Holder, Terms as HolderTerms, Unread};
+pub use judge::{Begun, Fault, Judge};
+pub use leases::{Blocker, Leases, Lent, Stale, Terms as LeaseTerms, Why};
+pub use meet::{meet, meet_answers, Call, Key, Met, Side, Unlike};
+pub use mode::{Generation, Mode};
+pub use record::{Change, Command, Ended, Outcome, Record, Refused, Standing};
+
+/// Microseconds.
+pub use badgerramp_decisions::Micros;
+
+/// Who a proxy is: its name in the operator's file, and a number that is new at each start of the program.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize)]
+pub struct Identity {
+    /// Its name.
+    pub name: String,
+    /// This start of it. Two processes of one name are two proxies.
+    pub incarnation: u64,
+}
+
+impl std::fmt::Display for Identity {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} ({:016x})", self.name, self.incarnation)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/meet.rs
@@ -0,0 +1,150 @@
+//! The meet of two policies: what both make alike of a request, and no more. It is taken request by request, on what
+//! each made of it, so that it is exact for any two tables of routes, whatever their patterns and conditions.
+
+use crate::Micros;
+use badgerramp_decisions::{Hedge, Repeat, Resend, Scope, Terms};
+use badgerramp_route::{Answers, StatusSet};
+use std::fmt;
+
+/// By what hosts know a call again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Key {
+    /// By nothing.
+    None,
+    /// By this value.
+    Value(String),
+}
+
+/// What one policy makes of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Call {
+    /// Whether it may run again.
+    pub repeat: Repeat,
+    /// Its key, where `repeat` goes by one.
+    pub key: Key,
+    /// From its last byte to its final answer.
+    pub time: Micros,
+    /// Its terms.
+    pub terms: Terms,
+    /// Longest time for a connection.
+    pub connect: Micros,
+    /// Bytes of its body at the most.
+    pub body: usize,
+}
+
+/// Which of two.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// The policy in force.
+    Old,
+    /// The one that is to come.
+    New,
+}
+
+/// What both allow.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Met {
+    /// Whose class it goes by: that with the stricter effect.
+    pub class: Side,
+    /// From its last byte to its final answer.
+    pub time: Micros,
+    /// Its terms. They say `once` where neither effect lies within the other.
+    pub terms: Terms,
+    /// Longest time for a connection.
+    pub connect: Micros,
+    /// Bytes of its body at the most.
+    pub body: usize,
+}
+
+/// Why nothing can be begun that both allow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unlike {
+    /// Only the policy in force takes it.
+    OnlyOld,
+    /// Only the one that is to come takes it.
+    OnlyNew,
+}
+
+impl fmt::Display for Unlike {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Unlike::OnlyOld => "the policy that is to come does not take it",
+            Unlike::OnlyNew => "the policy in force does not take it",
+        })
+    }
+}
+
+/// Is all that `inner` lets run again let by `outer` too?
+fn within(inner: Repeat, outer: Repeat) -> bool {
+    match (inner, outer) {
+        (Repeat::SingleShot, _) | (_, Repeat::Free) => true,
+        (Repeat::Free, _) | (_, Repeat::SingleShot) => false,
+        (Repeat::Guarded { scope: a, window: b }, Repeat::Guarded { scope: c, window: d }) => {
+            (a == c || c == Scope::All) && b <= d
+        }
+    }
+}
+
+fn hedge(a: Hedge, b: Hedge) -> Hedge {
+    // When a second copy goes out is not ordered: where they differ, none does.
+    if a == b {
+        a
+    } else {
+        Hedge::Never
+    }
+}
+
+/// What both allow of a request, given what each made of it: `None` where it takes none such.
+///
+/// # Errors
+/// If only one of them takes it. Turned away by both it is no matter of the change: `Ok(None)`.
+pub fn meet(old: Option<&Call>, new: Option<&Call>) -> Result<Option<Met>, Unlike> {
+    let (old, new) = match (old, new) {
+        (None, None) => return Ok(None),
+        (Some(_), None) => return Err(Unlike::OnlyOld),
+        (None, Some(_)) => return Err(Unlike::OnlyNew),
+        (Some(old), Some(new)) => (old, new),
+    };
+    let class = if within(old.repeat, new.repeat) { Side::Old } else { Side::New };
+    let chosen = if class == Side::Old { old } else { new };
+    // A host that knows it by another key would not know the repeat.
+    let keyed = |call: &Call| matches!(call.repeat, Repeat::Guarded { .. });
+    let other_key = keyed(old) && keyed(new) && old.key != new.key;
+    let neither = !within(old.repeat, new.repeat) && !within(new.repeat, old.repeat);
+    let (a, b) = (&old.terms, &new.terms);
+    let never_ran = [a.resend, b.resend].contains(&Resend::NeverRan);
+    let terms = Terms {
+        attempts: a.attempts.min(b.attempts),
+        attempt_time: a.attempt_time.min(b.attempt_time),
+        backoff: a.backoff.max(b.backoff),
+        hedge: hedge(a.hedge, b.hedge),
+        resend: if never_ran { Resend::NeverRan } else { Resend::Any },
+        once: a.once || b.once || other_key || neither || (keyed(chosen) && chosen.key == Key::None),
+    };
+    Ok(Some(Met {
+        class,
+        time: old.time.min(new.time),
+        terms,
+        connect: old.connect.min(new.connect),
+        body: old.body.min(new.body),
+    }))
+}
+
+/// What an answer means where both read it alike; else it is an error that may have run.
+pub fn meet_answers(old: &Answers, new: &Answers) -> Answers {
+    if old == new {
+        return old.clone();
+    }
+    let mut served = StatusSet::default();
+    for status in 100..=999 {
+        if old.served.contains(status) && new.served.contains(status) {
+            served.insert(status, status);
+        }
+    }
+    // What one of them serves proves nothing to it, whatever its list says.
+    let proves = |p: &&badgerramp_route::Proof| {
+        new.never_ran.contains(p) && !old.served.contains(p.status) && !new.served.contains(p.status)
+    };
+    let never_ran = old.never_ran.iter().filter(proves).cloned().collect();
+    Answers { served, never_ran }
+}
--- /dev/null
+++ b/crates/policy/tests/meet.rs
@@ -0,0 +1,133 @@
+//! What the meet admits, both admit: for any two calls that two policies could make of one request, and any answer.
+
+use badgerramp_decisions::{Hedge, Repeat, Resend, Scope, Terms};
+use badgerramp_policy::{meet, meet_answers, Call, Key, Side, Unlike};
+use badgerramp_route::{Answers, Proof, StatusSet, Verdict};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use proptest::prelude::*;
+
+fn repeat() -> impl Strategy<Value = Repeat> {
+    let scope = prop_oneof![Just(Scope::All), Just(Scope::Zone), Just(Scope::Cell)];
+    let guarded = (scope, 1..4u64).prop_map(|(scope, window)| Repeat::Guarded { scope, window });
+    prop_oneof![Just(Repeat::Free), Just(Repeat::SingleShot), guarded]
+}
+
+fn hedge() -> impl Strategy<Value = Hedge> {
+    prop_oneof![Just(Hedge::Auto), Just(Hedge::Never), (1..3u64).prop_map(Hedge::After)]
+}
+
+prop_compose! {
+    fn call()(
+        repeat in repeat(),
+        key in prop_oneof![Just(Key::None), "[ab]".prop_map(Key::Value)],
+        time in 1..4u64,
+        (attempts, attempt_time, backoff) in (1..4u32, 1..4u64, 0..3u64),
+        hedge in hedge(),
+        any in any::<bool>(),
+        (connect, body) in (1..4u64, 0..3usize),
+    ) -> Call {
+        let resend = if any { Resend::Any } else { Resend::NeverRan };
+        let once = matches!(repeat, Repeat::Guarded { .. }) && key == Key::None;
+        let terms = Terms { attempts, attempt_time, backoff, hedge, resend, once };
+        Call { repeat, key, time, terms, connect, body }
+    }
+}
+
+/// May a call of these terms run again at a host of the same zone (and cell), or of another, `after` its first attempt?
+fn runs_again(repeat: Repeat, terms: &Terms, (zone, cell): (bool, bool), after: u64) -> bool {
+    let class = match repeat {
+        Repeat::Free => true,
+        Repeat::SingleShot => false,
+        Repeat::Guarded { scope, window } => {
+            let here = match scope {
+                Scope::All => true,
+                Scope::Zone => zone,
+                Scope::Cell => cell,
+            };
+            here && after < window && !terms.once
+        }
+    };
+    class && !terms.once && terms.resend == Resend::Any
+}
+
+proptest! {
+    #[test]
+    fn what_the_meet_allows_both_allow(old in call(), new in call()) {
+        let met = meet(Some(&old), Some(&new)).expect("both take it").expect("both take it");
+        let chosen = if met.class == Side::Old { &old } else { &new };
+        for own in [&old, &new] {
+            let (terms, its) = (&met.terms, &own.terms);
+            prop_assert!(met.time <= own.time && met.connect <= own.connect && met.body <= own.body);
+            prop_assert!(terms.attempts <= its.attempts && terms.attempt_time <= its.attempt_time);
+            prop_assert!(terms.backoff >= its.backoff);
+            prop_assert!(terms.hedge == Hedge::Never || terms.hedge == its.hedge);
+            prop_assert!(terms.resend == Resend::NeverRan || its.resend == Resend::Any);
+            for place in [(true, true), (true, false), (false, true), (false, false)] {
+                for after in 0..4 {
+                    if runs_again(chosen.repeat, terms, place, after) {
+                        prop_assert!(runs_again(own.repeat, its, place, after), "{place:?} {after}");
+                        // By the key that it bears, where it goes by one.
+                        if matches!(own.repeat, Repeat::Guarded { .. }) {
+                            prop_assert!(own.key == chosen.key || chosen.repeat == Repeat::Free);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn the_meet_of_one_policy_with_itself_is_that_policy(own in call()) {
+        let met = meet(Some(&own), Some(&own)).expect("both take it").expect("both take it");
+        prop_assert_eq!((met.time, met.terms, met.connect, met.body), (own.time, own.terms, own.connect, own.body));
+    }
+
+    #[test]
+    fn an_answer_means_what_it_means_to_both_or_may_have_run(old in answers(), new in answers()) {
+        let met = meet_answers(&old, &new);
+        let marked = HeaderMap::from_iter([(HeaderName::from_static("x-n"), HeaderValue::from_static("1"))]);
+        for status in [200, 201, 503, 504] {
+            let status = StatusCode::from_u16(status).expect("a status");
+            for headers in [&HeaderMap::new(), &marked] {
+                let verdict = met.verdict(status, headers);
+                if verdict != Verdict::Error {
+                    prop_assert_eq!(verdict, old.verdict(status, headers));
+                    prop_assert_eq!(verdict, new.verdict(status, headers));
+                }
+            }
+        }
+    }
+}
+
+fn answers() -> impl Strategy<Value = Answers> {
+    let statuses = prop::collection::vec(prop_oneof![Just(200), Just(201), Just(503), Just(504)], 0..4);
+    let header = prop_oneof![Just(None), Just(Some((HeaderName::from_static("x-n"), None)))];
+    let proof =
+        (prop_oneof![Just(503), Just(504)], header).prop_map(|(status, header)| Proof { status, header });
+    (statuses, prop::collection::vec(proof, 0..3)).prop_map(|(statuses, never_ran)| {
+        let mut served = StatusSet::default();
+        statuses.into_iter().for_each(|s| served.insert(s, s));
+        Answers { served, never_ran }
+    })
+}
+
+#[test]
+fn what_only_one_takes_is_turned_away_with_the_reason() {
+    let terms = Terms::default();
+    let call = Call { repeat: Repeat::Free, key: Key::None, time: 1, terms, connect: 1, body: 1 };
+    assert_eq!(meet(Some(&call), None), Err(Unlike::OnlyOld));
+    assert_eq!(meet(None, Some(&call)), Err(Unlike::OnlyNew));
+    assert_eq!(meet(None, None), Ok(None));
+}
+
+#[test]
+fn keyed_and_unsafe_meet_in_unsafe() {
+    let guarded = Repeat::Guarded { scope: Scope::All, window: 3 };
+    let terms = Terms::default();
+    let keyed =
+        Call { repeat: guarded, key: Key::Value("k".to_owned()), time: 1, terms, connect: 1, body: 1 };
+    let unsafe_ = Call { repeat: Repeat::SingleShot, key: Key::None, ..keyed.clone() };
+    let side = |old, new| meet(Some(old), Some(new)).expect("both").map(|m| m.class);
+    assert_eq!(side(&keyed, &unsafe_), Some(Side::New));
+    assert_eq!(side(&unsafe_, &keyed), Some(Side::Old));
+}
