--- /dev/null
+++ b/crates/channel/src/client.rs
@@ -0,0 +1,188 @@
+//! Asks control: the replica that leads, wherever it is.
+
+use crate::seal::{Purpose, SealFault, Secret};
+use crate::wire::control_client::ControlClient;
+use crate::wire::{refusal, reply, request, Refusal, Reply, Request, Sealed, StatusAsked};
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tonic::transport::{Channel, Endpoint};
+
+/// Most bytes of one message, with what is around its body.
+pub(crate) const MESSAGE_MOST: usize = crate::BODY_MOST + 1024;
+
+/// Why there is no answer.
+#[derive(Clone, Debug)]
+pub enum Fault {
+    /// No replica that leads could be reached in time; the last reason.
+    Away(String),
+    /// It answered, and the answer can't be trusted or read.
+    Odd(String),
+    /// It refuses.
+    Refused(Refusal),
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Fault::Away(why) => write!(f, "control can't be reached: {why}"),
+            Fault::Odd(why) => write!(f, "control answers oddly: {why}"),
+            Fault::Refused(refusal) => f.write_str(&refusal.text),
+        }
+    }
+}
+
+impl std::error::Error for Fault {}
+
+impl From<SealFault> for Fault {
+    fn from(fault: SealFault) -> Self {
+        Fault::Odd(fault.to_string())
+    }
+}
+
+/// A stream of control's words that its revision has moved.
+pub struct News(tonic::Streaming<Sealed>, Secret);
+
+impl News {
+    /// The next revision.
+    ///
+    /// # Errors
+    /// If the stream has ended or is not control's.
+    pub async fn next(&mut self) -> Result<u64, Fault> {
+        let sealed = self.0.message().await.map_err(|s| Fault::Away(s.message().to_owned()))?;
+        let sealed = sealed.ok_or_else(|| Fault::Away("the stream of news ended".to_owned()))?;
+        match self.1.open::<Reply>(Purpose::Reply, sealed)?.what {
+            Some(reply::What::Word(word)) => Ok(word.revision),
+            _ => Err(Fault::Odd("no word of a revision".to_owned())),
+        }
+    }
+}
+
+/// Replicas of control, and the one that was last seen to lead.
+pub struct Client {
+    replicas: Vec<SocketAddr>,
+    secret: Secret,
+    within: Duration,
+    place: usize,
+    open: HashMap<SocketAddr, ControlClient<Channel>>,
+}
+
+impl Client {
+    /// Asks these replicas, each question within this time.
+    pub fn new(replicas: Vec<SocketAddr>, secret: Secret, within: Duration) -> Self {
+        Client { replicas, secret, within, place: 0, open: HashMap::new() }
+    }
+
+    fn to(&mut self, address: SocketAddr) -> Result<ControlClient<Channel>, Fault> {
+        if let Some(client) = self.open.get(&address) {
+            return Ok(client.clone());
+        }
+        let endpoint = Endpoint::from_shared(format!("http://{address}"))
+            .map_err(|e| Fault::Away(e.to_string()))?
+            .connect_timeout(self.within)
+            .tcp_nodelay(true)
+            .http2_keep_alive_interval(Duration::from_secs(5))
+            .keep_alive_timeout(Duration::from_secs(3));
+        let client = ControlClient::new(endpoint.connect_lazy())
+            .max_decoding_message_size(MESSAGE_MOST)
+            .max_encoding_message_size(MESSAGE_MOST);
+        self.open.insert(address, client.clone());
+        Ok(client)
+    }
+
+    async fn once(&mut self, address: SocketAddr, what: &request::What) -> Result<reply::What, Fault> {
+        let mut client = self.to(address)?;
+        let nonce = rand::random();
+        let sealed = self.secret.seal(Purpose::Request, &Request { nonce, what: Some(what.clone()) });
+        let answer = tokio::time::timeout(self.within, client.call(sealed)).await;
+        let answer = match answer {
+            Ok(Ok(answer)) => answer.into_inner(),
+            Ok(Err(status)) if status.code() == tonic::Code::PermissionDenied => {
+                return Err(Fault::Odd(status.message().to_owned()));
+            }
+            Ok(Err(status)) => return Err(Fault::Away(format!("{address}: {}", status.message()))),
+            Err(_) => {
+                // What is stuck stays so: a fresh connection may find another way.
+                self.open.remove(&address);
+                return Err(Fault::Away(format!("{address}: no answer in time")));
+            }
+        };
+        let reply: Reply = self.secret.open(Purpose::Reply, answer)?;
+        if reply.nonce != nonce {
+            return Err(Fault::Odd("the answer is to another question".to_owned()));
+        }
+        match reply.what {
+            Some(reply::What::Refusal(refusal)) => Err(Fault::Refused(refusal)),
+            Some(what) => Ok(what),
+            None => Err(Fault::Odd("an empty answer".to_owned())),
+        }
+    }
+
+    /// Asks once, at the replica that is taken to lead. After an answer of one that does not, or none, the next question
+    /// goes elsewhere.
+    ///
+    /// # Errors
+    /// See [`Fault`].
+    pub async fn ask(&mut self, what: &request::What) -> Result<reply::What, Fault> {
+        let Some(&address) = self.replicas.get(self.place % self.replicas.len().max(1)) else {
+            return Err(Fault::Away("no replica is named".to_owned()));
+        };
+        let answer = self.once(address, what).await;
+        match &answer {
+            Err(Fault::Refused(refusal)) if refusal.code() == refusal::Code::NotLeader => {
+                let named = refusal.leader.parse().ok();
+                let known = named.and_then(|n: SocketAddr| self.replicas.iter().position(|&r| r == n));
+                self.place = known.unwrap_or(self.place + 1);
+            }
+            Err(Fault::Away(_) | Fault::Odd(_)) => self.place += 1,
+            _ => {}
+        }
+        answer
+    }
+
+    /// Asks until a replica that leads has answered, or this much time has passed. Only for questions that may be asked
+    /// twice.
+    ///
+    /// # Errors
+    /// See [`Fault`].
+    pub async fn ask_until(&mut self, what: &request::What, time: Duration) -> Result<reply::What, Fault> {
+        let end = tokio::time::Instant::now() + time;
+        loop {
+            let answer = self.ask(what).await;
+            let again = match &answer {
+                Err(Fault::Away(_)) => true,
+                Err(Fault::Refused(refusal)) => refusal.code() == refusal::Code::NotLeader,
+                _ => false,
+            };
+            if !again || tokio::time::Instant::now() >= end {
+                return answer;
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    /// The next question goes to another replica.
+    pub fn elsewhere(&mut self) {
+        self.place += 1;
+    }
+
+    /// The news of the replica that was last asked.
+    ///
+    /// # Errors
+    /// If it can't be reached.
+    pub async fn news(&mut self) -> Result<News, Fault> {
+        let Some(&address) = self.replicas.get(self.place % self.replicas.len().max(1)) else {
+            return Err(Fault::Away("no replica is named".to_owned()));
+        };
+        let mut client = self.to(address)?;
+        let what = Some(request::What::Status(StatusAsked {}));
+        let sealed = self.secret.seal(Purpose::Request, &Request { nonce: rand::random(), what });
+        let opened = tokio::time::timeout(self.within, client.news(sealed)).await;
+        match opened {
+            Ok(Ok(stream)) => Ok(News(stream.into_inner(), self.secret.clone())),
+            Ok(Err(status)) => Err(Fault::Away(status.message().to_owned())),
+            Err(_) => Err(Fault::Away(format!("{address}: no answer in time"))),
+        }
+    }
+}
--- /dev/null
+++ b/crates/channel/src/convert.rs
@@ -0,0 +1,83 @@
+//! Between what travels and what the decisions know.
+
+use crate::wire;
+use badgerramp_policy::{Ask, CutOff, Generation, Grant, Identity, Mode, Unread};
+
+impl From<Identity> for wire::Identity {
+    fn from(own: Identity) -> Self {
+        wire::Identity { name: own.name, incarnation: own.incarnation }
+    }
+}
+
+impl From<wire::Identity> for Identity {
+    fn from(wire: wire::Identity) -> Self {
+        Identity { name: wire.name, incarnation: wire.incarnation }
+    }
+}
+
+impl From<Mode> for wire::Mode {
+    fn from(own: Mode) -> Self {
+        wire::Mode { revision: own.revision, old: own.old.0, new: own.new.0 }
+    }
+}
+
+impl From<wire::Mode> for Mode {
+    fn from(wire: wire::Mode) -> Self {
+        Mode { revision: wire.revision, old: Generation(wire.old), new: Generation(wire.new) }
+    }
+}
+
+impl From<CutOff> for wire::CutOff {
+    fn from(own: CutOff) -> Self {
+        match own {
+            CutOff::Refuse => wire::CutOff::Refuse,
+            CutOff::Narrow => wire::CutOff::Narrow,
+            CutOff::Keep => wire::CutOff::Keep,
+        }
+    }
+}
+
+impl wire::Ask {
+    /// The question of a proxy that takes this application's file.
+    pub fn of(own: Ask, application: &str) -> Self {
+        wire::Ask {
+            identity: Some(own.identity.into()),
+            number: own.number,
+            acting: own.acting,
+            has: own.has.into_iter().map(|g| g.0).collect(),
+            unread: own.unread.map(|u| wire::Unread { generation: u.generation.0, reason: u.reason }),
+            cut_off: wire::CutOff::from(own.cut_off).into(),
+            application: application.to_owned(),
+        }
+    }
+
+    /// What the decisions take; `None` if a part is missing or out of its range.
+    pub fn read(&self) -> Option<Ask> {
+        let cut_off = match self.cut_off() {
+            wire::CutOff::Unspecified => return None,
+            wire::CutOff::Refuse => CutOff::Refuse,
+            wire::CutOff::Narrow => CutOff::Narrow,
+            wire::CutOff::Keep => CutOff::Keep,
+        };
+        let unread = self
+            .unread
+            .as_ref()
+            .map(|u| Unread { generation: Generation(u.generation), reason: u.reason.clone() });
+        Some(Ask {
+            identity: self.identity.clone().filter(|i| !i.name.is_empty())?.into(),
+            number: self.number,
+            acting: self.acting,
+            has: self.has.iter().map(|&g| Generation(g)).collect(),
+            unread,
+            cut_off,
+        })
+    }
+}
+
+impl wire::Grant {
+    /// What the decisions take; `None` if it names no mode.
+    pub fn read(&self) -> Option<Grant> {
+        let mode = Mode::from(self.mode?);
+        (mode.old <= mode.new).then_some(Grant { number: self.number, mode, lease: self.lease })
+    }
+}
--- /dev/null
+++ b/crates/channel/src/lib.rs
@@ -0,0 +1,22 @@
+//! The inner channel between client proxies, publishers and control: messages in protobuf over gRPC, each under a seal
+//! that is made with a secret which all of them share.
+#![forbid(unsafe_code)]
+
+mod client;
+mod convert;
+mod seal;
+
+pub use client::{Client, Fault, News};
+pub use seal::{Purpose, SealFault, Secret, SecretFault, BODY_MOST, VERSION};
+
+/// The SHA-256 of a text.
+pub fn digest(text: &str) -> Vec<u8> {
+    use sha2::Digest;
+    sha2::Sha256::digest(text.as_bytes()).to_vec()
+}
+
+/// What travels. The comments are the schema's.
+#[allow(missing_docs)]
+pub mod wire {
+    tonic::include_proto!("badgerramp.control.v1");
+}
--- a/crates/config-tool/src/lib.rs
+++ b/crates/config-tool/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`set`]: all files with what is known of their clients and upstreams, and the checks over them.
 //! - [`manifest`]: what was written, and what the checks need to know later.
 //! - [`rollout`]: two sets side by side.
+//! - [`fleet`]: a set brought into force for a whole fleet, through its control.
 //! - [`explain`]: what a file makes of a request, and the longest course of a class.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -15,6 +16,7 @@
 pub mod explain;
 pub mod facts;
 pub mod finding;
+pub mod fleet;
 pub mod manifest;
 pub mod overlap;
 pub mod render;
--- a/crates/config-tool/src/main.rs
+++ b/crates/config-tool/src/main.rs
@@ -3,6 +3,7 @@
 
 use badgerramp_config_tool::commands::{self, Plan};
 use badgerramp_config_tool::finding::Report;
+use badgerramp_config_tool::fleet::{self, At, Control, Outcome};
 use badgerramp_config_tool::{explain, STARTING};
 use clap::{Parser, Subcommand, ValueEnum};
 use std::path::{Path, PathBuf};
@@ -10,13 +11,16 @@
 
 /// Writes every application's file from one description, and checks them together.
 ///
-/// Exits 0 if all is good, 1 with what is wrong, 2 for bad usage.
+/// Exits 0 if all is good, 1 with what is wrong, 2 for bad usage, 3 if the end of a change is not known yet.
 #[derive(Parser)]
 #[command(name = "badgerramp-config", version)]
 struct Cli {
     /// How findings are told.
     #[arg(long, value_enum, default_value_t = Format::Human, global = true)]
     format: Format,
+    /// The same as `--format json`.
+    #[arg(long, global = true)]
+    json: bool,
     #[command(subcommand)]
     command: Command,
 }
@@ -74,11 +78,55 @@
         #[arg(long)]
         class: Option<String>,
     },
+    /// Check a folder and bring it into force for the whole fleet, or not at all.
+    ///
+    /// Exits 0 if it is in force, 1 if it is not and will not be, 3 if that is not known yet, 2 for bad usage.
+    Publish {
+        /// The folder: a file NAME.toml for each application.
+        folder: PathBuf,
+        #[command(flatten)]
+        at: At,
+    },
+    /// Tell what is in force, what is under way, who holds it up, and which proxies there are.
+    Status {
+        #[command(flatten)]
+        at: At,
+    },
+    /// Tell the changes that control remembers.
+    History {
+        #[command(flatten)]
+        at: At,
+    },
+    /// Publish an earlier generation again. Exits as publish does.
+    Rollback {
+        /// Its number.
+        generation: u64,
+        #[command(flatten)]
+        at: At,
+    },
+    /// Give the change under way up.
+    Abort {
+        /// Why, for the history.
+        #[arg(long, default_value = "given up by an operator")]
+        why: String,
+        #[command(flatten)]
+        at: At,
+    },
+    /// Answer for it that a proxy runs no more: changes wait for it no longer, and it gets no lease any more.
+    Evict {
+        /// Its name.
+        name: String,
+        /// Which start of it, as status shows it.
+        #[arg(long, value_parser = |text: &str| u64::from_str_radix(text, 16))]
+        incarnation: Option<u64>,
+        #[command(flatten)]
+        at: At,
+    },
 }
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    let format = cli.format;
+    let format = if cli.json { Format::Json } else { cli.format };
     match cli.command {
         Command::Init { file } => init(&file),
         Command::Write { description, out, dry_run, force } => {
@@ -88,9 +136,99 @@
         Command::Explain { file, request, header, client, class } => {
             explain(&file, request, (&header, client), class, format)
         }
+        Command::Publish { folder, at } => publish(&folder, &at, format),
+        Command::Status { at } => standing(&at, format, fleet::Standing::human),
+        Command::History { at } => standing(&at, format, fleet::Standing::history),
+        Command::Rollback { generation, at } => rollback(generation, &at, format),
+        Command::Abort { why, at } => with_control(&at, async |control| {
+            let generation = control.abort(&why).await?;
+            println!("the change to generation {generation} comes to nothing");
+            Ok(ExitCode::SUCCESS)
+        }),
+        Command::Evict { name, incarnation, at } => with_control(&at, async |control| {
+            control.evict(&name, incarnation).await?;
+            println!("{name} is evicted");
+            Ok(ExitCode::SUCCESS)
+        }),
     }
 }
 
+/// Asks control.
+fn with_control(at: &At, ask: impl AsyncFnOnce(&mut Control) -> Result<ExitCode, String>) -> ExitCode {
+    let asked = || {
+        let mut control = Control::new(at)?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        runtime.map_err(|e| e.to_string())?.block_on(ask(&mut control))
+    };
+    asked().unwrap_or_else(failed)
+}
+
+fn standing(at: &At, format: Format, human: fn(&fleet::Standing) -> String) -> ExitCode {
+    with_control(at, async |control| {
+        let standing = control.standing().await.map_err(|e| e.to_string())?;
+        match format {
+            Format::Human => print!("{}", human(&standing)),
+            Format::Json => print!("{}", json(&standing)),
+        }
+        Ok(ExitCode::SUCCESS)
+    })
+}
+
+fn publish(folder: &Path, at: &At, format: Format) -> ExitCode {
+    let report = commands::check(&[folder]).0;
+    if !report.good() {
+        return tell(&report, format);
+    }
+    let files = match fleet::folder(folder) {
+        Ok(files) => files,
+        Err(fault) => return failed(fault),
+    };
+    with_control(at, async |control| follow(control, files, format).await)
+}
+
+fn rollback(generation: u64, at: &At, format: Format) -> ExitCode {
+    with_control(at, async |control| {
+        let files = control.files(generation).await.map_err(|e| e.to_string())?;
+        follow(control, files, format).await
+    })
+}
+
+/// Shows the difference to what is in force, publishes, and follows the change to its end.
+async fn follow(
+    control: &mut Control,
+    files: std::collections::HashMap<String, String>,
+    format: Format,
+) -> Result<ExitCode, String> {
+    let standing = control.standing().await.map_err(|e| e.to_string())?;
+    let human = format == Format::Human;
+    if let Some(generation) = standing.in_force.filter(|_| human) {
+        let old = control.files(generation).await.map_err(|e| e.to_string())?;
+        print!("{}", fleet::difference(&old, &files));
+    }
+    let done = control
+        .publish(&files, standing.revision, |held| {
+            held.iter().filter(|_| human).for_each(|h| println!("held up by {}", h.human()));
+        })
+        .await;
+    let number = done.generation.map_or("it".to_owned(), |g| format!("generation {g}"));
+    if !human {
+        print!("{}", json(&done));
+    }
+    Ok(match done.outcome {
+        Outcome::InForce => {
+            if human {
+                println!("{number} is in force, after {} ms", done.took_ms);
+            }
+            ExitCode::SUCCESS
+        }
+        Outcome::NotInForce => failed(format!("{number} is not in force, and will not be: {}", done.why)),
+        Outcome::NotKnown => {
+            eprintln!("badgerramp-config: whether {number} is in force is not known yet: {}", done.why);
+            ExitCode::from(3)
+        }
+    })
+}
+
 fn failed(text: impl std::fmt::Display) -> ExitCode {
     eprintln!("badgerramp-config: {text}");
     ExitCode::FAILURE
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -4,7 +4,7 @@
 use crate::log::{self, Log};
 use crate::subset::{self, ListTerms, SubsetTerms};
 use crate::timing::{self, Draft, Facts, Figure};
-use crate::{clients_borne, ANSWER_ROOM};
+use crate::{clients_borne, policy, PolicyTerms, ANSWER_ROOM};
 use badgerramp_decisions::{
     self as decisions, settings, CellId, Entry, Micros, Repeat, Scope, ServerId, State,
 };
@@ -21,9 +21,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-const FILE: [&str; 12] = [
-    "platform", "listen", "limits", "log", "upstream", "subset", "list", "defaults", "class", "route",
-    "no_route", "expect",
+const FILE: [&str; 13] = [
+    "platform", "listen", "limits", "log", "upstream", "subset", "list", "policy", "defaults", "class",
+    "route", "no_route", "expect",
 ];
 const LIMITS: [&str; 5] = ["memory", "descriptors", "open_calls", "body", "retry_after"];
 const UPSTREAM: [&str; 10] = [
@@ -82,6 +82,8 @@
     pub subset: Option<SubsetTerms>,
     /// How the list service is asked where many do.
     pub list: Option<ListTerms>,
+    /// Where the fleet's policy is controlled; `None`: this file is all of it.
+    pub policy: Option<PolicyTerms>,
     /// What the program writes of what it does.
     pub log: Log,
     /// What is no mistake and worth a look.
@@ -220,6 +222,42 @@
         Some(value.span())
     }
 
+    /// Does this file's route make of a request what that one makes of it, with the same class by name?
+    pub fn same_route(&self, place: usize, other: &Config, its: usize) -> bool {
+        let (Some(a), Some(b)) = (self.routes.routes().get(place), other.routes.routes().get(its)) else {
+            return false;
+        };
+        let path = match (&a.path, &b.path) {
+            (PathPattern::Exact(a), PathPattern::Exact(b)) => a == b,
+            (PathPattern::Prefix(a), PathPattern::Prefix(b)) => a == b,
+            (PathPattern::Regex(a), PathPattern::Regex(b)) => a.as_str() == b.as_str(),
+            _ => false,
+        };
+        let class = |config: &Config, route: &Route| config.classes.get(route.class).map(|c| c.name.clone());
+        path && (&a.methods, &a.headers, &a.when) == (&b.methods, &b.headers, &b.when)
+            && (&a.tenant, &a.key, &a.timing, &a.answers) == (&b.tenant, &b.key, &b.timing, &b.answers)
+            && class(self, a) == class(other, b)
+    }
+
+    /// This file's part of the policy (classes, routes, what a client is told) beside what `local` says of the machine:
+    /// its listener, limits of memory and descriptors, upstream, log and way to control.
+    #[must_use]
+    pub fn beside(mut self, local: &Config) -> Self {
+        self.usage = local.usage;
+        self.listen = local.listen;
+        self.limits.memory = local.limits.memory;
+        self.limits.descriptors = local.limits.descriptors;
+        self.limits.body = self.limits.body.min(local.limits.body);
+        self.limits.open_calls = self.limits.open_calls.min(local.limits.open_calls);
+        self.upstream = local.upstream.clone();
+        self.subset = local.subset;
+        self.list = local.list;
+        self.log = local.log.clone();
+        let floor = self.policy.take().map(|p| p.floor).unwrap_or_default();
+        self.policy = local.policy.clone().map(|own| PolicyTerms { floor, ..own });
+        self
+    }
+
     /// The timing of a class, figure by figure.
     pub fn class_figures(&self, place: usize) -> Vec<Figure> {
         let Some(((_, draft), class)) = self.source.classes.get(place).zip(self.classes.get(place)) else {
@@ -305,7 +343,7 @@
             top.read(self.notes, "platform", ("this is not a flag", "true or false"), DeValue::as_bool);
         let usage = if platform.is_some_and(|p| p.value) { Use::Platform } else { Use::Alone };
         if usage == Use::Platform {
-            for name in ["listen", "limits", "upstream", "subset", "list", "no_route"]
+            for name in ["listen", "limits", "upstream", "subset", "list", "policy", "no_route"]
                 .into_iter()
                 .filter(|n| top.has(n))
             {
@@ -336,6 +374,8 @@
         };
         let classes = self.classes(&top, &defaults, usage);
         let mut expressions = Expressions::default();
+        let names: Vec<&str> = classes.iter().map(|c| c.name.as_str()).collect();
+        let policy = policy::read(self.notes, &top, &names);
         let (routes, route_drafts) = self.routes(&top, &classes, usage, text, &mut expressions);
         let no_route = self.no_route(&top);
         let log = log::read(self.notes, &top);
@@ -386,6 +426,7 @@
             no_route,
             subset,
             list,
+            policy,
             log,
             warnings,
             source,
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -16,6 +16,7 @@
 mod file;
 mod log;
 mod platform;
+mod policy;
 mod subset;
 mod timing;
 mod values;
@@ -26,6 +27,7 @@
 pub use file::{read_upstream, Class, Config, Endpoint, Limits, NoRoute, Upstream, Use};
 pub use log::{Format, Level, Log};
 pub use platform::narrow;
+pub use policy::PolicyTerms;
 pub use subset::{ListTerms, SubsetTerms};
 
 use std::path::Path;
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,12 @@
+//! Control of the policy: which generation holds, who may act under it and until when, and when a change may take its
+//! next step. The decisions are those of [`badgerramp_policy`]; here are the replicas' agreement, the store, the channel.
+#![forbid(unsafe_code)]
+
+pub mod cli;
+pub mod clock;
+pub mod floor;
+mod leader;
+mod network;
+pub mod serve;
+pub mod settings;
+pub mod store;
--- /dev/null
+++ b/crates/control/src/main.rs
@@ -0,0 +1,6 @@
+//! `badgerramp-control`, a replica of the control plane.
+#![forbid(unsafe_code)]
+
+fn main() -> std::process::ExitCode {
+    badgerramp_control::cli::main(std::env::args_os())
+}
--- /dev/null
+++ b/crates/control/src/network.rs
@@ -0,0 +1,121 @@
+//! Between replicas: the consensus library's messages as JSON under a seal.
+
+use crate::store::{Id, Types};
+use badgerramp_channel::wire::control_client::ControlClient;
+use badgerramp_channel::{Purpose, Secret};
+use openraft::error::{InstallSnapshotError, NetworkError, RPCError, RaftError, RemoteError, Unreachable};
+use openraft::network::{RPCOption, RaftNetwork, RaftNetworkFactory};
+use openraft::raft::{
+    AppendEntriesRequest, AppendEntriesResponse, InstallSnapshotRequest, InstallSnapshotResponse,
+    VoteRequest, VoteResponse,
+};
+use openraft::{BasicNode, Raft};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::error::Error;
+use std::io;
+use tonic::transport::{Channel, Endpoint};
+
+/// Most bytes of a message between replicas.
+pub const MESSAGE_MOST: usize = badgerramp_channel::BODY_MOST + 1024;
+
+/// A question of one replica to another.
+#[derive(Serialize, Deserialize)]
+enum Asked {
+    Append(AppendEntriesRequest<Types>),
+    Vote(VoteRequest<Id>),
+    Snapshot(InstallSnapshotRequest<Types>),
+}
+
+/// Opens ways to other replicas.
+pub struct Network {
+    pub secret: Secret,
+}
+
+/// The way to one.
+pub struct Way {
+    secret: Secret,
+    target: Id,
+    client: ControlClient<Channel>,
+}
+
+impl RaftNetworkFactory<Types> for Network {
+    type Network = Way;
+
+    async fn new_client(&mut self, target: Id, node: &BasicNode) -> Way {
+        let endpoint = Endpoint::from_shared(format!("http://{}", node.addr))
+            .unwrap_or_else(|_| Endpoint::from_static("http://127.0.0.1:9"))
+            .tcp_nodelay(true)
+            .connect_timeout(std::time::Duration::from_millis(500));
+        let client = ControlClient::new(endpoint.connect_lazy())
+            .max_decoding_message_size(MESSAGE_MOST)
+            .max_encoding_message_size(MESSAGE_MOST);
+        Way { secret: self.secret.clone(), target, client }
+    }
+}
+
+impl Way {
+    async fn ask<T: DeserializeOwned, E: Error + DeserializeOwned>(
+        &mut self,
+        asked: Asked,
+        option: RPCOption,
+    ) -> Result<T, RPCError<Id, BasicNode, RaftError<Id, E>>> {
+        let odd = |fault: String| RPCError::Network(NetworkError::new(&io::Error::other(fault)));
+        let body = serde_json::to_vec(&asked).map_err(|e| odd(e.to_string()))?;
+        let sealed = self.secret.seal_bytes(Purpose::ReplicaRequest, body);
+        let answer = tokio::time::timeout(option.hard_ttl(), self.client.replica(sealed)).await;
+        let answer = match answer {
+            Ok(Ok(answer)) => answer.into_inner(),
+            Ok(Err(status)) => {
+                let fault = io::Error::other(status.message().to_owned());
+                return Err(RPCError::Unreachable(Unreachable::new(&fault)));
+            }
+            Err(_) => return Err(odd("no answer in time".to_owned())),
+        };
+        let body = self.secret.open_bytes(Purpose::ReplicaReply, answer).map_err(|e| odd(e.to_string()))?;
+        let answer: Result<T, RaftError<Id, E>> =
+            serde_json::from_slice(&body).map_err(|e| odd(e.to_string()))?;
+        answer.map_err(|fault| RPCError::RemoteError(RemoteError::new(self.target, fault)))
+    }
+}
+
+impl RaftNetwork<Types> for Way {
+    async fn append_entries(
+        &mut self,
+        rpc: AppendEntriesRequest<Types>,
+        option: RPCOption,
+    ) -> Result<AppendEntriesResponse<Id>, RPCError<Id, BasicNode, RaftError<Id>>> {
+        self.ask(Asked::Append(rpc), option).await
+    }
+
+    async fn install_snapshot(
+        &mut self,
+        rpc: InstallSnapshotRequest<Types>,
+        option: RPCOption,
+    ) -> Result<InstallSnapshotResponse<Id>, RPCError<Id, BasicNode, RaftError<Id, InstallSnapshotError>>>
+    {
+        self.ask(Asked::Snapshot(rpc), option).await
+    }
+
+    async fn vote(
+        &mut self,
+        rpc: VoteRequest<Id>,
+        option: RPCOption,
+    ) -> Result<VoteResponse<Id>, RPCError<Id, BasicNode, RaftError<Id>>> {
+        self.ask(Asked::Vote(rpc), option).await
+    }
+}
+
+/// Answers another replica. `body` has passed its seal.
+///
+/// # Errors
+/// If it is no question.
+pub async fn answer(raft: &Raft<Types>, body: &[u8]) -> Result<Vec<u8>, String> {
+    let asked = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    let answer = match asked {
+        Asked::Append(rpc) => serde_json::to_vec(&raft.append_entries(rpc).await),
+        Asked::Vote(rpc) => serde_json::to_vec(&raft.vote(rpc).await),
+        Asked::Snapshot(rpc) => serde_json::to_vec(&raft.install_snapshot(rpc).await),
+    };
+    answer.map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/crates/control/src/store.rs
@@ -0,0 +1,485 @@
+//! Control's lasting state: the agreed log and the snapshots of what it led to, in an embedded store. Each value bears a
+//! checksum of its own, so that what the disk made of it is never taken for what was written.
+
+use badgerramp_policy::{Command, Outcome, Record};
+use openraft::storage::{LogFlushed, RaftLogStorage, RaftStateMachine};
+use openraft::{
+    BasicNode, Entry, EntryPayload, ErrorSubject, ErrorVerb, LogId, LogState, OptionalSend, RaftLogReader,
+    RaftSnapshotBuilder, Snapshot, SnapshotMeta, StorageError, StoredMembership, Vote,
+};
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::fmt::Debug;
+use std::io::Cursor;
+use std::ops::RangeBounds;
+use std::path::Path;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::watch;
+
+openraft::declare_raft_types!(
+    /// What the replicas agree on.
+    pub Types:
+        D = Command,
+        R = Outcome,
+        NodeId = u64,
+        Node = BasicNode,
+);
+
+/// A replica's number.
+pub type Id = u64;
+type Failed = StorageError<Id>;
+
+const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
+const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
+const SNAPSHOTS: TableDefinition<u64, &[u8]> = TableDefinition::new("snapshots");
+
+/// Snapshots that are kept.
+const KEPT: usize = 3;
+/// Most bytes of a snapshot, unpacked.
+const SNAPSHOT_MOST: usize = 64 << 20;
+/// Bytes of a checksum.
+const SUM: usize = 16;
+const FORMAT: &str = "badgerramp control store 1";
+
+/// Why a store can't be used.
+#[derive(Debug)]
+pub enum Fault {
+    /// There is none, and none was to be made.
+    Missing,
+    /// There is one already.
+    Present,
+    /// It is another replica's.
+    Foreign(Id),
+    /// It can't be read, or it is damaged: where, and what.
+    Damaged(String),
+}
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Fault::Missing => f.write_str(
+                "there is no store. If this replica has never run, make one with `badgerramp-control create`. If its \
+                 disk was lost, don't: it may have promised what it has forgotten. The others go on while they are a \
+                 majority",
+            ),
+            Fault::Present => f.write_str("there is a store already; it is left as it is"),
+            Fault::Foreign(id) => write!(f, "it is the store of replica {id}"),
+            Fault::Damaged(what) => write!(f, "it can't be used: {what}"),
+        }
+    }
+}
+
+impl std::error::Error for Fault {}
+
+fn damaged(fault: impl std::fmt::Display) -> Fault {
+    Fault::Damaged(fault.to_string())
+}
+
+fn sum(bytes: &[u8]) -> [u8; SUM] {
+    let mut sum = [0; SUM];
+    sum.copy_from_slice(&Sha256::digest(bytes)[..SUM]);
+    sum
+}
+
+fn pack(value: &impl Serialize) -> Result<Vec<u8>, String> {
+    let body = serde_json::to_vec(value).map_err(|e| e.to_string())?;
+    Ok([&sum(&body)[..], &body].concat())
+}
+
+fn checked(bytes: &[u8]) -> Result<&[u8], String> {
+    match bytes.split_at_checked(SUM) {
+        Some((own, body)) if own == sum(body) => Ok(body),
+        _ => Err("its checksum does not fit".to_owned()),
+    }
+}
+
+fn unpack<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, String> {
+    serde_json::from_slice(checked(bytes)?).map_err(|e| e.to_string())
+}
+
+/// What the log led to.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Machine {
+    /// What control knows for good.
+    pub record: Record,
+    applied: Option<LogId<Id>>,
+    membership: StoredMembership<Id, BasicNode>,
+}
+
+/// The store of one replica.
+#[derive(Clone, Debug)]
+pub struct Store {
+    base: Arc<Database>,
+    machine: Arc<Mutex<Machine>>,
+    moved: Arc<watch::Sender<u64>>,
+}
+
+fn subject(what: ErrorSubject<Id>, verb: ErrorVerb) -> impl Fn(String) -> Failed {
+    move |fault| StorageError::from_io_error(what.clone(), verb, std::io::Error::other(fault))
+}
+
+fn text(fault: impl std::fmt::Display) -> String {
+    fault.to_string()
+}
+
+/// A snapshot that is good: as it is written, and read.
+type Good = (Vec<u8>, Machine);
+
+impl Store {
+    /// Makes a store for a replica that has never run.
+    ///
+    /// # Errors
+    /// If there is one, or it can't be written.
+    pub fn create(path: &Path, id: Id) -> Result<(), Fault> {
+        if path.exists() {
+            return Err(Fault::Present);
+        }
+        let base = Database::create(path).map_err(damaged)?;
+        std::fs::set_permissions(path, std::os::unix::fs::PermissionsExt::from_mode(0o600))
+            .map_err(damaged)?;
+        let write = || -> Result<(), String> {
+            let change = base.begin_write().map_err(text)?;
+            change.open_table(LOG).map_err(text)?;
+            change.open_table(SNAPSHOTS).map_err(text)?;
+            let mut meta = change.open_table(META).map_err(text)?;
+            meta.insert("format", pack(&FORMAT)?.as_slice()).map_err(text)?;
+            meta.insert("replica", pack(&id)?.as_slice()).map_err(text)?;
+            drop(meta);
+            change.commit().map_err(text)
+        };
+        write().map_err(Fault::Damaged)
+    }
+
+    /// Opens the store of this replica and looks at all that is in it.
+    ///
+    /// # Errors
+    /// See [`Fault`].
+    pub fn open(path: &Path, id: Id) -> Result<Self, Fault> {
+        if !path.exists() {
+            return Err(Fault::Missing);
+        }
+        // The library may panic over what no writer of its own would have left.
+        let base = std::panic::catch_unwind(|| Database::open(path))
+            .map_err(|_| damaged("no store of this program, or a damaged one"))?
+            .map_err(damaged)?;
+        let store =
+            Store { base: Arc::new(base), machine: Arc::default(), moved: Arc::new(watch::channel(0).0) };
+        let looked = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| store.look(id)));
+        looked.map_err(|_| damaged("a damaged store"))??;
+        Ok(store)
+    }
+
+    fn look(&self, id: Id) -> Result<(), Fault> {
+        let format: Option<String> = self.meta("format").map_err(Fault::Damaged)?;
+        if format.as_deref() != Some(FORMAT) {
+            return Err(damaged(format!("format: found {format:?}, allowed is {FORMAT:?}")));
+        }
+        match self.meta("replica").map_err(Fault::Damaged)? {
+            Some(own) if own == id => {}
+            Some(other) => return Err(Fault::Foreign(other)),
+            None => return Err(damaged("it names no replica")),
+        }
+        self.meta::<Vote<Id>>("vote").map_err(|e| damaged(format!("vote: {e}")))?;
+        self.meta::<Option<LogId<Id>>>("committed").map_err(|e| damaged(format!("committed: {e}")))?;
+        let purged: Option<LogId<Id>> = self.meta("purged").map_err(|e| damaged(format!("purged: {e}")))?;
+        let last = self.entries(..).map_err(|e| damaged(format!("log: {e}")))?;
+        for (before, after) in last.iter().zip(last.iter().skip(1)) {
+            if before.log_id.index + 1 != after.log_id.index {
+                return Err(damaged(format!(
+                    "log: after entry {} comes {}",
+                    before.log_id.index, after.log_id.index
+                )));
+            }
+        }
+        let first = last.first().map(|e| e.log_id.index);
+        if let (Some(purged), Some(first)) = (purged, first) {
+            if first != purged.index + 1 {
+                return Err(damaged(format!("log: it begins at {first}, after {} was let go", purged.index)));
+            }
+        }
+        let (snapshot, faults) = self.snapshot().map_err(Fault::Damaged)?;
+        if let Some((_, machine)) = snapshot {
+            *self.lock() = machine;
+        }
+        // What was let go of the log must be in a snapshot that can be read.
+        let applied = self.lock().applied;
+        if purged > applied {
+            let why = faults.first().cloned().unwrap_or_else(|| "there is none".to_owned());
+            return Err(damaged(format!("snapshot: none is left that reaches the log ({why})")));
+        }
+        self.moved.send_replace(self.lock().record.revision());
+        Ok(())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Machine> {
+        self.machine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What is agreed on, as far as this replica knows.
+    pub fn record(&self) -> Record {
+        self.lock().record.clone()
+    }
+
+    /// Shows what is agreed on.
+    pub fn with<T>(&self, look: impl FnOnce(&Record) -> T) -> T {
+        look(&self.lock().record)
+    }
+
+    /// Tells each time that the revision has moved.
+    pub fn moved(&self) -> watch::Receiver<u64> {
+        self.moved.subscribe()
+    }
+
+    fn meta<T: DeserializeOwned>(&self, key: &str) -> Result<Option<T>, String> {
+        let view = self.base.begin_read().map_err(text)?;
+        let meta = view.open_table(META).map_err(text)?;
+        let value = meta.get(key).map_err(text)?;
+        value.map(|v| unpack(v.value())).transpose()
+    }
+
+    fn set(&self, key: &str, value: &impl Serialize) -> Result<(), String> {
+        let change = self.base.begin_write().map_err(text)?;
+        let mut meta = change.open_table(META).map_err(text)?;
+        meta.insert(key, pack(value)?.as_slice()).map_err(text)?;
+        drop(meta);
+        change.commit().map_err(text)
+    }
+
+    fn entries(&self, range: impl RangeBounds<u64>) -> Result<Vec<Entry<Types>>, String> {
+        let view = self.base.begin_read().map_err(text)?;
+        let log = view.open_table(LOG).map_err(text)?;
+        let mut all = Vec::new();
+        for entry in log.range::<u64>(range).map_err(text)? {
+            let (index, value) = entry.map_err(text)?;
+            let index = index.value();
+            let entry: Entry<Types> = unpack(value.value()).map_err(|e| format!("entry {index}: {e}"))?;
+            if entry.log_id.index != index {
+                return Err(format!("entry {index}: it says that it is {}", entry.log_id.index));
+            }
+            all.push(entry);
+        }
+        Ok(all)
+    }
+
+    /// The newest snapshot that can be read, and what was wrong with newer ones.
+    fn snapshot(&self) -> Result<(Option<Good>, Vec<String>), String> {
+        let view = self.base.begin_read().map_err(text)?;
+        let table = view.open_table(SNAPSHOTS).map_err(text)?;
+        let mut faults = Vec::new();
+        for entry in table.iter().map_err(text)?.rev() {
+            let (index, value) = entry.map_err(text)?;
+            match unpacked(value.value()) {
+                Ok(machine) => return Ok((Some((value.value().to_vec(), machine)), faults)),
+                Err(fault) => faults.push(format!("snapshot {}: {fault}", index.value())),
+            }
+        }
+        Ok((None, faults))
+    }
+
+    fn keep(&self, index: u64, bytes: &[u8]) -> Result<(), String> {
+        let change = self.base.begin_write().map_err(text)?;
+        let mut table = change.open_table(SNAPSHOTS).map_err(text)?;
+        table.insert(index, bytes).map_err(text)?;
+        while table.iter().map_err(text)?.count() > KEPT {
+            table.pop_first().map_err(text)?;
+        }
+        drop(table);
+        change.commit().map_err(text)
+    }
+}
+
+/// Packed for a snapshot: compressed, with a checksum.
+fn packed(machine: &Machine) -> Result<Vec<u8>, String> {
+    let body = serde_json::to_vec(machine).map_err(text)?;
+    let body = zstd::bulk::compress(&body, 3).map_err(text)?;
+    Ok([&sum(&body)[..], &body].concat())
+}
+
+fn unpacked(bytes: &[u8]) -> Result<Machine, String> {
+    let body = zstd::bulk::decompress(checked(bytes)?, SNAPSHOT_MOST).map_err(text)?;
+    serde_json::from_slice(&body).map_err(text)
+}
+
+fn meta_of(machine: &Machine) -> SnapshotMeta<Id, BasicNode> {
+    let applied = machine.applied;
+    let snapshot_id = applied.map_or_else(|| "none".to_owned(), |a| format!("{}-{}", a.leader_id, a.index));
+    SnapshotMeta { last_log_id: applied, last_membership: machine.membership.clone(), snapshot_id }
+}
+
+impl RaftLogReader<Types> for Store {
+    async fn try_get_log_entries<RB: RangeBounds<u64> + Clone + Debug + OptionalSend>(
+        &mut self,
+        range: RB,
+    ) -> Result<Vec<Entry<Types>>, Failed> {
+        self.entries(range).map_err(subject(ErrorSubject::Logs, ErrorVerb::Read))
+    }
+}
+
+impl RaftLogStorage<Types> for Store {
+    type LogReader = Self;
+
+    async fn get_log_state(&mut self) -> Result<LogState<Types>, Failed> {
+        let read = || -> Result<_, String> {
+            let purged: Option<LogId<Id>> = self.meta("purged")?;
+            let view = self.base.begin_read().map_err(text)?;
+            let log = view.open_table(LOG).map_err(text)?;
+            let last = log.last().map_err(text)?;
+            let last = last.map(|(_, v)| unpack::<Entry<Types>>(v.value())).transpose()?;
+            Ok(LogState { last_purged_log_id: purged, last_log_id: last.map(|e| e.log_id).or(purged) })
+        };
+        read().map_err(subject(ErrorSubject::Logs, ErrorVerb::Read))
+    }
+
+    async fn get_log_reader(&mut self) -> Self {
+        self.clone()
+    }
+
+    async fn save_vote(&mut self, vote: &Vote<Id>) -> Result<(), Failed> {
+        self.set("vote", vote).map_err(subject(ErrorSubject::Vote, ErrorVerb::Write))
+    }
+
+    async fn read_vote(&mut self) -> Result<Option<Vote<Id>>, Failed> {
+        self.meta("vote").map_err(subject(ErrorSubject::Vote, ErrorVerb::Read))
+    }
+
+    async fn save_committed(&mut self, committed: Option<LogId<Id>>) -> Result<(), Failed> {
+        self.set("committed", &committed).map_err(subject(ErrorSubject::Store, ErrorVerb::Write))
+    }
+
+    async fn read_committed(&mut self) -> Result<Option<LogId<Id>>, Failed> {
+        let read = self.meta::<Option<LogId<Id>>>("committed");
+        read.map(Option::flatten).map_err(subject(ErrorSubject::Store, ErrorVerb::Read))
+    }
+
+    async fn append<I>(&mut self, entries: I, callback: LogFlushed<Types>) -> Result<(), Failed>
+    where
+        I: IntoIterator<Item = Entry<Types>> + OptionalSend,
+        I::IntoIter: OptionalSend,
+    {
+        let write = || -> Result<(), String> {
+            let change = self.base.begin_write().map_err(text)?;
+            let mut log = change.open_table(LOG).map_err(text)?;
+            for entry in entries {
+                log.insert(entry.log_id.index, pack(&entry)?.as_slice()).map_err(text)?;
+            }
+            drop(log);
+            change.commit().map_err(text)
+        };
+        let written = write();
+        callback.log_io_completed(written.clone().map_err(std::io::Error::other));
+        written.map_err(subject(ErrorSubject::Logs, ErrorVerb::Write))
+    }
+
+    async fn truncate(&mut self, log_id: LogId<Id>) -> Result<(), Failed> {
+        let write = || -> Result<(), String> {
+            let change = self.base.begin_write().map_err(text)?;
+            let mut log = change.open_table(LOG).map_err(text)?;
+            log.retain_in(log_id.index.., |_, _| false).map_err(text)?;
+            drop(log);
+            change.commit().map_err(text)
+        };
+        write().map_err(subject(ErrorSubject::Logs, ErrorVerb::Delete))
+    }
+
+    async fn purge(&mut self, log_id: LogId<Id>) -> Result<(), Failed> {
+        let write = || -> Result<(), String> {
+            let change = self.base.begin_write().map_err(text)?;
+            let mut meta = change.open_table(META).map_err(text)?;
+            meta.insert("purged", pack(&Some(log_id))?.as_slice()).map_err(text)?;
+            drop(meta);
+            let mut log = change.open_table(LOG).map_err(text)?;
+            log.retain_in(..=log_id.index, |_, _| false).map_err(text)?;
+            drop(log);
+            change.commit().map_err(text)
+        };
+        write().map_err(subject(ErrorSubject::Logs, ErrorVerb::Delete))
+    }
+}
+
+impl RaftSnapshotBuilder<Types> for Store {
+    async fn build_snapshot(&mut self) -> Result<Snapshot<Types>, Failed> {
+        let machine = self.lock().clone();
+        let meta = meta_of(&machine);
+        let build = || -> Result<Vec<u8>, String> {
+            let bytes = packed(&machine)?;
+            self.keep(machine.applied.map_or(0, |a| a.index), &bytes)?;
+            Ok(bytes)
+        };
+        let bytes = build().map_err(subject(ErrorSubject::Snapshot(None), ErrorVerb::Write))?;
+        Ok(Snapshot { meta, snapshot: Box::new(Cursor::new(bytes)) })
+    }
+}
+
+impl RaftStateMachine<Types> for Store {
+    type SnapshotBuilder = Self;
+
+    async fn applied_state(
+        &mut self,
+    ) -> Result<(Option<LogId<Id>>, StoredMembership<Id, BasicNode>), Failed> {
+        let machine = self.lock();
+        Ok((machine.applied, machine.membership.clone()))
+    }
+
+    async fn apply<I>(&mut self, entries: I) -> Result<Vec<Outcome>, Failed>
+    where
+        I: IntoIterator<Item = Entry<Types>> + OptionalSend,
+        I::IntoIter: OptionalSend,
+    {
+        let mut machine = self.lock();
+        let mut outcomes = Vec::new();
+        for entry in entries {
+            machine.applied = Some(entry.log_id);
+            outcomes.push(match entry.payload {
+                EntryPayload::Blank => Outcome::Done,
+                EntryPayload::Normal(command) => machine.record.apply(&command),
+                EntryPayload::Membership(membership) => {
+                    machine.membership = StoredMembership::new(Some(entry.log_id), membership);
+                    Outcome::Done
+                }
+            });
+        }
+        let revision = machine.record.revision();
+        drop(machine);
+        self.moved.send_if_modified(|old| std::mem::replace(old, revision) != revision);
+        Ok(outcomes)
+    }
+
+    async fn get_snapshot_builder(&mut self) -> Self {
+        self.clone()
+    }
+
+    async fn begin_receiving_snapshot(&mut self) -> Result<Box<Cursor<Vec<u8>>>, Failed> {
+        Ok(Box::default())
+    }
+
+    async fn install_snapshot(
+        &mut self,
+        meta: &SnapshotMeta<Id, BasicNode>,
+        snapshot: Box<Cursor<Vec<u8>>>,
+    ) -> Result<(), Failed> {
+        let bytes = snapshot.into_inner();
+        let install = || -> Result<(), String> {
+            let machine = unpacked(&bytes)?;
+            if machine.applied != meta.last_log_id {
+                return Err("it is another one than its head says".to_owned());
+            }
+            self.keep(machine.applied.map_or(0, |a| a.index), &bytes)?;
+            *self.lock() = machine;
+            Ok(())
+        };
+        install().map_err(subject(ErrorSubject::Snapshot(Some(meta.signature())), ErrorVerb::Write))?;
+        let revision = self.lock().record.revision();
+        self.moved.send_if_modified(|old| std::mem::replace(old, revision) != revision);
+        Ok(())
+    }
+
+    async fn get_current_snapshot(&mut self) -> Result<Option<Snapshot<Types>>, Failed> {
+        let (found, _) = self.snapshot().map_err(subject(ErrorSubject::Snapshot(None), ErrorVerb::Read))?;
+        Ok(found.map(|(bytes, machine)| Snapshot {
+            meta: meta_of(&machine),
+            snapshot: Box::new(Cursor::new(bytes)),
+        }))
+    }
+}
--- /dev/null
+++ b/crates/lab/src/trial.rs
@@ -0,0 +1,159 @@
+//! `trial`: several processes of the real program with faults between them.
+
+use crate::play::Fault;
+use badgerramp_trial::course::{Course, Kind, KINDS};
+use badgerramp_trial::policy::{play, Played, Programs, Size};
+use badgerramp_trial::report;
+use clap::{Args, Subcommand};
+use std::io::Write;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+/// What is tried.
+#[derive(Subcommand)]
+pub enum Trial {
+    /// A change of policy takes hold everywhere or nowhere.
+    Policy(Policy),
+}
+
+/// The fleet, and how many courses.
+#[derive(Args)]
+pub struct Policy {
+    /// Client proxies.
+    #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u64).range(1..=1_000))]
+    proxies: u64,
+    /// Replicas of control.
+    #[arg(long, default_value = "3", value_parser = ["1", "3", "5"])]
+    replicas: String,
+    /// Courses.
+    #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u64).range(1..=100_000))]
+    courses: u64,
+    /// The first course's seed; the others' follow it.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Faults of this kind alone, or none.
+    #[arg(long, value_name = "FAULT", value_parser = kind)]
+    only: Option<Only>,
+    /// Changes of the policy in a course, beside the last, which comes when all is well again.
+    #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(0..=1_000))]
+    publishes: u64,
+    /// Calls a second over all proxies.
+    #[arg(long, default_value_t = 60.0)]
+    rate: f64,
+    /// Courses that run beside each other.
+    #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(1..=64))]
+    at_once: u64,
+    /// A line for each course, as JSON, into this file.
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+    /// The times from publish to in force as a plot, into this file.
+    #[arg(long, value_name = "FILE")]
+    svg: Option<PathBuf>,
+    /// The folders of courses stay.
+    #[arg(long)]
+    keep: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Only {
+    Kind(Kind),
+    Nothing,
+}
+
+fn kind(name: &str) -> Result<Only, String> {
+    if name == "none" {
+        return Ok(Only::Nothing);
+    }
+    let names: Vec<String> = KINDS.into_iter().map(Kind::name).collect();
+    Kind::named(name).map(Only::Kind).ok_or_else(|| format!("allowed are none, {}", names.join(", ")))
+}
+
+/// Runs a trial. True if all held.
+///
+/// # Errors
+/// If the trial itself could not be played.
+pub fn run(trial: Trial) -> Result<bool, Fault> {
+    let Trial::Policy(terms) = trial;
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| Fault::Other(e.to_string()))?;
+    runtime.block_on(policy(&terms)).map_err(Fault::Other)
+}
+
+async fn policy(terms: &Policy) -> Result<bool, String> {
+    let own = std::env::current_exe().map_err(|e| e.to_string())?;
+    let as_one = |word: &str| (own.clone(), vec![word.to_owned()]);
+    let programs = Programs { proxy: as_one(crate::AS_PROXY), control: as_one(crate::AS_CONTROL) };
+    let programs = Arc::new(programs);
+    let count = |n: u64| usize::try_from(n).unwrap_or(usize::MAX);
+    let size = Size {
+        proxies: count(terms.proxies),
+        replicas: terms.replicas.parse().unwrap_or(3),
+        rate: terms.rate.clamp(1.0, 5_000.0),
+        publishes: count(terms.publishes),
+        mixed_terms: !matches!(terms.only, Some(Only::Nothing)),
+    };
+    let mut json = match &terms.json {
+        Some(path) => Some(std::fs::File::create(path).map_err(|e| format!("{}: {e}", path.display()))?),
+        None => None,
+    };
+    let mut seeds = terms.seed..terms.seed.saturating_add(terms.courses);
+    let mut running = tokio::task::JoinSet::new();
+    let (mut all, mut failed): (Vec<Played>, Option<String>) = (Vec::new(), None);
+    loop {
+        while running.len() < count(terms.at_once) && failed.is_none() {
+            let Some(seed) = seeds.next() else { break };
+            let mut course = Course::draw(
+                seed,
+                (size.proxies, size.replicas),
+                size.publishes,
+                match terms.only {
+                    Some(Only::Kind(kind)) => Some(kind),
+                    _ => None,
+                },
+            );
+            if matches!(terms.only, Some(Only::Nothing)) {
+                course.faults.clear();
+            }
+            let (programs, keep) = (Arc::clone(&programs), terms.keep);
+            running.spawn(async move { (seed, play(&programs, size, &course, keep).await) });
+        }
+        let Some(done) = running.join_next().await else { break };
+        let (seed, played) = done.map_err(|e| e.to_string())?;
+        match played {
+            Ok(played) => {
+                let line = serde_json::to_string(&played).map_err(|e| e.to_string())?;
+                if let Some(file) = &mut json {
+                    writeln!(file, "{line}").map_err(|e| e.to_string())?;
+                }
+                let verdict = &played.verdict;
+                let state = if played.held() { "held" } else { "BROKE" };
+                println!(
+                    "course {seed}: {state}; {} begun, {} refused, changes {}, in force after {:?} ms",
+                    verdict.begun,
+                    verdict.refused,
+                    played.outcome.join(" "),
+                    played.in_force_ms
+                );
+                if !played.held() {
+                    println!("  {}", verdict.first.as_deref().unwrap_or("a change did not end"));
+                    println!("  {}", played.why.join("; "));
+                    println!(
+                        "  again: badgerramp-lab trial policy --proxies {} --replicas {} --courses 1 --seed {seed}",
+                        size.proxies, size.replicas
+                    );
+                }
+                all.push(played);
+            }
+            // The others end; what they did is told.
+            Err(fault) => failed = Some(format!("course {seed} could not be played: {fault}")),
+        }
+    }
+    print!("{}", report::table(&all));
+    if let Some(file) = &terms.svg {
+        report::plot(&all, file)?;
+    }
+    match failed {
+        Some(fault) => Err(fault),
+        None => Ok(all.iter().all(Played::held)),
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod cli;
+mod fleet;
 pub mod log;
 pub mod net;
 mod platform;
--- a/crates/proxy/src/net/admit.rs
+++ b/crates/proxy/src/net/admit.rs
@@ -6,6 +6,7 @@
 use badgerramp_config::{Config, ANSWER_ROOM};
 use badgerramp_decisions::settings::Facts;
 use badgerramp_decisions::{ClassId, Micros, Repeat, Terms};
+use badgerramp_policy::{meet, meet_answers, Call, Key, Side};
 use badgerramp_route::{Answers, Head, Route, Table, Timing};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
@@ -14,6 +15,7 @@
 use rand_pcg::Pcg32;
 use std::borrow::Cow;
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -47,16 +49,26 @@
     pub text: Cow<'static, str>,
     /// Its connection closes: what follows on it may not be what it seems.
     pub close: bool,
+    /// It may come again: it is refused, with advice when.
+    pub again: bool,
 }
 
 fn turned(status: StatusCode, text: impl Into<Cow<'static, str>>) -> Turned {
-    Turned { status, text: text.into(), close: true }
+    Turned { status, text: text.into(), close: true, again: false }
+}
+
+fn refused(text: impl Into<Cow<'static, str>>) -> Turned {
+    Turned { status: StatusCode::SERVICE_UNAVAILABLE, text: text.into(), close: false, again: true }
 }
 
 /// How requests are read.
 pub enum Rules {
     Platform(Platform),
     Sidecar(Box<Sidecar>),
+    /// Between two policies: what both take, as both take it.
+    Middle(Box<Middle>),
+    /// Cut off from control: these classes of one alone.
+    Floor(Box<Floor>),
 }
 
 impl Rules {
@@ -65,6 +77,8 @@
         match self {
             Rules::Platform(platform) => platform.admit(parts, client),
             Rules::Sidecar(sidecar) => sidecar.admit(parts, client),
+            Rules::Middle(middle) => middle.admit(parts, client),
+            Rules::Floor(floor) => floor.admit(parts, client),
         }
     }
 }
@@ -201,16 +215,27 @@
         Sidecar { config, classes, manners, ids: RefCell::new(Pcg32::seed_from_u64(seed)), no_route }
     }
 
+    /// The numbers of the classes with these names.
+    pub fn numbers(&self, names: &[String]) -> Vec<ClassId> {
+        let named =
+            self.config.classes.iter().zip(&self.classes).filter(|(class, _)| names.contains(&class.name));
+        named.map(|(_, &number)| number).collect()
+    }
+
     /// The file that it goes by.
     pub fn config(&self) -> &Config {
         &self.config
     }
 
     fn admit(&self, parts: &mut Parts, client: IpAddr) -> Result<Admitted, Turned> {
-        if parts.method == Method::CONNECT {
-            return Err(turned(StatusCode::METHOD_NOT_ALLOWED, "no tunnels"));
-        }
-        origin_form(parts)?;
+        plain_form(parts)?;
+        let looked = self.look(parts, client)?;
+        self.dress(parts);
+        Ok(looked.admitted)
+    }
+
+    /// What it makes of a head, which stays as it is.
+    fn look(&self, parts: &Parts, client: IpAddr) -> Result<Looked, Turned> {
         let found = self.config.routes.find_head(&head(parts, client));
         let Some((place, route)) =
             found.map_err(|fault| turned(StatusCode::BAD_REQUEST, fault.to_string()))?
@@ -219,7 +244,7 @@
             // A body that is not read leaves nothing that could follow on its connection.
             let body = [header::TRANSFER_ENCODING, header::CONTENT_LENGTH];
             let close = body.iter().any(|name| parts.headers.contains_key(name));
-            return Err(Turned { status: self.no_route, text, close });
+            return Err(Turned { status: self.no_route, text, close, again: false });
         };
         let class = &self.config.classes[route.class].class;
         let headers = &parts.headers;
@@ -239,11 +264,9 @@
         }
         // Without its key a keyed call is one that no host could tell from its repeat.
         let guarded = matches!(class.repeat, Repeat::Guarded { .. });
-        let once = guarded
-            && route
-                .key
-                .as_ref()
-                .is_none_or(|key| self.config.routes.text(key, &head(parts, client)).is_none());
+        let key = || self.config.routes.text(route.key.as_ref()?, &head(parts, client)).map(Cow::into_owned);
+        let key = if guarded { key() } else { None };
+        let once = guarded && key.is_none();
         let admitted = Admitted {
             class: self.classes[route.class],
             tenant: route
@@ -258,6 +281,11 @@
             terms: route.timing.terms(once),
             manner: Rc::clone(&self.manners[place]),
         };
+        Ok(Looked { admitted, repeat: class.repeat, key: key.map_or(Key::None, Key::Value) })
+    }
+
+    /// Takes out what concerns this connection alone, and puts in what goes with each request.
+    fn dress(&self, parts: &mut Parts) {
         hop_by_hop(&mut parts.headers);
         parts.headers.append(header::VIA, HeaderValue::from_static("1.1 badgerramp"));
         if !parts.headers.contains_key(header::HOST) {
@@ -267,7 +295,94 @@
             let id = format!("{:016x}", self.ids.borrow_mut().next_u64());
             parts.headers.extend(HeaderValue::from_str(&id).ok().map(|id| (X_REQUEST_ID, id)));
         }
-        Ok(admitted)
+    }
+}
+
+/// What a policy makes of a request, with what hosts would know it again by.
+struct Looked {
+    admitted: Admitted,
+    repeat: Repeat,
+    key: Key,
+}
+
+impl Looked {
+    fn call(&self) -> Call {
+        Call {
+            repeat: self.repeat,
+            key: self.key.clone(),
+            time: self.admitted.time,
+            terms: self.admitted.terms,
+            connect: self.admitted.manner.connect,
+            body: self.admitted.body_most,
+        }
+    }
+}
+
+/// Between two policies.
+pub struct Middle {
+    old: Rc<Rules>,
+    new: Rc<Rules>,
+    /// What answers mean where both read them alike, by the numbers of their routes.
+    answers: RefCell<HashMap<(usize, usize), Arc<Answers>>>,
+}
+
+impl Middle {
+    /// Between these; `None` if they are no policies of a sidecar.
+    pub fn between(old: Rc<Rules>, new: Rc<Rules>) -> Option<Self> {
+        let alone = |rules: &Rules| matches!(rules, Rules::Sidecar(_));
+        (alone(&old) && alone(&new)).then(|| Middle { old, new, answers: RefCell::default() })
+    }
+
+    fn admit(&self, parts: &mut Parts, client: IpAddr) -> Result<Admitted, Turned> {
+        let (Rules::Sidecar(old), Rules::Sidecar(new)) = (&*self.old, &*self.new) else {
+            return Err(refused("no policy"));
+        };
+        plain_form(parts)?;
+        let (a, b) = (old.look(parts, client), new.look(parts, client));
+        let calls = (a.as_ref().ok().map(Looked::call), b.as_ref().ok().map(Looked::call));
+        let met = meet(calls.0.as_ref(), calls.1.as_ref());
+        let met = met.map_err(|unlike| refused(format!("a change of policy is under way: {unlike}")))?;
+        let (a, b) = match (a, b) {
+            (Ok(a), Ok(b)) => (a.admitted, b.admitted),
+            // Turned away by both.
+            (Err(turned), _) | (_, Err(turned)) => return Err(turned),
+        };
+        let Some(met) = met else { return Err(refused("no policy")) };
+        let answers = self.answers(&a.manner, &b.manner);
+        let manner = Rc::new(Manner { connect: met.connect, answers, body_most: met.body });
+        let chosen = if met.class == Side::Old { a } else { b };
+        old.dress(parts);
+        Ok(Admitted { time: met.time, terms: met.terms, body_most: met.body, manner, ..chosen })
+    }
+
+    /// Reckoned once for each pair of routes that meet.
+    fn answers(&self, old: &Rc<Manner>, new: &Rc<Manner>) -> Arc<Answers> {
+        // The rules hold their manners as long as this lives.
+        let places = (Rc::as_ptr(old) as usize, Rc::as_ptr(new) as usize);
+        let mut known = self.answers.borrow_mut();
+        let met = known.entry(places).or_insert_with(|| Arc::new(meet_answers(&old.answers, &new.answers)));
+        Arc::clone(met)
+    }
+}
+
+/// Cut off from control.
+pub struct Floor {
+    rules: Rc<Rules>,
+    classes: Vec<ClassId>,
+}
+
+impl Floor {
+    /// These classes alone.
+    pub fn of(rules: Rc<Rules>, classes: Vec<ClassId>) -> Self {
+        Floor { rules, classes }
+    }
+
+    fn admit(&self, parts: &mut Parts, client: IpAddr) -> Result<Admitted, Turned> {
+        let admitted = self.rules.admit(parts, client)?;
+        match self.classes.contains(&admitted.class) {
+            true => Ok(admitted),
+            false => Err(refused("cut off from control, and no call of the floor")),
+        }
     }
 }
 
@@ -277,6 +392,14 @@
     Head { method: &parts.method, path, query, headers: &parts.headers, client }
 }
 
+/// Puts a request into the form that routes are looked up by.
+fn plain_form(parts: &mut Parts) -> Result<(), Turned> {
+    if parts.method == Method::CONNECT {
+        return Err(turned(StatusCode::METHOD_NOT_ALLOWED, "no tunnels"));
+    }
+    origin_form(parts)
+}
+
 /// A target that names a host (RFC 9112, 3.2.2) goes on as one that does not; the host it names takes the place of the
 /// header.
 fn origin_form(parts: &mut Parts) -> Result<(), Turned> {
--- a/crates/proxy/src/net/front.rs
+++ b/crates/proxy/src/net/front.rs
@@ -4,6 +4,7 @@
 use super::clients::{Clients, Noted, Seat, UNASKED};
 use super::driver::{Answer, Driver, Intake};
 use super::exchange::{Reply, Request};
+use super::gate::Gate;
 use super::hosts::{self, Hosts};
 use super::socket::{Listener, Stream};
 use super::{Descriptors, Room};
@@ -13,6 +14,7 @@
 use http_body_util::{BodyExt, Collected, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Response, StatusCode};
@@ -47,6 +49,8 @@
     pub clients: Clients,
     /// How requests are read; replaced whole.
     pub rules: RefCell<Rc<Rules>>,
+    /// Where the policy is the fleet's: what may begin, and by which rules. They stand in for `rules`.
+    pub gate: Option<Rc<Gate>>,
     /// Answers pass with status and headers, and advice is in whole seconds, as HTTP has them.
     pub plain_http: bool,
     /// Bytes of bodies that may be held.
@@ -194,10 +198,20 @@
         let clock = self.driver.clock();
         let (mut parts, body) = request.into_parts();
         if parts.uri.path() == "/_health" && matches!(parts.method, Method::GET | Method::HEAD) {
-            return plain(StatusCode::OK, "ok");
+            return self.health();
         }
-        let rules = Rc::clone(&self.rules.borrow());
-        let Admitted { class, tenant, id, time, length, body_most, terms, manner } =
+        let (rules, stamp) = match &self.gate {
+            None => (Rc::clone(&self.rules.borrow()), None),
+            Some(gate) => match gate.open() {
+                Ok((rules, stamp)) => {
+                    // Without a body nothing can change before the call begins.
+                    let plain = (!body.is_end_stream()).then(|| parts.clone());
+                    (rules, Some((gate, stamp, plain)))
+                }
+                Err(_) => return self.refused(0),
+            },
+        };
+        let Admitted { mut class, mut tenant, id, mut time, length, body_most, mut terms, mut manner } =
             match rules.admit(&mut parts, seat.client()) {
                 Ok(admitted) => admitted,
                 Err(turned) => return self.turned(turned),
@@ -231,7 +245,32 @@
             }
         }
         let resent = parts.headers.get("x-retried").is_some_and(|v| v.as_bytes() == b"1");
-        let intake = Intake { class, tenant, deadline: clock.now() + time, resent, terms };
+        // Read before the lease is looked at: a process that is stopped in between finds its call's time over.
+        let mut now = clock.now();
+        if let Some((gate, mut stamp, plain)) = stamp {
+            let id = |parts: &Parts| {
+                let id = parts.headers.get("x-request-id").and_then(|v| v.to_str().ok());
+                id.unwrap_or_default().to_owned()
+            };
+            while !gate.begins(stamp, &id(&parts)) {
+                // The body took its time, and something else holds by now.
+                let (Ok((rules, newer)), Some(plain)) = (gate.open(), &plain) else {
+                    return self.refused(0);
+                };
+                parts = plain.clone();
+                let admitted = match rules.admit(&mut parts, seat.client()) {
+                    Ok(admitted) if admitted.body_most < body.len() => {
+                        return bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+                    }
+                    Ok(admitted) => admitted,
+                    Err(turned) => return self.turned(turned),
+                };
+                (class, tenant, time) = (admitted.class, admitted.tenant, admitted.time);
+                (terms, manner, stamp) = (admitted.terms, admitted.manner, newer);
+                now = clock.now();
+            }
+        }
+        let intake = Intake { class, tenant, deadline: now + time, resent, terms };
         let (method, uri, mut headers) = (parts.method, parts.uri, parts.headers);
         if !self.plain_http {
             // Plain HTTP has had it done where its routes were looked up.
@@ -275,7 +314,26 @@
         response
     }
 
+    /// Whether calls are taken, and under which policy.
+    fn health(&self) -> Response<Full<Bytes>> {
+        let told = match &self.gate {
+            None => return plain(StatusCode::OK, "ok"),
+            Some(gate) => gate.told(),
+        };
+        let (status, text) = match told {
+            Ok(text) => (StatusCode::OK, text),
+            Err(text) => (StatusCode::SERVICE_UNAVAILABLE, text),
+        };
+        let mut response = Response::new(Full::from(text));
+        *response.status_mut() = status;
+        response
+    }
+
     fn turned(&self, turned: Turned) -> Response<Full<Bytes>> {
+        if turned.again {
+            debug!(target: CLIENTS, why = &*turned.text, "turned away for now");
+            return self.refused(0);
+        }
         let mut response = Response::new(Full::from(turned.text));
         *response.status_mut() = turned.status;
         if turned.close {
--- a/crates/proxy/src/net/mod.rs
+++ b/crates/proxy/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod driver;
 pub mod exchange;
 pub mod front;
+pub mod gate;
 pub mod hosts;
 pub mod socket;
 
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -90,6 +90,7 @@
         rules: rules_of,
         // What is refused without advice comes of a crowd, which passes in answer times rather than aims.
         advice: (longest_aim / ADVICE_AIM).max(1_000),
+        gate: None,
         plain_http: false,
     };
     // Where to find discovery, and the operator's file, are what may change in a running program; a file that can't
@@ -106,5 +107,5 @@
         running.follow(config.discovery);
         Ok(())
     };
-    Ok(program::run(setup, reload)?)
+    Ok(program::run(setup, reload, |_| {}, async {})?)
 }
--- a/crates/proxy/src/program.rs
+++ b/crates/proxy/src/program.rs
@@ -6,6 +6,7 @@
 use crate::net::discovery;
 use crate::net::driver::{Driver, Endpoint};
 use crate::net::front::Front;
+use crate::net::gate::Gate;
 use crate::net::hosts::Hosts;
 use crate::net::socket::{Listener, Network, Tcp};
 use crate::net::{Descriptors, Room};
@@ -74,6 +75,8 @@
     /// How the list service is asked where many do.
     pub list: Option<ListTerms>,
     pub rules: Rules,
+    /// Where the policy is the fleet's: what may begin, and by which rules. They stand in for `rules`.
+    pub gate: Option<Rc<Gate>>,
     /// When a client may come back that is refused without the module's advice; 0: none is given.
     pub advice: Micros,
     /// Answers pass with status and headers.
@@ -96,14 +99,28 @@
 }
 
 /// Runs until a stop is asked for. `reload` is called at each SIGHUP; what it fails with is logged, and must have
-/// changed nothing.
-pub fn run(setup: Setup, reload: impl FnMut(&Running) -> Result<(), String>) -> Result<(), String> {
+/// changed nothing. `started` is shown what runs, once; `last` is waited for when all that was taken is finished.
+pub fn run(
+    setup: Setup,
+    reload: impl FnMut(&Running) -> Result<(), String>,
+    started: impl FnOnce(&Running),
+    last: impl Future<Output = ()>,
+) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    tokio::task::LocalSet::new().block_on(&runtime, serve(setup, reload))
+    let served = async {
+        let served = serve(setup, reload, started).await;
+        last.await;
+        served
+    };
+    tokio::task::LocalSet::new().block_on(&runtime, served)
 }
 
-async fn serve(setup: Setup, reload: impl FnMut(&Running) -> Result<(), String>) -> Result<(), String> {
+async fn serve(
+    setup: Setup,
+    reload: impl FnMut(&Running) -> Result<(), String>,
+    started: impl FnOnce(&Running),
+) -> Result<(), String> {
     // First of all: until then either signal kills.
     let mut hangups = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
@@ -121,7 +138,7 @@
     let stop = async move {
         term.recv().await;
     };
-    serve_in(setup, around, hangup, stop, reload, |_| {}).await
+    serve_in(setup, around, hangup, stop, reload, started).await
 }
 
 /// What the program runs in: the system, or a simulation.
@@ -193,6 +210,7 @@
         descriptors,
         clients: Clients::default(),
         rules: RefCell::new(Rc::new(setup.rules)),
+        gate: setup.gate,
         plain_http: setup.plain_http,
         room: bytes,
         open: RefCell::default(),
--- a/crates/proxy/src/sidecar.rs
+++ b/crates/proxy/src/sidecar.rs
@@ -1,11 +1,12 @@
 //! The program as a sidecar that stands alone: the operator's file is all it has.
 
+use crate::fleet::Fleet;
 use crate::net::admit::{Rules, Sidecar};
 use crate::net::driver::Endpoint;
 use crate::program::{self, Fault, Members, Running, Setup};
 use badgerramp_config::{Config, Use};
 use badgerramp_decisions::settings::{Facts, Transport};
-use badgerramp_decisions::{ClassId, ListKind, Settings};
+use badgerramp_decisions::{Class, ClassId, ListKind, Settings};
 use std::collections::HashMap;
 use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
@@ -15,11 +16,15 @@
 /// Where each class's number stands: a class keeps its number over reloads, and the place of one that has gone is
 /// given again only when no call of it is open.
 #[derive(Debug, Default, PartialEq)]
-struct Places(Vec<Option<String>>);
+pub struct Places(Vec<Option<String>>);
 
 impl Places {
     /// The numbers of the classes of a file, and those among them that meant something else or nothing before.
-    fn assign(&mut self, names: &[&str], in_use: impl Fn(ClassId) -> bool) -> (Vec<ClassId>, Vec<ClassId>) {
+    pub fn assign(
+        &mut self,
+        names: &[&str],
+        in_use: impl Fn(ClassId) -> bool,
+    ) -> (Vec<ClassId>, Vec<ClassId>) {
         for place in &mut self.0 {
             if place.as_deref().is_some_and(|name| !names.contains(&name)) {
                 *place = None;
@@ -44,14 +49,20 @@
         (numbers, fresh)
     }
 
-    /// The settings of a file with its classes at their places. A place that no class has is a copy of one that is
-    /// there: it must not weigh in what is reckoned over all classes.
+    /// The settings of a file with its classes at their places.
     fn settings(&self, config: &Config, numbers: &[ClassId]) -> Settings {
         let mut settings = config.settings();
-        let given = std::mem::take(&mut settings.classes);
-        let filler = given.first().copied().unwrap_or_default();
+        let classes = std::mem::take(&mut settings.classes);
+        let classes: Vec<_> = numbers.iter().copied().zip(classes).collect();
+        self.laid_out(settings, &classes)
+    }
+
+    /// Settings with these classes at their places. A place that no class has is a copy of one that is there: it must
+    /// not weigh in what is reckoned over all classes.
+    pub fn laid_out(&self, mut settings: Settings, classes: &[(ClassId, Class)]) -> Settings {
+        let filler = classes.first().map(|(_, class)| *class).unwrap_or_default();
         settings.classes = vec![filler; self.0.len()];
-        for (&ClassId(place), class) in numbers.iter().zip(given) {
+        for &(ClassId(place), class) in classes {
             settings.classes[place] = class;
         }
         settings
@@ -70,7 +81,7 @@
 }
 
 /// A number that differs with each start.
-fn seed() -> u64 {
+pub fn seed() -> u64 {
     RandomState::new().hash_one(std::process::id())
 }
 
@@ -103,6 +114,7 @@
         ("upstream.idle", old.upstream.idle == new.upstream.idle),
         ("subset", old.subset == new.subset),
         ("list", old.list == new.list),
+        ("policy", old.policy == new.policy),
         ("upstream.discovery", old.upstream.discovery.is_some() == new.upstream.discovery.is_some()),
     ];
     let changed: Vec<&str> = same.into_iter().filter(|(_, same)| !same).map(|(key, _)| key).collect();
@@ -152,6 +164,7 @@
         list: config.list,
         advice: config.limits.retry_after,
         rules: Rules::Sidecar(Box::new(Sidecar::new(config, numbers, seed))),
+        gate: None,
         plain_http: true,
     }
 }
@@ -166,13 +179,13 @@
     let config = load(&path)?;
     crate::log::start(&config.log);
     check_descriptors(config.limits.descriptors)?;
+    if config.policy.is_some() {
+        return run_in_fleet(path, config);
+    }
     let (mut places, mut known) = (Places::default(), Known::default());
     let setup = setup(config, &mut places, &mut known, seed());
     let reload = move |running: &Running| {
-        let config = load(&path).map_err(|fault| match fault {
-            Fault::Mistakes(mistakes) => mistakes.line(),
-            Fault::Other(fault) => fault,
-        })?;
+        let config = reread(&path)?;
         let old = Rc::clone(&running.front.rules.borrow());
         let Rules::Sidecar(old) = &*old else { return Err("this is no sidecar".to_owned()) };
         check_same(old.config(), &config)?;
@@ -181,21 +194,52 @@
         let (numbers, fresh) = places.assign(&names, |class| running.driver.in_use(class));
         let settings = places.settings(&config, &numbers);
         running.driver.reconfigure(settings, fresh, config.limits.open_calls);
-        match config.upstream.discovery {
-            Some(address) => running.follow(address),
-            None => {
-                // One that is added now may have been started just now: until its cold time is over it gets little.
-                let list = known.list(&config, running.clock.now() / 1_000);
-                running.driver.members(ListKind::Full, &list);
-            }
-        }
+        follow(&config, &mut known, running);
         running.front.advice.set(config.limits.retry_after);
         *running.front.rules.borrow_mut() =
             Rc::new(Rules::Sidecar(Box::new(Sidecar::new(config, numbers, seed()))));
         tracing::info!("the new configuration holds");
         Ok(())
     };
-    Ok(program::run(setup, reload)?)
+    Ok(program::run(setup, reload, |_| {}, async {})?)
+}
+
+/// Runs the program where classes and routes are the fleet's, and the file says what is this proxy's own.
+fn run_in_fleet(path: PathBuf, config: Config) -> Result<(), Fault> {
+    let (mut places, mut known) = (Places::default(), Known::default());
+    let local = load(&path)?;
+    let mut setup = setup(config, &mut places, &mut known, seed());
+    let fleet = Fleet::new(local, places)?;
+    setup.gate = Some(fleet.gate());
+    let reload = |running: &Running| {
+        let config = reread(&path)?;
+        check_same(&fleet.local(), &config)?;
+        let upstream = reread(&path)?;
+        fleet.localize(config, running)?;
+        follow(&upstream, &mut known, running);
+        tracing::info!("the new configuration of this proxy's own holds");
+        Ok(())
+    };
+    Ok(program::run(setup, reload, |running| fleet.start(running), fleet.leave())?)
+}
+
+fn reread(path: &Path) -> Result<Config, String> {
+    load(path).map_err(|fault| match fault {
+        Fault::Mistakes(mistakes) => mistakes.line(),
+        Fault::Other(fault) => fault,
+    })
+}
+
+/// Goes by the endpoints of a file, or by the list service that it names.
+fn follow(config: &Config, known: &mut Known, running: &Running) {
+    match config.upstream.discovery {
+        Some(address) => running.follow(address),
+        None => {
+            // One that is added now may have been started just now: until its cold time is over it gets little.
+            let list = known.list(config, running.clock.now() / 1_000);
+            running.driver.members(ListKind::Full, &list);
+        }
+    }
 }
 
 #[cfg(test)]
