Trial of policy changes: processes with faults between them, drawn by seed, judged by histories

Need: P1 and P2 are to be held by the real programs, not by their decisions alone.

badgerramp-lab trial policy starts proxies, replicas, hosts that count executions and clients that try again elsewhere; thirteen kinds of fault (signals, restarts, a torn copy, cuts in one and both directions, delay, trickle, reset) come by a drawn course; calls that began are read out of the proxies' logs on one clock and judged.

--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -106,6 +106,11 @@
         #[command(flatten)]
         told: Told,
     },
+    /// Play courses of faults between processes of the real program.
+    Trial {
+        #[command(subcommand)]
+        trial: crate::trial::Trial,
+    },
     /// Play random scenarios and look for broken rules; each kind is told once.
     Hunt {
         /// Number of the first scenario.
@@ -271,6 +276,7 @@
             let files = (first.as_path(), second.as_deref().unwrap_or(&first));
             compare(files, &set, binary.as_deref(), &many, &played, &told, stop)
         }
+        Command::Trial { trial } => crate::trial::run(trial),
         Command::Hunt { first, count, seconds, threads, stop: first_only, out, play } => {
             let wanted =
                 hunt::Hunt { first, count, time: Duration::from_secs(seconds), threads, stop: first_only };
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,9 @@
 /// The word that makes `badgerramp-lab` the client proxy.
 pub const AS_PROXY: &str = "as-proxy";
 
+/// The word that starts this very program as a replica of control.
+pub const AS_CONTROL: &str = "as-control";
+
 pub mod bench;
 pub mod check;
 pub mod cli;
@@ -18,3 +21,4 @@
 pub mod report;
 pub mod scenario_file;
 pub mod sockets;
+pub mod trial;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,9 +4,12 @@
 fn main() -> std::process::ExitCode {
     let mut arguments = std::env::args_os();
     let own = arguments.next();
-    // A real play starts this very program as its proxies.
-    if std::env::args().nth(1).as_deref() == Some(badgerramp_lab::AS_PROXY) {
-        return badgerramp::cli::main(own.into_iter().chain(arguments.skip(1)));
+    // A real play starts this very program as its proxies, and a trial as control too.
+    match std::env::args().nth(1).as_deref() {
+        Some(badgerramp_lab::AS_PROXY) => badgerramp::cli::main(own.into_iter().chain(arguments.skip(1))),
+        Some(badgerramp_lab::AS_CONTROL) => {
+            badgerramp_control::cli::main(own.into_iter().chain(arguments.skip(1)))
+        }
+        _ => badgerramp_lab::cli::main(std::env::args_os()),
     }
-    badgerramp_lab::cli::main(std::env::args_os())
 }
--- /dev/null
+++ b/crates/trial/src/clients.rs
@@ -0,0 +1,116 @@
+//! Clients that call through the proxies, and try again at another one when they are refused or find nobody.
+
+use crate::link::{message, send};
+use crate::now;
+use badgerramp_policy::Micros;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// The client's time: the proxy answers within it.
+pub const TIME: Duration = Duration::from_millis(1_500);
+/// An answer that has not come by then has not come in its time, on a machine that is busy with a trial.
+const PATIENCE: Duration = Duration::from_secs(6);
+const TRIES: usize = 4;
+const PAUSE: Duration = Duration::from_millis(60);
+
+/// What became of one try at one proxy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// With this status.
+    Status(u16),
+    /// Nobody took the connection.
+    Nobody,
+    /// The connection ended without an answer.
+    Cut,
+    /// No answer came.
+    Silence,
+}
+
+/// One try.
+#[derive(Clone, Debug)]
+pub struct Try {
+    /// What the call is known by.
+    pub key: String,
+    /// The place of the proxy.
+    pub proxy: usize,
+    /// When it began, and ended.
+    pub from: Micros,
+    /// ...
+    pub until: Micros,
+    /// How.
+    pub ended: Ended,
+}
+
+/// Where the proxies listen now.
+pub type Addresses = Arc<RwLock<Vec<SocketAddr>>>;
+
+/// Calls at `rate` a second until `stop` says true, then waits for those that are out.
+pub async fn run(
+    proxies: Addresses,
+    (paths, rate): (&'static [&'static str], f64),
+    seed: u64,
+    mut stop: watch::Receiver<bool>,
+) -> Vec<Try> {
+    let tries = Arc::new(Mutex::new(Vec::new()));
+    let mut draws = Pcg32::seed_from_u64(seed);
+    let mut open = tokio::task::JoinSet::new();
+    let mut number = 0;
+    let mut beat = tokio::time::interval(Duration::from_secs_f64(1.0 / rate));
+    loop {
+        tokio::select! {
+            _ = stop.wait_for(|s| *s) => break,
+            _ = beat.tick() => {}
+        }
+        number += 1;
+        let path = paths[number % paths.len()];
+        let key = format!("{seed:x}-{number}");
+        let count = proxies.read().unwrap_or_else(PoisonError::into_inner).len();
+        let at: Vec<usize> = (0..TRIES).map(|_| draws.gen_range(0..count)).collect();
+        let (proxies, tries) = (Arc::clone(&proxies), Arc::clone(&tries));
+        open.spawn(async move {
+            for proxy in at {
+                let from = now();
+                let address = proxies.read().unwrap_or_else(PoisonError::into_inner)[proxy];
+                let ended = once(address, path, &key).await;
+                let done = Try { key: key.clone(), proxy, from, until: now(), ended };
+                tries.lock().unwrap_or_else(PoisonError::into_inner).push(done);
+                // Elsewhere only what provably never ran.
+                if !matches!(ended, Ended::Status(503) | Ended::Nobody) {
+                    return;
+                }
+                tokio::time::sleep(PAUSE).await;
+            }
+        });
+        while open.try_join_next().is_some() {}
+    }
+    while open.join_next().await.is_some() {}
+    let mut tries = tries.lock().unwrap_or_else(PoisonError::into_inner);
+    std::mem::take(&mut *tries)
+}
+
+async fn once(address: SocketAddr, path: &str, key: &str) -> Ended {
+    let call = async {
+        let Ok(mut stream) = TcpStream::connect(address).await else { return Ended::Nobody };
+        let request = format!(
+            "POST {path} HTTP/1.1\r\nHost: x\r\nX-Timeout: {}m\r\nX-Request-ID: {key}\r\nIdempotency-Key: {key}\r\n\
+             Content-Length: 2\r\n\r\nok",
+            TIME.as_millis()
+        );
+        if send(&mut stream, request.as_bytes()).await.is_err() {
+            return Ended::Cut;
+        }
+        match message(&mut stream, &mut Vec::new()).await {
+            Some((head, _)) => {
+                let status = head.split(' ').nth(1).and_then(|s| s.parse().ok());
+                status.map_or(Ended::Cut, Ended::Status)
+            }
+            None => Ended::Cut,
+        }
+    };
+    tokio::time::timeout(PATIENCE, call).await.unwrap_or(Ended::Silence)
+}
--- /dev/null
+++ b/crates/trial/src/hosts.rs
@@ -0,0 +1,117 @@
+//! Hosts behind the proxies, which count what they execute. Those of one group drop repeats of a key for a window, as
+//! long as they are told to: a host of the next release may do it no more.
+
+use crate::link::{header, message, send};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
+
+/// How long a key is remembered.
+const WINDOW: Duration = Duration::from_millis(2_500);
+/// Work of a request.
+const WORK: Duration = Duration::from_millis(5);
+
+struct Shared {
+    drops: HashSet<String>,
+    seen: HashMap<String, Instant>,
+    executed: HashMap<String, u32>,
+    draws: Pcg32,
+    spoilt: f64,
+}
+
+/// All hosts.
+pub struct Hosts {
+    /// Where each listens.
+    pub addresses: Vec<SocketAddr>,
+    shared: Arc<Mutex<Shared>>,
+    listeners: Vec<AbortHandle>,
+}
+
+fn locked(shared: &Mutex<Shared>) -> MutexGuard<'_, Shared> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Hosts {
+    /// So many of one group. This share of their answers to `POST` is lost after the request ran: the connection ends.
+    /// They drop repeats of the paths in `drops`.
+    ///
+    /// # Errors
+    /// If no port can be had.
+    pub async fn start(count: usize, spoilt: f64, drops: &[&str], seed: u64) -> Result<Hosts, String> {
+        let shared = Arc::new(Mutex::new(Shared {
+            drops: drops.iter().map(|d| (*d).to_owned()).collect(),
+            seen: HashMap::new(),
+            executed: HashMap::new(),
+            draws: Pcg32::seed_from_u64(seed),
+            spoilt,
+        }));
+        let (mut addresses, mut listeners) = (Vec::new(), Vec::new());
+        for _ in 0..count {
+            let listener = TcpListener::bind("127.0.0.1:0").await.map_err(|e| e.to_string())?;
+            addresses.push(listener.local_addr().map_err(|e| e.to_string())?);
+            let shared = Arc::clone(&shared);
+            let task = tokio::spawn(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    tokio::spawn(serve(stream, Arc::clone(&shared)));
+                }
+            });
+            listeners.push(task.abort_handle());
+        }
+        Ok(Hosts { addresses, shared, listeners })
+    }
+
+    /// From now on they drop repeats of this path, or no more.
+    pub fn drop_repeats(&self, path: &str, drops: bool) {
+        let mut shared = locked(&self.shared);
+        if drops {
+            shared.drops.insert(path.to_owned());
+        } else {
+            shared.drops.remove(path);
+        }
+    }
+
+    /// How often each key was executed.
+    pub fn executed(&self) -> HashMap<String, u32> {
+        locked(&self.shared).executed.clone()
+    }
+}
+
+impl Drop for Hosts {
+    fn drop(&mut self) {
+        self.listeners.iter().for_each(AbortHandle::abort);
+    }
+}
+
+async fn serve(mut stream: TcpStream, shared: Arc<Mutex<Shared>>) {
+    let _ = stream.set_nodelay(true);
+    let mut held = Vec::new();
+    while let Some((head, _)) = message(&mut stream, &mut held).await {
+        let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
+        let key = header(&head, "idempotency-key").unwrap_or_default().to_owned();
+        let post = head.starts_with("POST");
+        tokio::time::sleep(WORK).await;
+        let spoilt = {
+            let mut shared = locked(&shared);
+            let now = Instant::now();
+            let seen = shared.seen.insert(key.clone(), now);
+            let repeat = seen.is_some_and(|at| now.duration_since(at) < WINDOW);
+            let dropped = shared.drops.contains(&path) && repeat;
+            if post && !dropped {
+                *shared.executed.entry(key).or_default() += 1;
+            }
+            let share = shared.spoilt;
+            post && shared.draws.gen_bool(share)
+        };
+        if spoilt {
+            return;
+        }
+        if send(&mut stream, b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone").await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/trial/src/judge.rs
@@ -0,0 +1,177 @@
+//! What broke, judged from what the processes and the hosts did, in the order of the one clock.
+
+use crate::clients::{Ended, Try};
+use badgerramp_policy::{Begun, Fault, Generation, Identity, Judge, Micros, Mode};
+use serde::Serialize;
+use std::collections::HashMap;
+
+/// What a publisher heard, and when.
+#[derive(Clone, Debug, Serialize)]
+pub struct Heard {
+    /// The change.
+    pub generation: u64,
+    /// When.
+    pub at: Micros,
+    /// In force, or not and never.
+    pub in_force: bool,
+    /// From the first question to its end.
+    pub took_ms: u64,
+    /// Why not.
+    pub why: String,
+}
+
+/// A call that began, out of a proxy's log.
+#[derive(Clone, Debug)]
+pub struct Line {
+    /// When.
+    pub at: Micros,
+    /// Where.
+    pub proxy: usize,
+    /// Under what.
+    pub mode: Mode,
+    /// Under the floor alone, which all policies have alike while it may be acted under.
+    pub floor: bool,
+    /// Its request's id.
+    pub request: String,
+}
+
+impl Line {
+    /// Reads a line of a log; `None` if it tells of something else.
+    pub fn read(proxy: usize, line: &str) -> Option<Line> {
+        if !line.contains("badgerramp::begun") {
+            return None;
+        }
+        let value: serde_json::Value = serde_json::from_str(line).ok()?;
+        let number = |name: &str| value.get(name)?.as_u64();
+        let mode = Mode { revision: 0, old: Generation(number("old")?), new: Generation(number("new")?) };
+        Some(Line {
+            at: number("at")?,
+            proxy,
+            mode,
+            floor: value.get("floor")?.as_bool()?,
+            request: value.get("request")?.as_str()?.to_owned(),
+        })
+    }
+}
+
+/// What broke in a course, and its sums.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Verdict {
+    /// Tries at proxies.
+    pub calls: usize,
+    /// Calls that began.
+    pub begun: usize,
+    /// P1: calls that began under what was past.
+    pub begun_mixed: usize,
+    /// P2: calls that began under what was not in force, or no more.
+    pub begun_wrong: usize,
+    /// Keys executed more than once.
+    pub executed_twice: usize,
+    /// Tries at a proxy that was well and gave no answer.
+    pub lost: usize,
+    /// Refusals.
+    pub refused: usize,
+    /// Refusals of proxies that were well, beside control that was: they are the change's.
+    pub refused_well: usize,
+    /// What broke first, in words.
+    pub first: Option<String>,
+}
+
+impl Verdict {
+    /// Did all hold?
+    pub fn held(&self) -> bool {
+        self.begun_mixed + self.begun_wrong + self.executed_twice + self.lost == 0
+    }
+}
+
+/// Judges a course. `well` tells whether a proxy was well all through a span, `calm` whether control was too.
+pub fn judge(
+    mut begun: Vec<Line>,
+    heard: &[Heard],
+    tries: &[Try],
+    executed: &HashMap<String, u32>,
+    well: impl Fn(usize, Micros, Micros) -> bool,
+    calm: impl Fn(usize, Micros, Micros) -> bool,
+) -> Verdict {
+    let mut verdict = Verdict { calls: tries.len(), begun: begun.len(), ..Verdict::default() };
+    let mut first = None;
+    // What falls on one microsecond has no order: the older first.
+    begun.sort_by_key(|line| (line.at, line.mode.old, line.mode.new));
+    let mut judge = Judge::default();
+    let mut told: Vec<&Heard> = heard.iter().filter(|h| h.in_force).collect();
+    told.sort_by_key(|h| h.at);
+    let mut told = told.into_iter().peekable();
+    for line in begun.iter().filter(|line| !line.floor) {
+        while let Some(heard) = told.next_if(|h| h.at < line.at) {
+            judge.in_force(Generation(heard.generation));
+        }
+        let identity = Identity { name: line.proxy.to_string(), incarnation: 0 };
+        let Some(fault) = judge.begun(&Begun { identity, mode: line.mode }) else { continue };
+        match fault {
+            Fault::Mixed { .. } => verdict.begun_mixed += 1,
+            Fault::NotInForce(_) | Fault::BehindForce { .. } => verdict.begun_wrong += 1,
+        }
+        first.get_or_insert_with(|| format!("{} at {}: {fault:?}", line.request, line.at));
+    }
+    for heard in heard.iter().filter(|h| !h.in_force) {
+        let under = begun.iter().filter(|l| l.mode.old == Generation(heard.generation)).count();
+        verdict.begun_wrong += under;
+        if under > 0 {
+            first.get_or_insert_with(|| {
+                format!("{under} began under {}, which never was in force", heard.generation)
+            });
+        }
+    }
+    for (key, count) in executed.iter().filter(|(_, &count)| count > 1) {
+        verdict.executed_twice += 1;
+        first.get_or_insert_with(|| format!("{key} was executed {count} times"));
+    }
+    for done in tries {
+        let silent = matches!(done.ended, Ended::Silence | Ended::Cut | Ended::Nobody);
+        if silent && well(done.proxy, done.from, done.until) {
+            verdict.lost += 1;
+            first.get_or_insert_with(|| format!("{done:?}: no answer of a proxy that was well"));
+        }
+        if done.ended == Ended::Status(503) {
+            verdict.refused += 1;
+            verdict.refused_well += usize::from(calm(done.proxy, done.from, done.until));
+        }
+    }
+    verdict.first = first;
+    verdict
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn line(at: Micros, old: u64, new: u64) -> Line {
+        let text = format!(
+            "{{\"level\":\"DEBUG\",\"message\":\"begun\",\"at\":{at},\"old\":{old},\"new\":{new},\
+             \"floor\":false,\"request\":\"r\",\"target\":\"badgerramp::begun\"}}"
+        );
+        Line::read(0, &text).expect("a line")
+    }
+
+    fn verdict(begun: Vec<Line>, heard: &[Heard]) -> Verdict {
+        judge(begun, heard, &[], &HashMap::new(), |_, _, _| true, |_, _, _| true)
+    }
+
+    #[test]
+    fn each_break_is_seen() {
+        let good = vec![line(5, 1, 2), line(1, 1, 1), line(9, 2, 2), line(7, 1, 1)];
+        assert!(verdict(good.clone(), &[]).held());
+        let mut mixed = good.clone();
+        mixed.push(line(10, 1, 1));
+        assert_eq!(verdict(mixed, &[]).begun_mixed, 1);
+        let heard =
+            |generation, at, in_force| Heard { generation, at, in_force, took_ms: 0, why: String::new() };
+        assert_eq!(verdict(good.clone(), &[heard(2, 6, true)]).begun_wrong, 1);
+        assert_eq!(verdict(good, &[heard(2, 20, false)]).begun_wrong, 1);
+        let executed = HashMap::from([("k".to_owned(), 2)]);
+        let silent = Try { key: "k".to_owned(), proxy: 0, from: 1, until: 2, ended: Ended::Silence };
+        let judged = judge(Vec::new(), &[], &[silent], &executed, |_, _, _| true, |_, _, _| true);
+        assert_eq!((judged.executed_twice, judged.lost), (1, 1));
+        assert!(!judged.held());
+    }
+}
