Control as processes: kills, a lost leader, cut and flipped stores, bad input

Need: what control has answered must hold over kills at any moment, and a damaged store must be refused, not mended by guess.

Each page of a store is looked at on a copy in memory before it is opened: the library mended or panicked over flipped bits (assertion in its page manager, index out of bounds in its bitmap), outside of what was caught.

Measured: 40 cuts and 800 flipped bits of a store with three policies: the same state or a clear refusal; 12 kills while publishing lose no answer.

--- a/crates/config-tool/src/fleet.rs
+++ b/crates/config-tool/src/fleet.rs
@@ -166,7 +166,11 @@
             let _ = writeln!(text, "held up by {}", held.human());
         }
         let behind = self.proxies.iter().filter(|p| p.acting < self.revision).count();
-        let _ = writeln!(text, "{} proxies, {behind} not yet at this revision", self.proxies.len());
+        let _ = writeln!(
+            text,
+            "{} proxies, {behind} that have not told of this revision yet",
+            self.proxies.len()
+        );
         for proxy in &self.proxies {
             let (name, incarnation) = (&proxy.name, &proxy.incarnation);
             let _ =
@@ -394,6 +398,23 @@
     }
 }
 
+/// What the tool itself writes into a folder beside the files.
+const MANIFEST: &str = "manifest.toml";
+
+/// What of a folder is to be checked: the folder, if the tool wrote it, else each file that would be published.
+///
+/// # Errors
+/// If it can't be read.
+pub fn to_check(path: &Path) -> Result<Vec<PathBuf>, String> {
+    if path.join(MANIFEST).exists() {
+        return Ok(vec![path.to_owned()]);
+    }
+    let mut files: Vec<PathBuf> =
+        folder(path)?.into_keys().map(|name| path.join(format!("{name}.toml"))).collect();
+    files.sort();
+    Ok(files)
+}
+
 /// The files of a folder by application: each `NAME.toml`.
 ///
 /// # Errors
@@ -404,7 +425,8 @@
     let mut files = Files::new();
     for entry in listed {
         let path = entry.map_err(|e| format!("{shown}: {e}"))?.path();
-        if path.extension().is_some_and(|e| e == "toml") {
+        let own = path.file_name().is_some_and(|name| name == MANIFEST);
+        if !own && path.extension().is_some_and(|e| e == "toml") {
             let name = path.file_stem().and_then(|n| n.to_str());
             let name = name.ok_or_else(|| format!("{}: its name is no text", path.display()))?;
             let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
--- a/crates/config-tool/src/main.rs
+++ b/crates/config-tool/src/main.rs
@@ -175,7 +175,11 @@
 }
 
 fn publish(folder: &Path, at: &At, format: Format) -> ExitCode {
-    let report = commands::check(&[folder]).0;
+    let paths = match fleet::to_check(folder) {
+        Ok(paths) => paths,
+        Err(fault) => return failed(fault),
+    };
+    let report = commands::check(&paths.iter().map(PathBuf::as_path).collect::<Vec<_>>()).0;
     if !report.good() {
         return tell(&report, format);
     }
--- a/crates/control/src/store.rs
+++ b/crates/control/src/store.rs
@@ -7,7 +7,8 @@
     BasicNode, Entry, EntryPayload, ErrorSubject, ErrorVerb, LogId, LogState, OptionalSend, RaftLogReader,
     RaftSnapshotBuilder, Snapshot, SnapshotMeta, StorageError, StoredMembership, Vote,
 };
-use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use redb::backends::InMemoryBackend;
+use redb::{Database, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -124,6 +125,29 @@
     fault.to_string()
 }
 
+/// Looks at each page of a store, on a copy in memory: the library mends what it finds, and what is damaged is to stay as
+/// it is until somebody has seen it.
+fn verified(path: &Path) -> Result<(), Fault> {
+    let bytes = std::fs::read(path).map_err(damaged)?;
+    if bytes.is_empty() {
+        return Err(damaged("it is empty"));
+    }
+    // It may panic over what no writer of its own would have left.
+    let look = std::panic::AssertUnwindSafe(|| -> Result<bool, Fault> {
+        let copy = InMemoryBackend::new();
+        copy.set_len(bytes.len() as u64).map_err(damaged)?;
+        copy.write(0, &bytes).map_err(damaged)?;
+        let mut copy = Database::builder().create_with_backend(copy).map_err(damaged)?;
+        copy.check_integrity().map_err(damaged)
+    });
+    match std::panic::catch_unwind(look) {
+        Ok(Ok(true)) => Ok(()),
+        Ok(Ok(false)) => Err(damaged("a page's checksum does not fit")),
+        Ok(Err(fault)) => Err(fault),
+        Err(_) => Err(damaged("no store of this program, or a damaged one")),
+    }
+}
+
 /// A snapshot that is good: as it is written, and read.
 type Good = (Vec<u8>, Machine);
 
@@ -160,14 +184,11 @@
         if !path.exists() {
             return Err(Fault::Missing);
         }
-        // The library may panic over what no writer of its own would have left.
-        let base = std::panic::catch_unwind(|| Database::open(path))
-            .map_err(|_| damaged("no store of this program, or a damaged one"))?
-            .map_err(damaged)?;
+        verified(path)?;
+        let base = Database::open(path).map_err(damaged)?;
         let store =
             Store { base: Arc::new(base), machine: Arc::default(), moved: Arc::new(watch::channel(0).0) };
-        let looked = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| store.look(id)));
-        looked.map_err(|_| damaged("a damaged store"))??;
+        store.look(id)?;
         Ok(store)
     }
 
--- /dev/null
+++ b/crates/control/tests/replica.rs
@@ -0,0 +1,208 @@
+//! Replicas as processes: what they have answered holds over kills; what they can't use they say, and change nothing.
+
+use badgerramp_channel::wire::{refusal, reply, request, Publish, StatusAsked};
+use badgerramp_channel::{Client, Fault, Secret};
+use badgerramp_config_tool::fleet::{At, Control, Outcome};
+use badgerramp_control::store::{self, Store};
+use badgerramp_trial::link::Link;
+use badgerramp_trial::process::{Folder, Plan, Process};
+use openraft::storage::RaftLogStorage;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+use tokio::sync::watch;
+
+const CONTROL: &str = env!("CARGO_BIN_EXE_badgerramp-control");
+const POLICY: &str = include_str!("../../../deploy/sidecar.example.toml");
+const LONG: Duration = Duration::from_secs(30);
+
+struct Replicas {
+    folder: Folder,
+    all: Vec<Process>,
+    at: Vec<watch::Sender<Option<SocketAddr>>>,
+    links: Vec<Link>,
+}
+
+impl Replicas {
+    async fn start(name: &str, count: usize) -> Replicas {
+        let folder = Folder::new(&format!("control-{name}")).expect("a folder");
+        folder.write("secret", "a secret of the tests", true).expect("a file");
+        let mut replicas = Replicas { folder, all: Vec::new(), at: Vec::new(), links: Vec::new() };
+        for _ in 0..count {
+            let (at, known) = watch::channel(None);
+            replicas.links.push(Link::to(known).await.expect("a link"));
+            replicas.at.push(at);
+        }
+        let named = |(n, l): (usize, &Link)| format!("{} = \"{}\"", n + 1, l.address);
+        let named: Vec<String> = replicas.links.iter().enumerate().map(named).collect();
+        for number in 1..=count {
+            let text = format!(
+                "replica = {number}\nreplicas = {{ {} }}\nlisten = \"127.0.0.1:0\"\nstore = \"store-{number}\"\n\
+                 secret = \"secret\"\nlease_ms = 300\nwait_ms = 5000\nelection_ms = 300\n",
+                named.join(", ")
+            );
+            let file = replicas.folder.write(&format!("{number}.toml"), &text, false).expect("a file");
+            let made = std::process::Command::new(CONTROL).arg("create").arg(&file).output();
+            assert!(made.expect("it runs").status.success());
+            let arguments = vec!["serve".to_owned(), file.display().to_string()];
+            let plan = Plan { program: CONTROL.into(), arguments, keep: Vec::new() };
+            let mut process = Process::start(plan).await.expect("it starts");
+            replicas.at[number - 1].send_replace(Some(process.listens().await.expect("it listens")));
+            replicas.all.push(process);
+        }
+        replicas
+    }
+
+    async fn again(&mut self, place: usize) {
+        self.all[place].again().expect("it starts");
+        let address = self.all[place].listens().await.expect("it listens");
+        self.at[place].send_replace(Some(address));
+    }
+
+    fn addresses(&self) -> Vec<SocketAddr> {
+        self.links.iter().map(|l| l.address).collect()
+    }
+
+    fn control(&self) -> Control {
+        let secret = self.folder.path().join("secret");
+        Control::new(&At { control: self.addresses(), secret, timeout: LONG.as_secs() }).expect("a secret")
+    }
+
+    fn client(&self) -> Client {
+        let secret = Secret::read(&self.folder.path().join("secret")).expect("a secret");
+        Client::new(self.addresses(), secret, Duration::from_secs(5))
+    }
+}
+
+fn files(number: u64) -> HashMap<String, String> {
+    HashMap::from([("caja".to_owned(), format!("{POLICY}\n# {number}\n"))])
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_that_dies_takes_nothing_with_it() {
+    let mut replicas = Replicas::start("leader", 3).await;
+    for number in 1..=3 {
+        let revision = replicas.control().standing().await.expect("a status").revision;
+        let done = replicas.control().publish(&files(number), revision, |_| {}).await;
+        assert_eq!(done.outcome, Outcome::InForce, "{}", done.why);
+        let leader = replicas.control().standing().await.expect("a status").leader;
+        let place = replicas.links.iter().position(|l| l.address.to_string() == leader).expect("one of them");
+        replicas.all[place].kill().await;
+        replicas.at[place].send_replace(None);
+        let standing = replicas.control().standing().await.expect("the others go on");
+        assert_eq!(standing.in_force, Some(number));
+        assert_eq!(replicas.control().files(number).await.expect("kept"), files(number));
+        replicas.again(place).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_was_answered_holds_over_kills_at_any_moment() {
+    let mut replicas = Replicas::start("kills", 1).await;
+    let mut answered = 0;
+    for round in 0..12_u64 {
+        let revision = replicas.control().standing().await.expect("a status").revision;
+        let mut control = replicas.control();
+        let publish = tokio::spawn(async move {
+            let standing = control.standing().await.map(|s| s.revision == revision);
+            assert!(standing.expect("a status"));
+            control.publish(&files(round), revision, |_| {}).await
+        });
+        // Each round a little later in what it writes.
+        tokio::time::sleep(Duration::from_micros(300 * round)).await;
+        replicas.all[0].kill().await;
+        replicas.again(0).await;
+        let done = publish.await.expect("it ends");
+        if let Some(generation) = done.generation {
+            let standing = replicas.control().standing().await.expect("a status");
+            let change = standing.changes.iter().find(|c| c.generation == generation).expect("remembered");
+            assert!(generation > answered, "a number is given once");
+            assert_eq!(change.outcome == "in force", done.outcome == Outcome::InForce, "{}", done.why);
+            answered = generation;
+        }
+    }
+    assert!(answered > 0);
+}
+
+async fn state(path: &Path) -> Result<String, store::Fault> {
+    let mut store = Store::open(path, 1)?;
+    let log = store.get_log_state().await.map_err(|e| store::Fault::Damaged(e.to_string()))?;
+    let vote = store.read_vote().await.map_err(|e| store::Fault::Damaged(e.to_string()))?;
+    Ok(format!("{log:?} {vote:?} {:?}", store.record()))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_that_was_cut_or_flipped_is_the_same_or_none() {
+    let mut replicas = Replicas::start("store", 1).await;
+    for number in 1..=3 {
+        let revision = replicas.control().standing().await.expect("a status").revision;
+        let done = replicas.control().publish(&files(number), revision, |_| {}).await;
+        assert_eq!(done.outcome, Outcome::InForce, "{}", done.why);
+    }
+    replicas.all[0].kill().await;
+    let path = replicas.folder.path().join("store-1");
+    let whole = state(&path).await.expect("a kill leaves it good");
+    let bytes = std::fs::read(&path).expect("a file");
+    assert!(matches!(Store::open(&path, 2), Err(store::Fault::Foreign(1))));
+    assert!(matches!(Store::create(&path, 1), Err(store::Fault::Present)));
+    let copy = replicas.folder.path().join("copy");
+    let (mut refused, mut same) = (0, 0);
+    let mut looked = async |bytes: &[u8], what: String| {
+        std::fs::write(&copy, bytes).expect("a file");
+        match state(&copy).await {
+            Err(_) => refused += 1,
+            Ok(found) => {
+                assert_eq!(found, whole, "{what}");
+                same += 1;
+            }
+        }
+    };
+    for place in (0..bytes.len()).step_by(bytes.len() / 40) {
+        looked(&bytes[..place], format!("cut at {place}")).await;
+    }
+    // Every byte of the header, and a sample of the rest.
+    for place in (0..512).chain((512..bytes.len()).step_by(bytes.len() / 300)) {
+        let mut flipped = bytes.clone();
+        flipped[place] ^= 1 << (place % 8);
+        looked(&flipped, format!("a bit at {place}")).await;
+    }
+    assert!(refused > 0 && same > 0, "{refused} {same}");
+    std::fs::remove_file(&copy).expect("a file");
+    assert!(matches!(state(&copy).await, Err(store::Fault::Missing)));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_can_not_be_used_is_refused_and_changes_nothing() {
+    let replicas = Replicas::start("bad", 1).await;
+    let refused = async |files: HashMap<String, String>, revision: u64| {
+        let publish = request::What::Publish(Publish { files, revision });
+        match replicas.client().ask_until(&publish, LONG).await {
+            Err(Fault::Refused(refusal)) => (refusal.code(), refusal.text),
+            other => panic!("{other:?}"),
+        }
+    };
+    let none = POLICY.replace("attempts = 3", "attempts = 0");
+    let (code, text) = refused(HashMap::from([("caja".to_owned(), none)]), 0).await;
+    assert_eq!(code, refusal::Code::Bad);
+    assert!(text.contains("caja.toml") && text.contains("attempts") && text.contains("found 0"), "{text}");
+    let (code, text) = refused(HashMap::from([("a".to_owned(), "#".repeat(1 << 21))]), 0).await;
+    assert_eq!(code, refusal::Code::Bad);
+    assert!(text.contains("allowed are 1 to 1000 of 1048576 bytes"), "{text}");
+    assert_eq!(refused(HashMap::new(), 0).await.0, refusal::Code::Bad);
+    // Looked at beside what is no more.
+    assert_eq!(refused(files(2), 7).await.0, refusal::Code::Moved);
+
+    replicas.folder.write("other", "another secret, as long", true).expect("a file");
+    let other = Secret::read(&replicas.folder.path().join("other")).expect("a secret");
+    let mut stranger = Client::new(replicas.addresses(), other, Duration::from_secs(5));
+    let publish = request::What::Publish(Publish { files: files(2), revision: 0 });
+    let fault = stranger.ask(&publish).await.expect_err("no admittance");
+    assert!(fault.to_string().contains("another secret"), "{fault}");
+
+    let status = request::What::Status(StatusAsked {});
+    let Ok(reply::What::Status(status)) = replicas.client().ask_until(&status, LONG).await else {
+        panic!("no status")
+    };
+    assert_eq!((status.mode, status.revision, status.changes.len()), (None, 0, 0));
+}
