--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -1,6 +1,7 @@
 //! `trial`: several processes of the real program with faults between them.
 
 use crate::play::Fault;
+use badgerramp_trial::contender::Way;
 use badgerramp_trial::course::{Course, Kind, KINDS};
 use badgerramp_trial::policy::{play, Played, Programs, Size};
 use badgerramp_trial::report;
@@ -40,6 +41,9 @@
     /// Calls a second over all proxies.
     #[arg(long, default_value_t = 60.0)]
     rate: f64,
+    /// How the policy comes to the proxies: by control, or by another way, to be held against it.
+    #[arg(long, default_value = "control", value_parser = Way::NAMES)]
+    way: String,
     /// Courses that run beside each other.
     #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(1..=64))]
     at_once: u64,
@@ -79,6 +83,20 @@
     runtime.block_on(policy(&terms)).map_err(Fault::Other)
 }
 
+/// The command that plays one course again.
+fn again(terms: &Policy, seed: u64) -> String {
+    let Policy { proxies, replicas, publishes, rate, way, .. } = terms;
+    let only = match terms.only {
+        Some(Only::Kind(kind)) => format!(" --only {}", kind.name()),
+        Some(Only::Nothing) => " --only none".to_owned(),
+        None => String::new(),
+    };
+    format!(
+        "badgerramp-lab trial policy --courses 1 --seed {seed} --proxies {proxies} --replicas {replicas} \
+         --publishes {publishes} --rate {rate} --way {way}{only}"
+    )
+}
+
 async fn policy(terms: &Policy) -> Result<bool, String> {
     let own = std::env::current_exe().map_err(|e| e.to_string())?;
     let as_one = |word: &str| (own.clone(), vec![word.to_owned()]);
@@ -87,10 +105,11 @@
     let count = |n: u64| usize::try_from(n).unwrap_or(usize::MAX);
     let size = Size {
         proxies: count(terms.proxies),
-        replicas: terms.replicas.parse().unwrap_or(3),
+        replicas: if terms.way == "control" { terms.replicas.parse().unwrap_or(3) } else { 0 },
         rate: terms.rate.clamp(1.0, 5_000.0),
         publishes: count(terms.publishes),
         mixed_terms: !matches!(terms.only, Some(Only::Nothing)),
+        way: Way::named(&terms.way).unwrap_or(Way::Control),
     };
     let mut json = match &terms.json {
         Some(path) => Some(std::fs::File::create(path).map_err(|e| format!("{}: {e}", path.display()))?),
@@ -104,7 +123,8 @@
             let Some(seed) = seeds.next() else { break };
             let mut course = Course::draw(
                 seed,
-                (size.proxies, size.replicas),
+                // The same courses for all ways.
+                (size.proxies, terms.replicas.parse().unwrap_or(3)),
                 size.publishes,
                 match terms.only {
                     Some(Only::Kind(kind)) => Some(kind),
@@ -137,10 +157,7 @@
                 if !played.held() {
                     println!("  {}", verdict.first.as_deref().unwrap_or("a change did not end"));
                     println!("  {}", played.why.join("; "));
-                    println!(
-                        "  again: badgerramp-lab trial policy --proxies {} --replicas {} --courses 1 --seed {seed}",
-                        size.proxies, size.replicas
-                    );
+                    println!("  again: {}", again(terms, seed));
                 }
                 all.push(played);
             }
--- a/crates/trial/src/course.rs
+++ b/crates/trial/src/course.rs
@@ -98,8 +98,8 @@
 
 /// Faults begin within this time.
 const BEGIN_WITHIN: u64 = 5_000;
-/// A fault lasts so many milliseconds: some much less than a lease of the trial, some longer than two.
-const LASTS: std::ops::RangeInclusive<u64> = 100..=2_600;
+/// A fault lasts so many milliseconds: some much less than a lease of the trial, some several.
+const LASTS: std::ops::RangeInclusive<u64> = 100..=4_000;
 
 impl Course {
     /// Draws a course for so many proxies and replicas. `only`: faults of no other kind. Faults of one process do not
@@ -131,7 +131,7 @@
             }
         }
         faults.sort_by_key(|f| f.from);
-        let pauses = (0..publishes).map(|_| Duration::from_millis(draws.gen_range(0..800))).collect();
+        let pauses = (0..publishes).map(|_| Duration::from_millis(draws.gen_range(0..2_500))).collect();
         Course { seed, faults, pauses }
     }
 }
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`link`]: the way between two processes.
 //! - [`process`]: a process and its log.
 //! - [`hosts`], [`clients`]: what is behind the proxies and before them.
+//! - [`contender`]: other ways to bring a policy to a fleet.
 //! - [`judge`]: what broke.
 //! - [`policy`]: the trial of a change of policy.
 //! - [`report`]: tables and plots.
@@ -13,6 +14,7 @@
 #![warn(missing_docs)]
 
 pub mod clients;
+pub mod contender;
 pub mod course;
 pub mod hosts;
 pub mod judge;
--- a/crates/trial/src/policy.rs
+++ b/crates/trial/src/policy.rs
@@ -3,6 +3,7 @@
 //! turns; hosts drop its repeats while it may be keyed and no longer once it is unsafe everywhere.
 
 use crate::clients::{self, Addresses, Ended, TIME};
+use crate::contender::{self, Way, Written};
 use crate::course::{Course, Fault, Kind};
 use crate::hosts::Hosts;
 use crate::judge::{judge, Heard, Line, Verdict};
@@ -55,6 +56,8 @@
     pub publishes: usize,
     /// Some proxies go on by a floor, or keep on, when cut off.
     pub mixed_terms: bool,
+    /// How the policy comes to them.
+    pub way: Way,
 }
 
 /// What a course came to.
@@ -173,6 +176,18 @@
     format!("{}endpoints = [{}]{}", &text[..from], endpoints.join(", "), &text[until..])
 }
 
+/// A proxy's file without control: the policy is its own.
+fn alone(text: &str, keyed: bool) -> String {
+    let part = |text: &str| {
+        let from = text.find("[defaults]").unwrap_or(text.len());
+        (text[..from].to_owned(), text[from..].to_owned())
+    };
+    let (own, policy) = (part(text).0, part(&policy(keyed)).1);
+    let (from, until) = (policy.find("[policy]"), policy.find("[[route]]"));
+    let (from, until) = (from.unwrap_or(policy.len()), until.unwrap_or(policy.len()));
+    format!("{own}{}{}", &policy[..from], &policy[until..])
+}
+
 /// The replicas of control, and the ways to them.
 struct Replicas {
     all: Vec<tokio::sync::Mutex<Process>>,
@@ -193,6 +208,8 @@
     passes: Mutex<Passes>,
     /// When proxies were not well, and when the way from one to control, or control itself, was not.
     unwell: Mutex<Vec<Unwell>>,
+    /// Without control: files that were written, and the generation that comes next.
+    written: Mutex<Vec<Written>>,
 }
 
 /// What holds at links.
@@ -202,6 +219,9 @@
     proxies: HashMap<usize, (Pass, Pass)>,
     /// Replicas that nothing reaches.
     cut: HashSet<usize>,
+    /// Proxies that do not run, or stand still.
+    down: HashSet<usize>,
+    still: HashSet<usize>,
 }
 
 /// A span in which something was not well.
@@ -251,6 +271,7 @@
             links.push(own);
             let named = format!("p{place}");
             let text = own_file(&hosts.addresses, &control, folder.path(), (&named, cut_off(place, size)));
+            let text = if size.way == Way::Control { text } else { alone(&text, true) };
             let file = folder.write(&format!("{named}.toml"), &text, false)?;
             let mut arguments = programs.proxy.1.clone();
             arguments.extend(["run".to_owned(), file.display().to_string()]);
@@ -277,6 +298,7 @@
             links,
             passes: Mutex::default(),
             unwell: Mutex::default(),
+            written: Mutex::default(),
         })
     }
 
@@ -289,7 +311,10 @@
     }
 
     /// Publishes the policy, and notes what is heard.
-    async fn publish(&self, keyed: bool) -> Result<(Heard, Outcome), String> {
+    async fn publish(self: &Arc<Self>, way: Way, keyed: bool) -> Result<(Heard, Outcome), String> {
+        if way != Way::Control {
+            return self.push(way, keyed).await;
+        }
         let mut control = self.control()?;
         let begun = std::time::Instant::now();
         let standing = control.standing().await.map_err(|e| e.to_string())?;
@@ -305,6 +330,80 @@
         Ok((heard, done.outcome))
     }
 
+    /// Writes the file of a proxy and has it read, if it can be reached.
+    async fn reach(&self, proxy: usize, keyed: bool, generation: u64) -> Result<bool, String> {
+        let away = {
+            let passes = locked(&self.passes);
+            let (forth, back) = passes.proxies.get(&proxy).copied().unwrap_or_default();
+            passes.down.contains(&proxy) || [forth, back].contains(&Pass::Cut)
+        };
+        if away {
+            return Ok(false);
+        }
+        let process = self.proxies[proxy].lock().await;
+        let path = self.folder.path().join(format!("p{proxy}.toml"));
+        let text = std::fs::read_to_string(&path).map_err(|e| e.to_string())?;
+        let fresh = self.folder.write(&format!("p{proxy}.new"), &alone(&text, keyed), false)?;
+        locked(&self.written).push((now(), proxy, generation));
+        std::fs::rename(&fresh, &path).map_err(|e| e.to_string())?;
+        process.signal(Signal::HUP);
+        Ok(true)
+    }
+
+    /// Brings the policy to each proxy without control.
+    async fn push(self: &Arc<Self>, way: Way, keyed: bool) -> Result<(Heard, Outcome), String> {
+        let begun = Instant::now();
+        let generation = locked(&self.written).iter().map(|w| w.2).max().unwrap_or(1) + 1;
+        let done = |in_force: bool, why: &str| {
+            let took_ms = u64::try_from(begun.elapsed().as_millis()).unwrap_or(u64::MAX);
+            let heard = Heard { generation, at: now(), in_force, took_ms, why: why.to_owned() };
+            (heard, if in_force { Outcome::InForce } else { Outcome::NotInForce })
+        };
+        let pause = Duration::from_millis(100);
+        if way == Way::TwoPhase {
+            let missing = || {
+                let passes = locked(&self.passes);
+                let cut = passes.proxies.values().any(|(a, b)| [a, b].contains(&&Pass::Cut));
+                cut || !passes.down.is_empty() || !passes.still.is_empty()
+            };
+            while missing() {
+                if begun.elapsed() > contender::TRIES {
+                    return Ok(done(false, "not all are there"));
+                }
+                tokio::time::sleep(pause).await;
+            }
+        }
+        let mut tasks = tokio::task::JoinSet::new();
+        for proxy in 0..self.proxies.len() {
+            let world = Arc::clone(self);
+            // Files go out one after another, some at a time; a spread takes what it takes.
+            let first = match way {
+                Way::Spread => Duration::from_millis(proxy as u64 * 7_919 % 2_000),
+                _ => Duration::from_millis(2 * proxy as u64),
+            };
+            tasks.spawn(async move {
+                tokio::time::sleep(first).await;
+                while !world.reach(proxy, keyed, generation).await? {
+                    if way == Way::Files && begun.elapsed() > contender::TRIES {
+                        break;
+                    }
+                    tokio::time::sleep(pause).await;
+                }
+                Ok::<_, String>(())
+            });
+        }
+        if way == Way::Spread {
+            // Nobody knows when it is through: it is taken to be after as long as it takes when all is well.
+            tokio::time::sleep(contender::TRIES).await;
+            tokio::spawn(async move { while tasks.join_next().await.is_some() {} });
+            return Ok(done(true, ""));
+        }
+        while let Some(task) = tasks.join_next().await {
+            task.map_err(|e| e.to_string())??;
+        }
+        Ok(done(true, ""))
+    }
+
     /// Waits until each proxy acts under what is in force.
     async fn settled(&self) -> Result<(), String> {
         let end = Instant::now() + LONG;
@@ -347,11 +446,17 @@
         };
         let slow = Pass::Delayed(Duration::from_millis(120));
         match fault.kind {
-            Kind::KillProxy | Kind::TearProxy => self.kill_proxy(fault, end).await?,
+            Kind::KillProxy | Kind::TearProxy => {
+                locked(&self.passes).down.insert(fault.whom);
+                self.kill_proxy(fault, end).await?;
+                locked(&self.passes).down.remove(&fault.whom);
+            }
             Kind::StopProxy => {
+                locked(&self.passes).still.insert(fault.whom);
                 self.proxies[fault.whom].lock().await.signal(Signal::STOP);
                 tokio::time::sleep_until(end).await;
                 self.proxies[fault.whom].lock().await.signal(Signal::CONT);
+                locked(&self.passes).still.remove(&fault.whom);
             }
             Kind::CutProxy => ways((Pass::Cut, Pass::Cut)),
             Kind::UnheardProxy => ways((Pass::Cut, Pass::Free)),
@@ -407,10 +512,12 @@
         };
         let start = log.iter().rev().find_map(|(_, l)| tells(l)).flatten();
         let start = start.and_then(|s| u64::from_str_radix(&s, 16).ok());
-        let mut control = self.control()?;
-        tokio::spawn(async move {
-            let _ = control.evict(&name, start).await;
-        });
+        if !self.replicas.all.is_empty() {
+            let mut control = self.control()?;
+            tokio::spawn(async move {
+                let _ = control.evict(&name, start).await;
+            });
+        }
         if fault.kind == Kind::TearProxy {
             let path = self.folder.path().join(format!("state-p{}", fault.whom)).join("caja.policy");
             if let Ok(bytes) = std::fs::read(&path) {
@@ -471,12 +578,15 @@
 /// If the fleet could not be started or asked: the trial itself failed, and says nothing of the program.
 pub async fn play(programs: &Programs, size: Size, course: &Course, keep: bool) -> Result<Played, String> {
     let world = Arc::new(World::start(programs, size, course.seed, keep).await?);
-    let (heard, first) = world.publish(true).await?;
-    if first != Outcome::InForce {
-        return Err(format!("the first policy: {}", heard.why));
+    let mut all_heard = Vec::new();
+    if size.way == Way::Control {
+        let (heard, first) = world.publish(size.way, true).await?;
+        if first != Outcome::InForce {
+            return Err(format!("the first policy: {}", heard.why));
+        }
+        all_heard.push(heard);
+        world.settled().await?;
     }
-    let mut all_heard = vec![heard];
-    world.settled().await?;
 
     let (stop, stopped) = watch::channel(false);
     let load = tokio::spawn(clients::run(
@@ -487,7 +597,7 @@
     ));
     let began = Instant::now();
     let mut faults = tokio::task::JoinSet::new();
-    for &fault in &course.faults {
+    for &fault in course.faults.iter().filter(|f| size.way == Way::Control || !f.kind.of_replica()) {
         faults.spawn(Arc::clone(&world).inflict(fault, began));
     }
     let (mut keyed, mut outcome, mut why, mut unended) = (true, Vec::new(), Vec::new(), 0);
@@ -497,7 +607,7 @@
             // Hosts know repeats again before anybody may send them.
             world.hosts.drop_repeats(CHARGE, true);
         }
-        let (heard, end) = world.publish(!keyed).await?;
+        let (heard, end) = world.publish(size.way, !keyed).await?;
         match end {
             Outcome::InForce => {
                 outcome.push("in-force");
@@ -526,7 +636,7 @@
         done.map_err(|e| e.to_string())??;
     }
     // All is well again: a change comes into force.
-    let (heard, end) = world.publish(!keyed).await?;
+    let (heard, end) = world.publish(size.way, !keyed).await?;
     unended += usize::from(end != Outcome::InForce);
     outcome.push(if end == Outcome::InForce { "in-force" } else { "not-in-force-though-well" });
     if end != Outcome::InForce {
@@ -536,14 +646,19 @@
     let _ = stop.send(true);
     let tries = load.await.map_err(|e| e.to_string())?;
 
-    let mut begun = Vec::new();
+    let (mut begun, mut logs) = (Vec::new(), Vec::new());
     for (place, proxy) in world.proxies.iter().enumerate() {
         let mut proxy = proxy.lock().await;
         if let Some(end) = proxy.ended() {
             return Err(format!("p{place} ended by itself: {end}"));
         }
         proxy.kill().await;
-        begun.extend(proxy.log().iter().filter_map(|(_, line)| Line::read(place, line)));
+        let log = proxy.log();
+        begun.extend(log.iter().filter_map(|(_, line)| Line::read(place, line)));
+        logs.push(log);
+    }
+    if size.way != Way::Control {
+        begun = contender::begun(&tries, &logs, &locked(&world.written));
     }
     // What was served had begun, and is in the logs: else nothing would be judged.
     let served = tries.iter().filter(|t| t.ended == Ended::Status(200)).count();
@@ -561,7 +676,8 @@
         !unwell.iter().filter(concerns).any(|u| u.touches(from, until, after))
     };
     let verdict = judge(begun, &all_heard, &tries, &world.hosts.executed(), well, calm);
-    let in_force_ms = all_heard.iter().skip(1).filter(|h| h.in_force).map(|h| h.took_ms).collect();
+    let in_force_ms =
+        all_heard.iter().filter(|h| h.in_force && h.generation > 1).map(|h| h.took_ms).collect();
     Ok(Played {
         seed: course.seed,
         faults: course.faults.clone(),
