--- a/crates/lab/tests/trial.rs
+++ b/crates/lab/tests/trial.rs
@@ -1,6 +1,5 @@
 //! The trial: with control nothing breaks under drawn faults, and where the policy spreads in its own time it does.
 
-use std::path::PathBuf;
 use std::process::{Command, Output};
 
 const LAB: &str = env!("CARGO_BIN_EXE_badgerramp-lab");
@@ -30,7 +29,7 @@
         }
         assert!(played["begun"].as_u64() > Some(0) && played["outcome"].is_array(), "{line}");
     }
-    std::fs::remove_file(PathBuf::from(json)).expect("a file");
+    std::fs::remove_file(json).expect("a file");
 }
 
 #[test]
--- a/crates/trial/src/contender.rs
+++ b/crates/trial/src/contender.rs
@@ -46,7 +46,7 @@
         };
         let had = |at: Micros| {
             let before = written.iter().filter(|w| w.1 == proxy && w.0 <= at).map(|w| w.2);
-            before.last().unwrap_or(1)
+            before.fold(1, |_, generation| generation)
         };
         logs[proxy].iter().filter(reads).map(|(at, _)| (*at, had(*at))).collect()
     };
--- a/crates/trial/src/link.rs
+++ b/crates/trial/src/link.rs
@@ -57,7 +57,12 @@
         let (state, _) = watch::channel(State::default());
         let states = state.clone();
         let task = tokio::spawn(async move {
-            while let Ok((near, _)) = listener.accept().await {
+            loop {
+                let Ok((near, _)) = listener.accept().await else {
+                    // Out of descriptors, or a connection that has gone already.
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                    continue;
+                };
                 let (state, target) = (states.subscribe(), *target.borrow());
                 tokio::spawn(async move {
                     let Some(target) = target else { return };
--- a/crates/trial/src/policy.rs
+++ b/crates/trial/src/policy.rs
@@ -60,6 +60,22 @@
     pub way: Way,
 }
 
+/// What a fleet costs with no change under way and no calls.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Calm {
+    /// CPU time of all replicas of control together, in microseconds for a proxy and second.
+    pub control_us: f64,
+    /// CPU time of a proxy, in microseconds a second.
+    pub proxy_us: f64,
+    /// Memory that a proxy holds, in KiB: the middle of all.
+    pub proxy_kib: u64,
+    /// The same for a replica of control.
+    pub control_kib: u64,
+}
+
+/// How long calm is measured.
+const CALM: Duration = Duration::from_secs(6);
+
 /// What a course came to.
 #[derive(Clone, Debug, Serialize)]
 pub struct Played {
@@ -76,6 +92,8 @@
     pub in_force_ms: Vec<u64>,
     /// Why others were not.
     pub why: Vec<String>,
+    /// What the fleet costs in calm; measured where no faults are drawn.
+    pub calm: Option<Calm>,
     /// Changes that had not ended long after the last fault had.
     pub unended: usize,
 }
@@ -421,6 +439,30 @@
         }
     }
 
+    /// What the fleet costs while nothing happens.
+    async fn calm(&self) -> Calm {
+        async fn sum(all: &[tokio::sync::Mutex<Process>]) -> (u64, u64) {
+            let (mut time, mut held) = (0, Vec::new());
+            for process in all {
+                let usage = process.lock().await.usage().unwrap_or_default();
+                time += usage.0;
+                held.push(usage.1);
+            }
+            held.sort_unstable();
+            (time, held.get(held.len() / 2).copied().unwrap_or(0))
+        }
+        let before = (sum(&self.proxies).await, sum(&self.replicas.all).await);
+        tokio::time::sleep(CALM).await;
+        let after = (sum(&self.proxies).await, sum(&self.replicas.all).await);
+        let each = |a: u64, b: u64| (b - a) as f64 / CALM.as_secs_f64() / self.proxies.len() as f64;
+        Calm {
+            control_us: each(before.1 .0, after.1 .0),
+            proxy_us: each(before.0 .0, after.0 .0),
+            proxy_kib: after.0 .1,
+            control_kib: after.1 .1,
+        }
+    }
+
     fn pass(&self) {
         let passes = locked(&self.passes);
         for (proxy, links) in self.links.iter().enumerate() {
@@ -588,6 +630,7 @@
         world.settled().await?;
     }
 
+    let calm = if course.faults.is_empty() { Some(world.calm().await) } else { None };
     let (stop, stopped) = watch::channel(false);
     let load = tokio::spawn(clients::run(
         Arc::clone(&world.addresses),
@@ -671,11 +714,11 @@
     };
     // A lease and an election after a fault of control, or of the way to it, all is well again.
     let after = (LEASE_MS + 4 * ELECTION_MS) * 1_000;
-    let calm = |proxy: usize, from: Micros, until: Micros| {
+    let quiet = |proxy: usize, from: Micros, until: Micros| {
         let concerns = |u: &&Unwell| u.proxy.is_none_or(|p| p == proxy);
         !unwell.iter().filter(concerns).any(|u| u.touches(from, until, after))
     };
-    let verdict = judge(begun, &all_heard, &tries, &world.hosts.executed(), well, calm);
+    let verdict = judge(begun, &all_heard, &tries, &world.hosts.executed(), well, quiet);
     let in_force_ms =
         all_heard.iter().filter(|h| h.in_force && h.generation > 1).map(|h| h.took_ms).collect();
     Ok(Played {
@@ -685,6 +728,7 @@
         outcome,
         in_force_ms,
         why,
+        calm,
         unended,
     })
 }
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -86,6 +86,21 @@
         Ok(())
     }
 
+    /// CPU time that it has used so far, in microseconds, and memory that it holds, in KiB, as the system counts them.
+    pub fn usage(&self) -> Option<(u64, u64)> {
+        let own =
+            |file: &str| std::fs::read_to_string(format!("/proc/{}/{file}", self.pid.as_raw_nonzero())).ok();
+        let stat = own("stat")?;
+        // The name, in brackets, may have blanks of its own.
+        let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+        let ticks = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+        let hertz = rustix::param::clock_ticks_per_second();
+        let status = own("status")?;
+        let held = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+        let held = held.split_whitespace().next()?.parse().ok()?;
+        Some((ticks * 1_000_000 / hertz.max(1), held))
+    }
+
     /// The lines kept so far.
     pub fn log(&self) -> Vec<Line> {
         self.log.lock().unwrap_or_else(PoisonError::into_inner).clone()
@@ -134,6 +149,14 @@
     Ok((child, pid, listening, reader))
 }
 
+/// Lets this process have as many descriptors as the system allows: a trial has thousands of links. Tells how many.
+pub fn all_descriptors() -> u64 {
+    use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
+    let Rlimit { maximum, .. } = getrlimit(Resource::Nofile);
+    let _ = setrlimit(Resource::Nofile, Rlimit { current: maximum, maximum });
+    getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX)
+}
+
 /// A folder for one course; it goes with its owner, unless it is to be kept.
 pub struct Folder {
     path: PathBuf,
--- a/crates/trial/src/report.rs
+++ b/crates/trial/src/report.rs
@@ -39,6 +39,12 @@
     row("changes in force", ended("in-force").to_string());
     row("changes not in force", ended("not-in-force").to_string());
     row("changes that did not end", sum(|p| p.unended).to_string());
+    if let Some(calm) = all.iter().find_map(|p| p.calm) {
+        row("calm: control, us a proxy and s", format!("{:.0}", calm.control_us));
+        row("calm: a proxy, us a s", format!("{:.0}", calm.proxy_us));
+        row("memory of a proxy, KiB", calm.proxy_kib.to_string());
+        row("memory of a replica, KiB", calm.control_kib.to_string());
+    }
     let times = times(all);
     for (name, share) in [("half", 0.5), ("nine tenths", 0.9), ("longest", 1.0)] {
         row(&format!("publish to in force, {name}, ms"), quantile(&times, share).to_string());
