--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -8,6 +8,7 @@
 mod list;
 mod load;
 mod plain;
+mod policy;
 mod quiet;
 
 use clap::{Parser, Subcommand};
@@ -52,6 +53,9 @@
         /// Another build of the program, measured as well.
         #[arg(long)]
         other: Option<PathBuf>,
+        /// The program with `[policy]` too, beside a replica of control.
+        #[arg(long, conflicts_with = "other")]
+        policy: bool,
         /// Lines that are added to the operator's file.
         #[arg(long, default_value = "")]
         extra: String,
@@ -116,8 +120,8 @@
 
 fn measure(what: What) -> Result<(), Fault> {
     match what {
-        What::Fleet { endpoints, connections, seconds, rounds, other, extra } => {
-            let course = Course { seconds, rounds, other, extra };
+        What::Fleet { endpoints, connections, seconds, rounds, other, policy, extra } => {
+            let course = Course { seconds, rounds, other, policy, extra };
             runtime()?.block_on(fleet(&endpoints, &connections, &course))
         }
         What::Quiet { proxies, endpoints, seconds, rate, svg } => {
@@ -147,6 +151,7 @@
     seconds: f64,
     rounds: usize,
     other: Option<PathBuf>,
+    policy: bool,
     extra: String,
 }
 
@@ -295,6 +300,14 @@
             let path = others[0].0.display().to_string();
             all.push(("other", Process::start(other, &["run".to_owned(), path])?));
         }
+        let control = if course_of.policy { Some(policy::Control::start()?) } else { None };
+        if let Some(control) = &control {
+            let extra = format!("{}\n{}", course_of.extra, control.table());
+            others.push(proxy(endpoints, &other_ports, &extra).await?);
+            control.publish(std::fs::read_to_string(&others[0].0)?).await?;
+            let path = others[0].0.display().to_string();
+            all.push(("policy", Process::start(&me, &["proxy".to_owned(), path])?));
+        }
         // The list must be in, and connections be made, before anything counts.
         tokio::time::sleep(Duration::from_millis(500)).await;
         for (_, process) in &all {
