Trial: one fault over all changes; two starts of one name, a copy that can't be kept

Need: what a change takes with one proxy down, cut off or stopped is to be measured, and an evicted start of a name must leave its other start alone.

--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -1,8 +1,8 @@
 //! `trial`: several processes of the real program with faults between them.
 
-use crate::play::Fault;
+use crate::play;
 use badgerramp_trial::contender::Way;
-use badgerramp_trial::course::{Course, Kind, KINDS};
+use badgerramp_trial::course::{Course, Fault, Kind, KINDS};
 use badgerramp_trial::policy::{play, Played, Programs, Size};
 use badgerramp_trial::process::all_descriptors;
 use badgerramp_trial::report;
@@ -10,6 +10,7 @@
 use std::io::Write;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// What is tried.
 #[derive(Subcommand)]
@@ -36,6 +37,9 @@
     /// Faults of this kind alone, or none.
     #[arg(long, value_name = "FAULT", value_parser = kind)]
     only: Option<Only>,
+    /// One proxy has the fault of --only over all changes but the last, and nothing else goes wrong.
+    #[arg(long, requires = "only")]
+    one: bool,
     /// Changes of the policy in a course, beside the last, which comes when all is well again.
     #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(0..=1_000))]
     publishes: u64,
@@ -77,16 +81,17 @@
 ///
 /// # Errors
 /// If the trial itself could not be played.
-pub fn run(trial: Trial) -> Result<bool, Fault> {
+pub fn run(trial: Trial) -> Result<bool, play::Fault> {
     let Trial::Policy(terms) = trial;
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| Fault::Other(e.to_string()))?;
-    runtime.block_on(policy(&terms)).map_err(Fault::Other)
+    let runtime = runtime.map_err(|e| play::Fault::Other(e.to_string()))?;
+    runtime.block_on(policy(&terms)).map_err(play::Fault::Other)
 }
 
 /// The command that plays one course again.
 fn again(terms: &Policy, seed: u64) -> String {
     let Policy { proxies, replicas, publishes, rate, way, .. } = terms;
+    let one = if terms.one { " --one" } else { "" };
     let only = match terms.only {
         Some(Only::Kind(kind)) => format!(" --only {}", kind.name()),
         Some(Only::Nothing) => " --only none".to_owned(),
@@ -94,7 +99,7 @@
     };
     format!(
         "badgerramp-lab trial policy --courses 1 --seed {seed} --proxies {proxies} --replicas {replicas} \
-         --publishes {publishes} --rate {rate} --way {way}{only}"
+         --publishes {publishes} --rate {rate} --way {way}{only}{one}"
     )
 }
 
@@ -109,7 +114,7 @@
         replicas: if terms.way == "control" { terms.replicas.parse().unwrap_or(3) } else { 0 },
         rate: terms.rate.clamp(1.0, 5_000.0),
         publishes: count(terms.publishes),
-        mixed_terms: !matches!(terms.only, Some(Only::Nothing)),
+        mixed_terms: !matches!(terms.only, Some(Only::Nothing)) && !terms.one,
         way: Way::named(&terms.way).unwrap_or(Way::Control),
     };
     // Each proxy has a listener for each replica, and two connections through one of them, both ends of which are here.
@@ -140,8 +145,13 @@
                     _ => None,
                 },
             );
-            if matches!(terms.only, Some(Only::Nothing)) {
-                course.faults.clear();
+            match terms.only {
+                Some(Only::Nothing) => course.faults.clear(),
+                Some(Only::Kind(kind)) if terms.one => {
+                    let until = Duration::from_secs(6 * terms.publishes);
+                    course.faults = vec![Fault { kind, whom: 0, from: Duration::ZERO, until }];
+                }
+                _ => {}
             }
             let (programs, keep) = (Arc::clone(&programs), terms.keep);
             running.spawn(async move { (seed, play(&programs, size, &course, keep).await) });
--- a/crates/proxy/tests/fleet.rs
+++ b/crates/proxy/tests/fleet.rs
@@ -176,10 +176,13 @@
 #[test]
 fn cut_off_a_proxy_does_what_its_file_says() {
     let mut world = World::start("cut", true);
+    // A file stands where its folder would be: that costs it its copy, and no call.
+    world.folder.write("state-keep", "", false).expect("a file");
     let (narrow, keep) = (world.proxy("narrow", "narrow"), world.proxy("keep", "keep"));
     assert_eq!(world.publish("caja", "/one").outcome, Outcome::InForce);
     becomes(&narrow, "/one", "200");
     becomes(&keep, "/one", "200");
+    keep.logged("the policy could not be kept");
     // The floor's route may not change while a proxy may act under it.
     let done = world.publish("caja", "/two");
     assert_eq!(done.outcome, Outcome::NotInForce);
@@ -196,6 +199,29 @@
     assert!(get(&keep, "/one").head.contains("200"));
 }
 
+#[test]
+fn two_starts_of_one_name_are_two_proxies() {
+    let mut world = World::start("name", false);
+    let (first, second) = (world.proxy("p", "refuse"), world.proxy("p", "keep"));
+    assert_eq!(world.publish("caja", "/one").outcome, Outcome::InForce);
+    becomes(&first, "/one", "200");
+    becomes(&second, "/one", "200");
+    let standing = ask(&world.at(), async |control| control.standing().await.expect("a status"));
+    assert_eq!(standing.proxies.iter().filter(|p| p.name == "p").count(), 2);
+    // One word does not do for both.
+    let why = ask(&world.at(), async |control| control.evict("p", None).await).expect_err("two");
+    assert!(why.contains("more than once"), "{why}");
+    let keeps = standing.proxies.iter().find(|p| p.cut_off == "keep").expect("it is written down");
+    let start = u64::from_str_radix(&keeps.incarnation, 16).expect("a number");
+    ask(&world.at(), async |control| control.evict("p", Some(start)).await).expect("evicted");
+    assert!(String::from_utf8_lossy(&becomes(&second, "/_health", "503").body).contains("evicted"));
+    becomes(&first, "/one", "200");
+    assert_eq!(world.publish("caja", "/two").outcome, Outcome::InForce);
+    becomes(&first, "/two", "200");
+    assert!(get(&second, "/one").head.contains("503"));
+    world.replica.end();
+}
+
 #[test]
 fn of_two_publishes_at_once_one_begins() {
     let mut world = World::start("two", false);
