--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 mod client;
+pub mod clock;
 mod convert;
 mod seal;
 
--- a/crates/config-tool/src/fleet.rs
+++ b/crates/config-tool/src/fleet.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 /// How often a change that is under way is looked at.
-const LOOK: Duration = Duration::from_millis(100);
+const LOOK: Duration = Duration::from_millis(30);
 /// One question is given up after this.
 const QUESTION: Duration = Duration::from_secs(2);
 
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -1,7 +1,7 @@
 //! What the leader does: lends modes, and takes a change from step to step.
 
-use crate::clock;
 use crate::store::{Id, Store, Types};
+use badgerramp_channel::clock;
 use badgerramp_policy::{
     Ask, Blocker, Command, Generation, Identity, LeaseTerms, Leases, Lent, Micros, Mode, Outcome,
 };
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,7 +3,6 @@
 #![forbid(unsafe_code)]
 
 pub mod cli;
-pub mod clock;
 pub mod floor;
 mod leader;
 mod network;
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -210,7 +210,7 @@
         self.leader.confirmed().await?;
         let (blockers, sessions) = self.leader.view();
         let record = self.store.record();
-        let now = crate::clock::now();
+        let now = badgerramp_channel::clock::now();
         let blockers = blockers.into_iter().map(|b| {
             let (why, left) = match b.why {
                 Why::Lease(until) if b.identity.is_none() => (
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -4,11 +4,11 @@
 use crate::net::admit::{Floor, Middle, Rules, Sidecar};
 use crate::net::driver::Driver;
 use crate::net::front::Front;
-use crate::net::gate::{leased_now, Gate};
+use crate::net::gate::Gate;
 use crate::program::Running;
 use crate::sidecar::{seed, Places};
 use badgerramp_channel::wire::{self, refusal, reply, request};
-use badgerramp_channel::{digest, Client, Fault, Secret};
+use badgerramp_channel::{clock, digest, Client, Fault, Secret};
 use badgerramp_config::{Config, PolicyTerms, Use};
 use badgerramp_decisions::ClassId;
 use badgerramp_policy::{Answered, CutOff, Generation, Holder, HolderTerms, Identity, Mode};
@@ -163,17 +163,17 @@
         let mut client = self.client();
         let mut told = String::new();
         loop {
-            let (due, now) = (self.gate.holder().borrow().due(), leased_now());
+            let (due, now) = (self.gate.holder().borrow().due(), clock::now());
             let Some(due) = due else { return std::future::pending().await };
             if now < due {
                 let nap = Duration::from_micros(due - now).min(NAP);
                 tokio::select! {
-                    () = self.news.notified() => self.gate.holder().borrow_mut().news(leased_now()),
+                    () = self.news.notified() => self.gate.holder().borrow_mut().news(clock::now()),
                     () = tokio::time::sleep(nap) => {}
                 }
                 continue;
             }
-            let ask = self.gate.holder().borrow_mut().ask(leased_now());
+            let ask = self.gate.holder().borrow_mut().ask(clock::now());
             let ask = request::What::Ask(wire::Ask::of(ask, &self.terms.application));
             let fault = match client.ask(&ask).await {
                 Ok(reply::What::Grant(grant)) => self.granted(&grant, &driver, &front).err(),
@@ -188,7 +188,7 @@
             match fault {
                 // One line for as long as it stays so.
                 Some(fault) => {
-                    self.gate.holder().borrow_mut().came_to_nothing(leased_now());
+                    self.gate.holder().borrow_mut().came_to_nothing(clock::now());
                     if told != fault {
                         warn!("no lease: {fault}");
                         told = fault;
@@ -230,7 +230,7 @@
         let Mode { old, new, .. } = grant.mode;
         holder.forget(|g| (g == old || g == new) && same(g));
         drop(read);
-        let answered = holder.answered(leased_now(), grant);
+        let answered = holder.answered(clock::now(), grant);
         drop(holder);
         match answered {
             Answered::Taken { .. } => {
--- a/crates/proxy/src/net/gate.rs
+++ b/crates/proxy/src/net/gate.rs
@@ -2,8 +2,8 @@
 //! is read at that moment.
 
 use super::admit::Rules;
-use badgerramp_policy::{Admission, Closed, Generation, Holder, Micros, Mode};
-use rustix::time::{clock_gettime, ClockId};
+use badgerramp_channel::clock;
+use badgerramp_policy::{Admission, Closed, Generation, Holder, Mode};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -12,13 +12,6 @@
 /// Target of the line that each call leaves that begins under a lease.
 pub const BEGUN: &str = "badgerramp::begun";
 
-/// Microseconds since the machine started, with those that it slept. Nobody can set it.
-pub fn leased_now() -> Micros {
-    let time = clock_gettime(ClockId::Boottime);
-    let whole = u64::try_from(time.tv_sec).unwrap_or(0).saturating_mul(1_000_000);
-    whole.saturating_add(u64::try_from(time.tv_nsec).unwrap_or(0) / 1_000)
-}
-
 /// Between the two looks of a call: what it was admitted by at the first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Stamp {
@@ -66,7 +59,7 @@
     /// # Errors
     /// If none may begin.
     pub fn open(&self) -> Result<(Rc<Rules>, Stamp), Closed> {
-        let admission = self.holder.borrow().admission(leased_now());
+        let admission = self.holder.borrow().admission(clock::now());
         let installed = self.installed.borrow();
         let rules = match admission {
             Admission::Closed(closed) => return Err(closed),
@@ -79,7 +72,7 @@
 
     /// A call begins now, if what it was admitted by holds still. False: it is to be admitted anew.
     pub fn begins(&self, stamp: Stamp, request: &str) -> bool {
-        let now = leased_now();
+        let now = clock::now();
         let admission = self.holder.borrow().admission(now);
         if admission != stamp.admission || self.installed.borrow().version != stamp.version {
             return false;
@@ -95,7 +88,7 @@
 
     /// What health says: why nothing begins, if so; else under what it does.
     pub fn told(&self) -> Result<String, String> {
-        match self.holder.borrow().admission(leased_now()) {
+        match self.holder.borrow().admission(clock::now()) {
             Admission::Under(mode) => Ok(format!("ok, {mode}")),
             Admission::Floor(generation) => Ok(format!("cut off from control, the floor of {generation}")),
             Admission::Closed(Closed::NoLease) => Err("no policy from control yet".to_owned()),
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -23,12 +23,5 @@
 pub mod process;
 pub mod report;
 
-use badgerramp_policy::Micros;
-use rustix::time::{clock_gettime, ClockId};
-
-/// The clock of all notes, which is the one that leases run on: microseconds since the machine started.
-pub fn now() -> Micros {
-    let time = clock_gettime(ClockId::Boottime);
-    let whole = u64::try_from(time.tv_sec).unwrap_or(0).saturating_mul(1_000_000);
-    whole.saturating_add(u64::try_from(time.tv_nsec).unwrap_or(0) / 1_000)
-}
+/// The clock of all notes, which is the one that leases run on.
+pub use badgerramp_channel::clock::now;
