--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 mod fleet;
 pub mod log;
 pub mod net;
+mod places;
 mod platform;
 pub mod program;
 pub mod sidecar;
