Trial: hosts know repeats again before the last change too

Three changes end with unsafe, the last one makes the charge keyed, and the trial published that without having its hosts drop repeats first; with two changes it never did. Ruled out: the proxy that was stopped (the call came after its end).

--- a/crates/trial/src/policy.rs
+++ b/crates/trial/src/policy.rs
@@ -679,6 +679,9 @@
         done.map_err(|e| e.to_string())??;
     }
     // All is well again: a change comes into force.
+    if !keyed {
+        world.hosts.drop_repeats(CHARGE, true);
+    }
     let (heard, end) = world.publish(size.way, !keyed).await?;
     unended += usize::from(end != Outcome::InForce);
     outcome.push(if end == Outcome::InForce { "in-force" } else { "not-in-force-though-well" });
