--- a/crates/proxy/src/net/front.rs
+++ b/crates/proxy/src/net/front.rs
@@ -14,7 +14,6 @@
 use http_body_util::{BodyExt, Collected, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderValue};
-use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Response, StatusCode};
@@ -248,11 +247,7 @@
         // Read before the lease is looked at: a process that is stopped in between finds its call's time over.
         let mut now = clock.now();
         if let Some((gate, mut stamp, plain)) = stamp {
-            let id = |parts: &Parts| {
-                let id = parts.headers.get("x-request-id").and_then(|v| v.to_str().ok());
-                id.unwrap_or_default().to_owned()
-            };
-            while !gate.begins(stamp, &id(&parts)) {
+            while !gate.begins(stamp, &parts.headers) {
                 // The body took its time, and something else holds by now.
                 let (Ok((rules, newer)), Some(plain)) = (gate.open(), &plain) else {
                     return self.refused(0);
--- a/crates/proxy/src/net/gate.rs
+++ b/crates/proxy/src/net/gate.rs
@@ -4,6 +4,7 @@
 use super::admit::Rules;
 use badgerramp_channel::clock;
 use badgerramp_policy::{Admission, Closed, Generation, Holder, Mode};
+use hyper::header::HeaderMap;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -71,7 +72,7 @@
     }
 
     /// A call begins now, if what it was admitted by holds still. False: it is to be admitted anew.
-    pub fn begins(&self, stamp: Stamp, request: &str) -> bool {
+    pub fn begins(&self, stamp: Stamp, headers: &HeaderMap) -> bool {
         let now = clock::now();
         let admission = self.holder.borrow().admission(now);
         if admission != stamp.admission || self.installed.borrow().version != stamp.version {
@@ -82,7 +83,8 @@
             Admission::Floor(generation) => (true, generation, generation),
             Admission::Closed(_) => return false,
         };
-        debug!(target: BEGUN, at = now, old = old.0, new = new.0, floor, request, "begun");
+        let id = || headers.get("x-request-id").and_then(|v| v.to_str().ok()).unwrap_or_default();
+        debug!(target: BEGUN, at = now, old = old.0, new = new.0, floor, request = id(), "begun");
         true
     }
 
