--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -76,6 +76,8 @@
         #[arg(long)]
         svg: Option<PathBuf>,
     },
+    /// What it costs to look whether a call may begin, with and without a lease to look at.
+    Gate,
     /// What news of a long list costs.
     List {
         #[arg(long, value_delimiter = ',', default_value = "100,1000,10000")]
@@ -128,6 +130,10 @@
             let plan = quiet::Plan { proxies, endpoints, seconds, rate, svg };
             tokio::task::LocalSet::new().block_on(&runtime()?, quiet::play(&plan))
         }
+        What::Gate => {
+            policy::gate();
+            Ok(())
+        }
         What::List { endpoints } => list::play(&endpoints),
         What::Control { ignore } => Ok(control::serve(ignore)?),
         What::Memory { endpoints } => runtime()?.block_on(memory(&endpoints)),
@@ -337,6 +343,13 @@
                     all.iter().map(|f| f.odd).sum::<u64>()
                 );
             }
+            if let [_, own, third] = seen.as_slice() {
+                let of_own = |get: fn(&Figures) -> f64| {
+                    middle(third.iter().zip(own).map(|(a, b)| get(a) / get(b)).collect())
+                };
+                let (cpu, rate) = (of_own(|f| f.cpu), of_own(|f| f.rate));
+                println!("{endpoints:>9} {connections:>8}  {} of proxy, round by round: CPU {cpu:.3}, rate {rate:.3}", all[2].0);
+            }
         }
     }
     Ok(())
--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -1,15 +1,23 @@
 //! A replica of control beside the measured program.
 
 use crate::Fault;
+use badgerramp::net::admit::{Platform, Rules};
+use badgerramp::net::gate::Gate;
+use badgerramp_channel::clock;
 use badgerramp_config_tool::fleet::{At, Control as Asked, Outcome};
 use badgerramp_control::settings::Settings;
 use badgerramp_control::store::Store;
+use badgerramp_decisions::settings::{Facts, Transport};
+use badgerramp_decisions::Settings as Decided;
+use badgerramp_policy::{CutOff, Generation, Grant, Holder, HolderTerms, Identity, Mode};
+use hyper::header::HeaderMap;
 use std::collections::HashMap;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::PathBuf;
-use std::time::Duration;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 /// A replica in threads of this process; its folder goes with it.
 pub struct Control {
@@ -74,6 +82,34 @@
     }
 }
 
+/// Prints the time of both looks at the lease that a call takes.
+pub fn gate() {
+    const TIMES: u32 = 2_000_000;
+    let identity = Identity { name: "bench".to_owned(), incarnation: 1 };
+    let terms = HolderTerms { cut_off: CutOff::Refuse, answer_within: 1, pause: 1 };
+    let mut holder = Holder::new(identity, terms, [Generation(1)].into());
+    let mode = Mode::settled(1, Generation(1));
+    let asked = holder.ask(clock::now());
+    holder.answered(clock::now(), Grant { number: asked.number, mode, lease: 3_600_000_000 });
+    let gate = Gate::new(holder);
+    let transport = Transport { max_open: 1, conn_idle: 1, connect_timeout: 1 };
+    let (settings, classes, tenants) = (Decided::default(), Vec::new(), Vec::new());
+    let facts = Facts { settings, classes, tenants, transport };
+    let rules = Rc::new(Rules::Platform(Platform::new(&facts, None)));
+    gate.install(mode, Rc::clone(&rules), rules);
+    let headers = HeaderMap::new();
+    let mut begun = 0_u32;
+    let began = Instant::now();
+    for _ in 0..TIMES {
+        if let Ok((rules, stamp)) = gate.open() {
+            std::hint::black_box(&rules);
+            begun += u32::from(gate.begins(stamp, &headers));
+        }
+    }
+    let each = began.elapsed().as_nanos() as f64 / f64::from(TIMES);
+    println!("{begun} calls begun, {each:.0} ns each for both looks at the lease");
+}
+
 impl Drop for Control {
     fn drop(&mut self) {
         let _ = std::fs::remove_dir_all(&self.folder);
