Links for datagrams in the trial; a full disk at control

Need: the trial is the base of work on messages between proxies, and a full disk is among the hard cases.

A replica whose file may grow no further ends and says that it can't go on; started with room again it has all that it had answered.

--- a/crates/control/tests/replica.rs
+++ b/crates/control/tests/replica.rs
@@ -125,6 +125,46 @@
     assert!(answered > 0);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_full_disk_is_told_and_loses_nothing_that_was_answered() {
+    let mut replicas = Replicas::start("full", 1).await;
+    let store = replicas.folder.path().join("store-1");
+    replicas.all[0].kill().await;
+    // A file may grow no further than that: a write beyond it fails as it does on a full disk.
+    let room = std::fs::metadata(&store).expect("a file").len() / 512 + 64;
+    let file = replicas.folder.path().join("1.toml").display().to_string();
+    let script = format!("trap '' XFSZ; ulimit -f {room}; exec \"$0\" serve \"$1\"");
+    let arguments = vec!["-c".to_owned(), script, CONTROL.to_owned(), file];
+    let plan = Plan { program: "/bin/sh".into(), arguments, keep: Vec::new() };
+    let mut full = Process::start(plan).await.expect("it starts");
+    replicas.at[0].send_replace(Some(full.listens().await.expect("it listens")));
+    let mut answered = 0;
+    let ended = loop {
+        if let Some(ended) = full.ended() {
+            break ended;
+        }
+        let large = format!("{POLICY}\n# {answered}\n{}", "# room\n".repeat(20_000));
+        let files = HashMap::from([("caja".to_owned(), large)]);
+        let publish = request::What::Publish(Publish { files, revision: answered });
+        let mut client = replicas.client();
+        match tokio::time::timeout(Duration::from_secs(10), client.ask(&publish)).await {
+            Ok(Ok(reply::What::Begun(_))) => {
+                // The next is published beside what has come of this one.
+                let mut control = replicas.control();
+                match tokio::time::timeout(Duration::from_secs(10), control.standing()).await {
+                    Ok(Ok(standing)) => answered = standing.revision,
+                    _ => continue,
+                }
+            }
+            _ => tokio::time::sleep(Duration::from_millis(100)).await,
+        }
+    };
+    assert!(ended.contains("can't go on") || ended.contains("can't be used"), "{ended}");
+    replicas.again(0).await;
+    let standing = replicas.control().standing().await.expect("a status");
+    assert!(standing.revision >= answered, "{} {answered}", standing.revision);
+}
+
 async fn state(path: &Path) -> Result<String, store::Fault> {
     let mut store = Store::open(path, 1)?;
     let log = store.get_log_state().await.map_err(|e| store::Fault::Damaged(e.to_string()))?;
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -3,7 +3,7 @@
 //! is noted on one clock, and judged from those notes alone.
 //!
 //! - [`course`]: what goes wrong when, drawn from a seed.
-//! - [`link`]: the way between two processes.
+//! - [`link`], [`datagrams`]: the way between two processes.
 //! - [`process`]: a process and its log.
 //! - [`hosts`], [`clients`]: what is behind the proxies and before them.
 //! - [`contender`]: other ways to bring a policy to a fleet.
@@ -16,6 +16,7 @@
 pub mod clients;
 pub mod contender;
 pub mod course;
+pub mod datagrams;
 pub mod hosts;
 pub mod judge;
 pub mod link;
