--- a/crates/trial/src/judge.rs
+++ b/crates/trial/src/judge.rs
@@ -63,6 +63,8 @@
     pub begun: usize,
     /// P1: calls that began under what was past.
     pub begun_mixed: usize,
+    /// From the first call under a generation to the last under an older one, in milliseconds: the longest.
+    pub mixed_ms: u64,
     /// P2: calls that began under what was not in force, or no more.
     pub begun_wrong: usize,
     /// Keys executed more than once.
@@ -101,11 +103,18 @@
     let mut told: Vec<&Heard> = heard.iter().filter(|h| h.in_force).collect();
     told.sort_by_key(|h| h.at);
     let mut told = told.into_iter().peekable();
+    let (mut newest, mut since) = (Generation(0), 0);
     for line in begun.iter().filter(|line| !line.floor) {
+        if line.mode.old > newest {
+            (newest, since) = (line.mode.old, line.at);
+        }
         while let Some(heard) = told.next_if(|h| h.at < line.at) {
             judge.in_force(Generation(heard.generation));
         }
         let identity = Identity { name: line.proxy.to_string(), incarnation: 0 };
+        if line.mode.new < newest {
+            verdict.mixed_ms = verdict.mixed_ms.max((line.at - since) / 1_000);
+        }
         let Some(fault) = judge.begun(&Begun { identity, mode: line.mode }) else { continue };
         match fault {
             Fault::Mixed { .. } => verdict.begun_mixed += 1,
@@ -162,8 +171,9 @@
         let good = vec![line(5, 1, 2), line(1, 1, 1), line(9, 2, 2), line(7, 1, 1)];
         assert!(verdict(good.clone(), &[]).held());
         let mut mixed = good.clone();
-        mixed.push(line(10, 1, 1));
-        assert_eq!(verdict(mixed, &[]).begun_mixed, 1);
+        mixed.push(line(4_009, 1, 1));
+        let judged = verdict(mixed, &[]);
+        assert_eq!((judged.begun_mixed, judged.mixed_ms), (1, 4));
         let heard =
             |generation, at, in_force| Heard { generation, at, in_force, took_ms: 0, why: String::new() };
         assert_eq!(verdict(good.clone(), &[heard(2, 6, true)]).begun_wrong, 1);
--- a/crates/trial/src/report.rs
+++ b/crates/trial/src/report.rs
@@ -31,6 +31,8 @@
     row("tries of clients", sum(|p| p.verdict.calls).to_string());
     row("calls begun", sum(|p| p.verdict.begun).to_string());
     row("begun mixed (P1)", sum(|p| p.verdict.begun_mixed).to_string());
+    let mixed = all.iter().map(|p| p.verdict.mixed_ms).max();
+    row("mixed for, the longest, ms", mixed.unwrap_or(0).to_string());
     row("begun wrong (P2)", sum(|p| p.verdict.begun_wrong).to_string());
     row("executed twice", sum(|p| p.verdict.executed_twice).to_string());
     row("lost", sum(|p| p.verdict.lost).to_string());
