Peers: what proxies of a fleet pass on of the list, and who asks for it; no I/O

Now some ask and the others hear of it: belief (newest list wins, doubts of old, half and empty ones), turns (feedback timers of RFC 4654, no need to know how many there are), membership by foca (SWIM, no I/O), lists in parts over datagrams.

--- /dev/null
+++ b/crates/peers/src/lib.rs
@@ -0,0 +1,23 @@
+//! Proxies of one fleet know each other, and pass on what the list service told one of them: a handful asks for all.
+//!
+//! - [`list`]: the list, its stamp, what changed of it.
+//! - [`belief`]: which list is believed: newer ones over older, a service's own word over none, doubts.
+//! - [`turns`]: who asks the service, and when, without knowing how many proxies there are.
+//! - [`parcel`]: a list in parts that fit into datagrams.
+//! - [`peer`]: one proxy among its peers; membership is the SWIM of the `foca` crate.
+//! - [`play`]: many of them in virtual time, on a network that loses, doubles and delays.
+//!
+//! Nothing here does I/O or reads a clock: a [`peer::Peer`] is told what happens, at moments in microseconds, and says
+//! what is to be sent, asked and believed. What the list means for calls is the balancer's.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod belief;
+pub mod list;
+pub mod parcel;
+pub mod peer;
+pub mod play;
+pub mod turns;
+
+/// Moments and spans are in microseconds.
+pub type Micros = u64;
--- /dev/null
+++ b/crates/peers/src/list.rs
@@ -0,0 +1,156 @@
+//! The list of hosts, as it passes between proxies.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Which list this is. The order is that of age: of the service's lives, then of its versions; lists that differ
+/// under one version are ordered by their content, so that all proxies choose the same one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Stamp {
+    /// A service that was restored counts from an older index: then a new life begins.
+    pub life: u32,
+    /// The service's own version.
+    pub index: u64,
+    /// Of the content.
+    pub digest: u64,
+}
+
+/// What the list says of a host, in discovery's words.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Address and port.
+    pub address: String,
+    /// Zone, if it is told.
+    pub zone: String,
+    /// Kind of machine, if it is told.
+    pub kind: String,
+    /// Cell.
+    pub group: u32,
+    /// `up`, or what stands in its place.
+    pub status: String,
+    /// Its size or load.
+    pub weight: f64,
+    /// Unix time of its start in milliseconds; 0: long ago.
+    pub since_ms: u64,
+}
+
+impl Entry {
+    /// Does it take calls?
+    pub fn up(&self) -> bool {
+        self.status == "up"
+    }
+}
+
+/// A change of one host: its entry, or that it has gone.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// The host.
+    pub name: String,
+    /// `None`: removed.
+    pub entry: Option<Entry>,
+}
+
+/// A whole list.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Book {
+    entries: BTreeMap<String, Entry>,
+}
+
+impl Book {
+    /// Of these entries. One that is removed is not in it.
+    pub fn new(changes: impl IntoIterator<Item = Change>) -> Self {
+        Book { entries: changes.into_iter().filter_map(|c| Some((c.name, c.entry?))).collect() }
+    }
+
+    /// The list after these changes.
+    pub fn after(&self, changes: &[Change]) -> Self {
+        let mut entries = self.entries.clone();
+        for change in changes {
+            match &change.entry {
+                Some(entry) => entries.insert(change.name.clone(), entry.clone()),
+                None => entries.remove(&change.name),
+            };
+        }
+        Book { entries }
+    }
+
+    /// What makes this list out of an older one.
+    pub fn since(&self, old: &Book) -> Vec<Change> {
+        let gone = old.entries.keys().filter(|name| !self.entries.contains_key(*name));
+        let gone = gone.map(|name| Change { name: name.clone(), entry: None });
+        let new = self.entries.iter().filter(|(name, entry)| old.entries.get(*name) != Some(entry));
+        let new = new.map(|(name, entry)| Change { name: name.clone(), entry: Some(entry.clone()) });
+        gone.chain(new).collect()
+    }
+
+    /// Its entries by name.
+    pub fn entries(&self) -> impl ExactSizeIterator<Item = (&String, &Entry)> {
+        self.entries.iter()
+    }
+
+    /// The entry of this name.
+    pub fn get(&self, name: &str) -> Option<&Entry> {
+        self.entries.get(name)
+    }
+
+    /// Hosts that take calls.
+    pub fn up(&self) -> usize {
+        self.entries.values().filter(|e| e.up()).count()
+    }
+
+    /// Hosts that take calls here and are not even named there.
+    pub fn missing_from(&self, other: &Book) -> usize {
+        self.entries.iter().filter(|(name, e)| e.up() && !other.entries.contains_key(*name)).count()
+    }
+
+    /// As bytes.
+    pub fn bytes(&self) -> Vec<u8> {
+        // A map of strings and numbers can't fail to be written into memory.
+        postcard::to_stdvec(&self.entries).unwrap_or_default()
+    }
+
+    /// Out of bytes.
+    pub fn read(bytes: &[u8]) -> Option<Self> {
+        postcard::from_bytes(bytes).ok().map(|entries| Book { entries })
+    }
+
+    /// Of its content.
+    pub fn digest(&self) -> u64 {
+        xxh3_64(&self.bytes())
+    }
+}
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+
+    pub(crate) fn up(name: &str) -> Change {
+        let status = "up".to_owned();
+        let entry =
+            Entry { address: format!("127.0.0.1:{}", 9_000 + name.len()), status, ..Entry::default() };
+        Change { name: name.to_owned(), entry: Some(entry) }
+    }
+
+    pub(crate) fn gone(name: &str) -> Change {
+        Change { name: name.to_owned(), entry: None }
+    }
+
+    #[test]
+    fn changes_lead_from_one_list_to_the_other() {
+        let (old, new) = (Book::new([up("a"), up("bb")]), Book::new([up("bb"), up("ccc"), gone("d")]));
+        let changes = new.since(&old);
+        assert_eq!(changes, vec![gone("a"), up("ccc")]);
+        assert_eq!(old.after(&changes), new);
+        assert_eq!((new.since(&new).len(), new.missing_from(&old), new.up()), (0, 1, 2));
+        assert_eq!(Book::read(&new.bytes()), Some(new.clone()));
+        assert_ne!(new.digest(), old.digest());
+        assert_eq!(Book::read(&new.bytes()[..9]), None);
+    }
+
+    #[test]
+    fn a_new_life_is_newer_than_any_version_of_the_old_one() {
+        let stamp = |life, index, digest| Stamp { life, index, digest };
+        assert!(stamp(2, 1, 0) > stamp(1, 900, 9) && stamp(1, 8, 0) > stamp(1, 7, 9));
+    }
+}
--- /dev/null
+++ b/crates/peers/src/turns.rs
@@ -0,0 +1,447 @@
+//! Who asks the list service, and when.
+//!
+//! [`WANTED`] proxies ask for all. Nobody appoints them: a proxy that hears of fewer draws a time and asks when it is up,
+//! unless it has heard of enough by then. The law of the draw is that of the feedback timers of TFMCC (RFC 4654, 2.5.1):
+//! most times are long and few are short, so that some begin early and are heard before the rest begin, be they five
+//! or ten thousand. Where more ask than are wanted, those of the lowest rank (a hash of the number that a proxy has drawn
+//! at its start) stop.
+//!
+//! One that has met no peer at all (its seeds are down) can't be heard and hears nobody: then each asks for itself, at a
+//! time whose logarithm is drawn evenly, so that a few who are alone wait for two seconds in the middle, and hundreds do
+//! not come together.
+//!
+//! One that fails pauses for longer each time, never for less than the service has said, and for longer where the service
+//! takes long for an answer. While any are known to try, others leave it to them: so the sum of questions to a service
+//! that is down does not grow with the number of proxies. Only if all that try have failed for long, others take a
+//! turn, rarely: those that ask may be cut off from the service, and others not.
+
+use crate::Micros;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Proxies that ask: one may die and another be cut off at the same moment.
+pub const WANTED: usize = 3;
+/// The law of the draw holds for up to so many proxies (RFC 4654's own figure).
+const PROXIES_MOST: f64 = 10_000.0;
+/// Span of the draw of one that has no list, has met a peer and knows of nobody who asks. A question, its answer and their way to the
+/// others take about a tenth of it, so that few begin in vain.
+const SPAN: Micros = 1_000_000;
+/// Earliest and latest time of one that has met no peer. 300 of them are 72 questions in the first second and fewer in
+/// each later one.
+const ALONE: (Micros, Micros) = (250_000, 16_000_000);
+/// ... of a seed, which is asked by those that start: it is the first to need the list.
+const SPAN_SEED: Micros = 100_000;
+/// ... of one that has a list, or knows somebody who asks.
+const SPAN_MORE: Micros = 4_000_000;
+/// ... of one that knows that all who ask fail.
+const SPAN_FAILED: Micros = 8_000_000;
+/// Failures in a row after which one that asks counts as cut off.
+pub const CUT_OFF: u32 = 3;
+/// Pause after the first failure, and the longest, if the service answers quickly.
+const PAUSE_LEAST: Micros = 200_000;
+const PAUSE_MOST: Micros = 2_000_000;
+/// The longest pause in times of an answer, where that is more: a service that takes a second for an answer gets a
+/// question from each that asks in twenty.
+const ANSWERS: u64 = 20;
+/// One that asks is forgotten when nothing new was heard of it for so long: a word a second from each takes about seven
+/// rounds to reach two thousand.
+pub const FRESH: Micros = 15_000_000;
+/// After its turn was in vain a proxy leaves it to others for so long.
+const REST: Micros = 30_000_000;
+/// Most that are known to ask. More need not be told apart.
+pub const KNOWN_MOST: usize = 8;
+
+/// The number that a proxy has drawn at its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Id(pub u64);
+
+/// What is told of one that asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Word {
+    /// Who.
+    pub id: Id,
+    /// Grows with each word of its own; 0 for none yet.
+    pub count: u32,
+    /// It asks; else it has stopped.
+    pub asks: bool,
+    /// Failures since the service last answered it; [`u32::MAX`]: it has not heard it yet.
+    pub failures: u32,
+    /// What an answer takes, in milliseconds, as it has learned.
+    pub answer_ms: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Other {
+    word: Word,
+    heard: Micros,
+}
+
+/// What a time is drawn from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Lot {
+    /// Within a span, by the law of RFC 4654.
+    Within(Micros),
+    /// See [`ALONE`].
+    Alone,
+}
+
+/// Decides when this proxy asks.
+#[derive(Clone, Debug)]
+pub struct Turns {
+    id: Id,
+    seed: bool,
+    random: Pcg32,
+    others: BTreeMap<Id, Other>,
+    own: Word,
+    /// A question is out.
+    out: bool,
+    /// When it would ask.
+    due: Option<Micros>,
+    /// The lot that `due` was drawn from.
+    lot: Option<Lot>,
+    /// A peer was heard.
+    met: bool,
+    rest_until: Micros,
+    /// Somebody has failed with this least pause, until then.
+    not_before: Micros,
+}
+
+impl Turns {
+    /// Those of a proxy; `seed`: others are told to turn to it when they start.
+    pub fn new(id: Id, seed: bool) -> Self {
+        let own = Word { id, count: 0, asks: false, failures: u32::MAX, answer_ms: 0 };
+        Turns {
+            id,
+            seed,
+            random: Pcg32::seed_from_u64(id.0),
+            others: BTreeMap::new(),
+            own,
+            out: false,
+            due: None,
+            lot: None,
+            met: seed,
+            rest_until: 0,
+            not_before: 0,
+        }
+    }
+
+    /// Does this proxy ask for all?
+    pub fn asks(&self) -> bool {
+        self.own.asks
+    }
+
+    /// Does it hear the service?
+    pub fn hears(&self) -> bool {
+        self.own.asks && self.own.failures == 0
+    }
+
+    /// Is anybody known who hears the service, this proxy included?
+    pub fn heard(&self) -> bool {
+        self.hears() || self.others.values().any(|o| o.word.asks && o.word.failures == 0)
+    }
+
+    /// What is told of those that ask, this proxy's own word first; `tick`: as a new one.
+    pub fn words(&mut self, tick: bool) -> Vec<Word> {
+        let tell_own = self.own.asks || self.own.count > 0;
+        if tick && self.own.asks {
+            self.own.count += 1;
+        }
+        let own = tell_own.then_some(self.own);
+        // Those that ask before those that have stopped, then those that were heard of last.
+        let mut others: Vec<&Other> = self.others.values().collect();
+        others.sort_by_key(|o| std::cmp::Reverse((o.word.asks, o.heard)));
+        own.into_iter().chain(others.into_iter().map(|o| o.word)).take(KNOWN_MOST).collect()
+    }
+
+    /// Those known to ask, this proxy included, and since when nothing was heard of them.
+    pub fn known(&self, now: Micros) -> Vec<(Word, Micros)> {
+        let own = self.own.asks.then_some((self.own, 0));
+        let others = self.others.values().filter(|o| o.word.asks);
+        own.into_iter().chain(others.map(|o| (o.word, now.saturating_sub(o.heard)))).collect()
+    }
+
+    /// A peer tells of those that ask. True: somebody has begun to ask, hears the service now or does so no more.
+    pub fn told(&mut self, now: Micros, words: &[Word]) -> bool {
+        let mut news = false;
+        for &word in words.iter().take(KNOWN_MOST).filter(|w| w.id != self.id) {
+            let old = self.others.get(&word.id).map(|o| o.word);
+            if old.is_some_and(|o| o.count >= word.count) {
+                continue;
+            }
+            let state = |w: Word| (w.asks, w.failures == 0, w.failures >= CUT_OFF);
+            news |= old.map(state) != Some(state(word)) && (word.asks || old.is_some());
+            self.others.insert(word.id, Other { word, heard: now });
+            if self.own.answer_ms == 0 {
+                self.own.answer_ms = word.answer_ms;
+            }
+        }
+        while self.others.len() > 2 * KNOWN_MOST {
+            let oldest = self.others.values().min_by_key(|o| (o.word.asks, o.heard)).map(|o| o.word.id);
+            oldest.map(|id| self.others.remove(&id));
+        }
+        self.look(now, false);
+        news
+    }
+
+    /// A peer was heard.
+    pub fn met(&mut self, now: Micros, listed: bool) {
+        if !std::mem::replace(&mut self.met, true) {
+            self.look(now, listed);
+        }
+    }
+
+    /// A peer has gone.
+    pub fn gone(&mut self, now: Micros, id: Id) {
+        if let Some(other) = self.others.get_mut(&id) {
+            // Remembered, so that an old word of it that is still about does not bring it back.
+            other.word.asks = false;
+        }
+        self.look(now, false);
+    }
+
+    /// Others that ask: those that hear the service, those that have not heard it yet or only just failed, and those that
+    /// are cut off.
+    fn standing(&self, now: Micros) -> (usize, usize, usize) {
+        let mut counts = (0, 0, 0);
+        for other in self.others.values().filter(|o| o.word.asks && now < o.heard + FRESH) {
+            match other.word.failures {
+                0 => counts.0 += 1,
+                failures if failures < CUT_OFF || failures == u32::MAX => counts.1 += 1,
+                _ => counts.2 += 1,
+            }
+        }
+        counts
+    }
+
+    /// What this proxy's time is drawn from; `None`: others ask.
+    fn wanted(&self, now: Micros, listed: bool) -> Option<Lot> {
+        let (hearing, trying, cut_off) = self.standing(now);
+        if hearing + trying >= WANTED || (hearing == 0 && trying > 0) {
+            return None;
+        }
+        let span = match (hearing, cut_off) {
+            (1.., _) => SPAN_MORE,
+            (0, 0) if listed => SPAN_MORE,
+            (0, 0) if self.seed => SPAN_SEED,
+            (0, 0) if !self.met => return Some(Lot::Alone),
+            (0, 0) => SPAN,
+            (0, _) => SPAN_FAILED,
+        };
+        Some(Lot::Within(span))
+    }
+
+    fn draw(&mut self, lot: Lot) -> Micros {
+        let share: f64 = self.random.gen_range(f64::MIN_POSITIVE..=1.0);
+        match lot {
+            Lot::Within(span) => (span as f64 * (1.0 + share.ln() / PROXIES_MOST.ln()).max(0.0)) as Micros,
+            Lot::Alone => (ALONE.0 as f64 * (ALONE.1 as f64 / ALONE.0 as f64).powf(share)) as Micros,
+        }
+    }
+
+    /// Sets or takes back the time at which this proxy would begin to ask.
+    fn look(&mut self, now: Micros, listed: bool) {
+        if self.own.asks {
+            return;
+        }
+        match self.wanted(now, listed) {
+            None => self.due = None,
+            Some(lot) if self.due.is_none() || Some(lot) != self.lot => {
+                self.lot = Some(lot);
+                let wait = self.draw(lot);
+                self.due = Some((now + wait).max(self.rest_until).max(self.not_before));
+            }
+            Some(_) => {}
+        }
+    }
+
+    /// Should the service be asked now? `listed`: this proxy has a list. True: the question counts as out.
+    pub fn ask(&mut self, now: Micros, listed: bool) -> bool {
+        self.others.retain(|_, o| now < o.heard + 4 * FRESH);
+        if self.own.asks {
+            self.stop(now);
+        }
+        self.look(now, listed);
+        if self.out || self.due.is_none_or(|due| now < due) {
+            return false;
+        }
+        if !self.own.asks {
+            self.own = Word { asks: true, failures: u32::MAX, count: self.own.count + 1, ..self.own };
+        }
+        (self.due, self.out) = (None, true);
+        true
+    }
+
+    /// When [`Turns::ask`] should be looked at again.
+    pub fn due(&self) -> Option<Micros> {
+        self.due.filter(|_| !self.out)
+    }
+
+    /// Leaves it to others where more ask than are wanted.
+    fn stop(&mut self, now: Micros) {
+        let fresh = |o: &&Other| o.word.asks && now < o.heard + FRESH;
+        let hearing: Vec<Id> =
+            self.others.values().filter(fresh).filter(|o| o.word.failures == 0).map(|o| o.word.id).collect();
+        let rank = |id: Id| xxhash_rust::xxh3::xxh3_64(&id.0.to_le_bytes());
+        let before = |ids: &[Id]| ids.iter().filter(|id| rank(**id) > rank(self.id)).count();
+        let stops = match self.own.failures {
+            0 => before(&hearing) >= WANTED,
+            // It has not heard the service yet.
+            u32::MAX => hearing.len() >= WANTED,
+            failures => {
+                let (_, trying, cut_off) = self.standing(now);
+                let enough = hearing.len() >= WANTED;
+                let in_turn = failures >= CUT_OFF && (trying > 0 || cut_off >= WANTED);
+                if in_turn && !enough {
+                    self.rest_until = now + REST;
+                }
+                enough || in_turn
+            }
+        };
+        if stops && !self.out {
+            self.own = Word { asks: false, count: self.own.count + 1, ..self.own };
+            self.due = None;
+        }
+    }
+
+    /// The service has answered: a watch may follow at once. `took`: for an answer that did not wait for news.
+    pub fn answered(&mut self, now: Micros, took: Option<Micros>) {
+        self.out = false;
+        self.own.failures = 0;
+        self.own.count += 1;
+        if let Some(took) = took {
+            let ms = (took / 1_000).clamp(1, 60_000) as u32;
+            self.own.answer_ms = if self.own.answer_ms == 0 { ms } else { (3 * self.own.answer_ms + ms) / 4 };
+        }
+        self.due = Some(now);
+    }
+
+    /// The question has failed; `told`: the service has said when to come back.
+    pub fn failed(&mut self, now: Micros, told: Option<Micros>) {
+        self.out = false;
+        self.own.count += 1;
+        self.own.failures = match self.own.failures {
+            u32::MAX => 1,
+            failures => (failures + 1).min(1_000),
+        };
+        let answer = Micros::from(self.own.answer_ms) * 1_000;
+        let most = PAUSE_MOST.max(ANSWERS * answer);
+        let pause = (PAUSE_LEAST << (self.own.failures - 1).min(8)).min(most).max(2 * answer);
+        let pause = pause / 2 + self.random.gen_range(0..=pause / 2);
+        self.not_before = now + told.unwrap_or(0);
+        self.due = Some((now + pause).max(self.not_before));
+    }
+
+    /// The next question is not to come before this moment.
+    pub fn not_before(&mut self, at: Micros) {
+        self.due = self.due.map(|due| due.max(at));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn word(id: u64, count: u32, failures: u32) -> Word {
+        Word { id: Id(id), count, asks: true, failures, answer_ms: 8 }
+    }
+
+    #[test]
+    fn of_many_that_hear_nobody_few_begin_early() {
+        for proxies in [5, 300, 2_000, 10_000] {
+            let mut firsts: Vec<Micros> = (0..proxies)
+                .map(|n| {
+                    let mut turns = Turns::new(Id(n), false);
+                    turns.met(0, false);
+                    assert!(!turns.ask(0, false) || turns.out);
+                    turns.due().unwrap_or(0)
+                })
+                .collect();
+            firsts.sort_unstable();
+            // Within a tenth of the span after the first one there are never many, however many there are.
+            let early = firsts.iter().filter(|t| **t <= firsts[0] + SPAN / 10).count();
+            assert!(early <= 12, "{early} of {proxies}");
+            assert!(firsts[0] <= SPAN * 9 / 10);
+        }
+    }
+
+    #[test]
+    fn one_that_hears_of_enough_does_not_ask_and_one_that_hears_of_fewer_does() {
+        let mut turns = Turns::new(Id(9), false);
+        assert!(!turns.ask(0, false));
+        assert!(turns.told(10, &[word(1, 1, 0), word(2, 1, 0), word(3, 1, u32::MAX)]));
+        assert!(!turns.told(11, &[word(1, 1, 0)]), "nothing new");
+        assert!(turns.due().is_none() && !turns.ask(5_000_000, false) && turns.heard());
+        // One dies, and the others go on.
+        turns.gone(5_000_000, Id(3));
+        let due = turns.due().expect("it would stand in");
+        assert!(due <= 5_000_000 + SPAN_MORE);
+        assert!(turns.ask(due, true) && turns.asks());
+        // An old word does not bring the dead one back.
+        turns.told(due, &[word(3, 1, 0)]);
+        assert_eq!(turns.known(due).len(), 3);
+    }
+
+    #[test]
+    fn who_tries_in_vain_keeps_others_from_trying_and_is_relieved_in_the_end() {
+        let mut turns = Turns::new(Id(9), false);
+        turns.told(0, &[word(1, 1, 2)]);
+        assert!(!turns.ask(3_000_000, false), "somebody tries");
+        turns.told(3_000_000, &[word(1, 2, CUT_OFF)]);
+        let due = turns.due().expect("it may be cut off");
+        assert!(due <= 3_000_000 + SPAN_FAILED && turns.ask(due, false));
+        // In vain here as well: with enough others that try it rests.
+        let mut now = due;
+        for _ in 0..CUT_OFF {
+            turns.told(now, &[word(1, now as u32, 9), word(2, now as u32, 9), word(3, now as u32, 9)]);
+            turns.failed(now, Some(700_000));
+            let due = turns.due().expect("again");
+            assert!(due >= now + 700_000);
+            now = due;
+            if turns.asks() && turns.ask(now, false) {
+                continue;
+            }
+        }
+        assert!(!turns.asks(), "{:?}", turns.own);
+        turns.gone(now, Id(1));
+        assert!(turns.due().is_none_or(|d| d >= now + REST - 1));
+    }
+
+    #[test]
+    fn of_more_than_are_wanted_those_of_the_lowest_rank_stop() {
+        let ids: Vec<u64> = (1..=8).collect();
+        let stays = |own: u64| {
+            let mut turns = Turns::new(Id(own), false);
+            turns.ask(0, false);
+            let due = turns.due().unwrap_or(0);
+            assert!(turns.asks() || turns.ask(due, false));
+            turns.answered(due, Some(8_000));
+            let others: Vec<Word> = ids.iter().filter(|n| **n != own).map(|n| word(*n, 1, 0)).collect();
+            turns.told(due, &others);
+            turns.ask(due, true);
+            turns.asks()
+        };
+        let staying = ids.iter().filter(|n| stays(**n)).count();
+        assert_eq!(staying, WANTED);
+    }
+
+    #[test]
+    fn pauses_grow_with_failures_and_with_what_an_answer_takes() {
+        let mut turns = Turns::new(Id(1), true);
+        turns.ask(0, false);
+        let due = turns.due().unwrap_or(0);
+        assert!(turns.ask(due, false) || turns.out);
+        let mut longest = 0;
+        for _ in 0..20 {
+            turns.failed(0, None);
+            longest = longest.max(turns.due().unwrap_or(0));
+        }
+        assert!(longest <= PAUSE_MOST && longest >= PAUSE_MOST / 2);
+        turns.answered(0, Some(1_000_000));
+        for _ in 0..20 {
+            turns.failed(0, None);
+        }
+        assert!(turns.due().is_some_and(|d| d >= 10_000_000), "{:?}", turns.due());
+    }
+}
