[peers] in the operator's file; a proxy passes the list on among its peers

The socket side of the peers package: datagrams under a short HMAC seal, replays dropped, the questions that the package wants asked. badgerramp peers FILE shows what a running proxy knows. Off unless the file has [peers]; refused beside the platform's settings.

--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -8,7 +8,7 @@
 mod seal;
 
 pub use client::{Client, Fault, News};
-pub use seal::{Purpose, SealFault, Secret, SecretFault, BODY_MOST, VERSION};
+pub use seal::{Purpose, SealFault, Secret, SecretFault, BODY_MOST, TAG, VERSION};
 
 /// The SHA-256 of a text.
 pub fn digest(text: &str) -> Vec<u8> {
--- a/crates/channel/src/seal.rs
+++ b/crates/channel/src/seal.rs
@@ -13,6 +13,8 @@
 pub const VERSION: u32 = 1;
 /// Most bytes of a message's body.
 pub const BODY_MOST: usize = 3 * 1024 * 1024;
+/// Bytes of the short seal of a datagram.
+pub const TAG: usize = 16;
 /// Least and most bytes of a secret.
 const SECRET_LEAST: usize = 16;
 const SECRET_MOST: u64 = 4096;
@@ -148,6 +150,30 @@
         Some(mac)
     }
 
+    fn mac_of(&self, label: &str, parts: &[&[u8]]) -> Option<Hmac<Sha256>> {
+        let mut mac = Hmac::<Sha256>::new_from_slice(&self.0).ok()?;
+        for part in [label.as_bytes()].iter().chain(parts) {
+            mac.update(&(part.len() as u64).to_le_bytes());
+            mac.update(part);
+        }
+        Some(mac)
+    }
+
+    /// A short seal over these parts, for datagrams: the first half of an HMAC with SHA-256 (RFC 2104, section 5).
+    pub fn tag(&self, label: &str, parts: &[&[u8]]) -> [u8; TAG] {
+        let mut tag = [0; TAG];
+        if let Some(mac) = self.mac_of(label, parts) {
+            tag.copy_from_slice(&mac.finalize().into_bytes()[..TAG]);
+        }
+        tag
+    }
+
+    /// Is this the seal over these parts? Compared in constant time.
+    pub fn tagged(&self, label: &str, parts: &[&[u8]], tag: &[u8]) -> bool {
+        let mac = self.mac_of(label, parts).filter(|_| tag.len() == TAG);
+        mac.is_some_and(|mac| mac.verify_truncated_left(tag).is_ok())
+    }
+
     /// Seals a message.
     pub fn seal(&self, purpose: Purpose, message: &impl Message) -> Sealed {
         self.seal_bytes(purpose, message.encode_to_vec())
@@ -228,6 +254,16 @@
         }
     }
 
+    #[test]
+    fn a_short_seal_fits_one_label_and_these_parts() {
+        let own = secret("0123456789abcdef");
+        let tag = own.tag("a", &[b"bc", b"d"]);
+        assert!(own.tagged("a", &[b"bc", b"d"], &tag));
+        assert!(!own.tagged("a", &[b"b", b"cd"], &tag) && !own.tagged("b", &[b"bc", b"d"], &tag));
+        assert!(!own.tagged("a", &[b"bc", b"d"], &tag[..15]) && !own.tagged("a", &[b"bc", b"d"], &[]));
+        assert!(!secret("0123456789abcdeF").tagged("a", &[b"bc", b"d"], &tag));
+    }
+
     #[test]
     fn a_secret_that_others_may_read_is_refused() {
         let path = std::env::temp_dir().join(format!("badgerramp-secret-{}", std::process::id()));
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -4,7 +4,7 @@
 use crate::log::{self, Log};
 use crate::subset::{self, ListTerms, SubsetTerms};
 use crate::timing::{self, Draft, Facts, Figure};
-use crate::{clients_borne, policy, PolicyTerms, ANSWER_ROOM};
+use crate::{clients_borne, peers, policy, PeersTerms, PolicyTerms, ANSWER_ROOM};
 use badgerramp_decisions::{
     self as decisions, settings, CellId, Entry, Micros, Repeat, Scope, ServerId, State,
 };
@@ -21,9 +21,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-const FILE: [&str; 13] = [
-    "platform", "listen", "limits", "log", "upstream", "subset", "list", "policy", "defaults", "class",
-    "route", "no_route", "expect",
+const FILE: [&str; 14] = [
+    "platform", "listen", "limits", "log", "upstream", "subset", "list", "peers", "policy", "defaults",
+    "class", "route", "no_route", "expect",
 ];
 const LIMITS: [&str; 5] = ["memory", "descriptors", "open_calls", "body", "retry_after"];
 const UPSTREAM: [&str; 10] = [
@@ -82,6 +82,8 @@
     pub subset: Option<SubsetTerms>,
     /// How the list service is asked where many do.
     pub list: Option<ListTerms>,
+    /// The other proxies that pass the list on; `None`: this one asks for itself.
+    pub peers: Option<PeersTerms>,
     /// Where the fleet's policy is controlled; `None`: this file is all of it.
     pub policy: Option<PolicyTerms>,
     /// What the program writes of what it does.
@@ -252,6 +254,7 @@
         self.upstream = local.upstream.clone();
         self.subset = local.subset;
         self.list = local.list;
+        self.peers.clone_from(&local.peers);
         self.log = local.log.clone();
         let floor = self.policy.take().map(|p| p.floor).unwrap_or_default();
         self.policy = local.policy.clone().map(|own| PolicyTerms { floor, ..own });
@@ -343,7 +346,7 @@
             top.read(self.notes, "platform", ("this is not a flag", "true or false"), DeValue::as_bool);
         let usage = if platform.is_some_and(|p| p.value) { Use::Platform } else { Use::Alone };
         if usage == Use::Platform {
-            for name in ["listen", "limits", "upstream", "subset", "list", "policy", "no_route"]
+            for name in ["listen", "limits", "upstream", "subset", "list", "peers", "policy", "no_route"]
                 .into_iter()
                 .filter(|n| top.has(n))
             {
@@ -368,6 +371,7 @@
         let upstream = top.section(self.notes, "upstream", &UPSTREAM).map(|section| self.upstream(&section));
         let subset = subset::subset(self.notes, &top, upstream.as_ref(), limits.as_ref());
         let list = subset::list(self.notes, &top, upstream.as_ref());
+        let peers = peers::read(self.notes, &top, upstream.as_ref());
         let defaults = match top.section(self.notes, "defaults", &timing::KEYS) {
             Some(section) => Draft::read(self.notes, &section),
             None => Draft::default(),
@@ -426,6 +430,7 @@
             no_route,
             subset,
             list,
+            peers,
             policy,
             log,
             warnings,
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -15,6 +15,7 @@
 mod expressions;
 mod file;
 mod log;
+mod peers;
 mod platform;
 mod policy;
 mod subset;
@@ -26,6 +27,7 @@
 pub use badgerramp_reading::{Mistake, Mistakes};
 pub use file::{read_upstream, Class, Config, Endpoint, Limits, NoRoute, Upstream, Use};
 pub use log::{Format, Level, Log};
+pub use peers::PeersTerms;
 pub use platform::narrow;
 pub use policy::PolicyTerms;
 pub use subset::{ListTerms, SubsetTerms};
--- a/crates/peers/src/belief.rs
+++ b/crates/peers/src/belief.rs
@@ -219,7 +219,7 @@
         fn the_newest_list_told_is_the_one_held(words in prop::collection::vec((1..3u32, 0..6u64, any::<bool>()), 1..40)) {
             // The lists of a life: hosts come and go with each version.
             let made = |life: u32, index: u64| {
-                let names: Vec<String> = (0..8).filter(|n| (n + index + u64::from(life)) % 3 > 0).map(|n| format!("s{n}")).collect();
+                let names: Vec<String> = (0..8).filter(|n| !(n + index + u64::from(life)).is_multiple_of(3)).map(|n| format!("s{n}")).collect();
                 let book = Book::new(names.iter().map(|n| up(n)));
                 (Stamp { life, index, digest: book.digest() }, book)
             };
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`turns`]: who asks the service, and when, without knowing how many proxies there are.
 //! - [`parcel`]: a list in parts that fit into datagrams.
 //! - [`peer`]: one proxy among its peers; membership is the SWIM of the `foca` crate.
+//! - [`replay`]: each message is taken once.
 //! - [`play`]: many of them in virtual time, on a network that loses, doubles and delays.
 //!
 //! Nothing here does I/O or reads a clock: a [`peer::Peer`] is told what happens, at moments in microseconds, and says
@@ -17,6 +18,7 @@
 pub mod parcel;
 pub mod peer;
 pub mod play;
+pub mod replay;
 pub mod turns;
 
 /// Moments and spans are in microseconds.
--- a/crates/peers/src/parcel.rs
+++ b/crates/peers/src/parcel.rs
@@ -92,8 +92,8 @@
 
     #[test]
     fn parts_in_any_order_make_the_list_and_others_do_not() {
-        let many = (0..3_000).map(|n| {
-            let mut change = up(&format!("s-{:016x}", (n as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15)));
+        let many = (0..3_000u64).map(|n| {
+            let mut change = up(&format!("s-{:016x}", n.wrapping_mul(0x9e37_79b9_7f4a_7c15)));
             if let Some(entry) = &mut change.entry {
                 entry.since_ms = n * 977;
             }
--- a/crates/peers/src/peer.rs
+++ b/crates/peers/src/peer.rs
@@ -115,6 +115,8 @@
         /// How long to stay away.
         retry_after: Option<Micros>,
     },
+    /// There is another list service; what was asked of the old one is void.
+    Moved,
     /// The program ends.
     Leave,
 }
@@ -370,6 +372,10 @@
                 self.turns.failed(now, retry_after);
                 self.tell(now, out);
             }
+            Input::Moved => {
+                self.whole = true;
+                self.turns.moved(now);
+            }
             Input::Leave => {
                 let _ = self.swim.leave_cluster(&mut self.runtime);
                 self.swim_done(now, out);
--- a/crates/peers/src/turns.rs
+++ b/crates/peers/src/turns.rs
@@ -333,6 +333,13 @@
         self.due = Some((now + pause).max(self.not_before));
     }
 
+    /// There is another service: a question that is out concerns nobody.
+    pub fn moved(&mut self, now: Micros) {
+        if std::mem::take(&mut self.out) {
+            self.due = Some(now);
+        }
+    }
+
     /// The next question is not to come before this moment.
     pub fn not_before(&mut self, at: Micros) {
         self.due = self.due.map(|due| due.max(at));
@@ -437,7 +444,7 @@
             turns.failed(0, None);
             longest = longest.max(turns.due().unwrap_or(0));
         }
-        assert!(longest <= PAUSE_MOST && longest >= PAUSE_MOST / 2);
+        assert!((PAUSE_MOST / 2..=PAUSE_MOST).contains(&longest));
         turns.answered(0, Some(1_000_000));
         for _ in 0..20 {
             turns.failed(0, None);
--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -29,6 +29,18 @@
         /// The operator's file.
         file: PathBuf,
     },
+    /// Show what a running proxy knows of the others of its fleet: which list, from whom, how old; who asks; who is
+    /// alive. Exits 0, or 1 if it does not answer.
+    Peers {
+        /// Its operator's file, with [peers].
+        file: PathBuf,
+        /// Where it hears the others, if the file has port 0.
+        #[arg(long, value_name = "ADDRESS")]
+        at: Option<std::net::SocketAddr>,
+        /// As JSON.
+        #[arg(long)]
+        json: bool,
+    },
     /// Check operator's files. Exits 0 if all are good, 1 with their mistakes, 2 for bad usage.
     Check {
         /// The platform's configuration that files with `platform = true` are held against.
@@ -53,6 +65,7 @@
     let done = match cli.command {
         None => platform::run(cli.operator),
         Some(Command::Run { file }) => sidecar::run(file),
+        Some(Command::Peers { file, at, json }) => crate::look::run(&file, at, json),
         Some(Command::Check { relay_config, files }) => return check(relay_config.as_deref(), &files),
     };
     match done {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod cli;
 mod fleet;
 pub mod log;
+mod look;
 pub mod net;
 mod places;
 mod platform;
--- /dev/null
+++ b/crates/proxy/src/look.rs
@@ -0,0 +1,97 @@
+//! `peers`: what a running proxy knows of the others.
+
+use crate::net::peers::{look, Told};
+use crate::program::Fault;
+use crate::sidecar::seals;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+/// Longest wait for the proxy's answer.
+const WAIT: Duration = Duration::from_secs(2);
+
+/// Asks the proxy of this file and prints what it knows.
+pub fn run(file: &Path, at: Option<SocketAddr>, json: bool) -> Result<(), Fault> {
+    let config = badgerramp_config::load(file)?;
+    let Some(terms) = &config.peers else {
+        return Err(Fault::Other(format!("{}: no [peers]: this proxy asks for itself", file.display())));
+    };
+    let address = at.unwrap_or(terms.listen);
+    if address.port() == 0 {
+        let fault = format!(
+            "{}: peers.listen has port 0: found {address}, allowed is a port, or --at with the one in its log",
+            file.display()
+        );
+        return Err(Fault::Other(fault));
+    }
+    let told = look(address, &seals(terms)?, WAIT)?;
+    if json {
+        let text = serde_json::to_string(&told).map_err(|e| Fault::Other(e.to_string()))?;
+        println!("{text}");
+    } else {
+        print!("{}", text(&told));
+    }
+    Ok(())
+}
+
+fn span(micros: u64) -> String {
+    match micros {
+        0..1_000_000 => format!("{} ms", micros / 1_000),
+        _ => format!("{:.1} s", micros as f64 / 1e6),
+    }
+}
+
+fn text(told: &Told) -> String {
+    let Told { standing, strangers } = told;
+    let mut text = String::new();
+    // Writing to a String does not fail.
+    let mut line = |name: &str, value: String| {
+        let _ = writeln!(text, "{name:<10}{value}");
+    };
+    line("proxy", standing.own.address.to_string());
+    line("alive", format!("{} proxies, this one included", standing.alive));
+    let list = match &standing.list {
+        None => "none yet".to_owned(),
+        Some((stamp, since, from)) => {
+            let from = from.map_or_else(|| "the list service".to_owned(), |a| a.to_string());
+            let life = if stamp.life > 1 { format!(" (life {})", stamp.life) } else { String::new() };
+            format!("{}{life} of {from}, {} ago; {} hosts take calls", stamp.index, span(*since), standing.hosts)
+        }
+    };
+    line("list", list);
+    line("start", if standing.settled { "over" } else { "under way" }.to_owned());
+    for (word, age) in &standing.askers {
+        let who = if word.id == standing.own.id { " (this one)" } else { "" };
+        let hears = match word.failures {
+            0 => "hears the service".to_owned(),
+            u32::MAX => "has not heard the service yet".to_owned(),
+            failures => format!("{failures} questions failed"),
+        };
+        line("asks", format!("{:016x}{who}, {hears}, heard of {} ago", word.id.0, span(*age)));
+    }
+    let counts = &standing.counts;
+    line(
+        "counts",
+        format!(
+            "{} questions, {} failed, {} lists doubted; {} messages sent ({} KiB), {} held back, {} taken, {} torn",
+            counts.questions,
+            counts.failed,
+            counts.doubted,
+            counts.sent,
+            counts.sent_bytes / 1_024,
+            counts.held_back,
+            counts.taken,
+            counts.torn
+        ),
+    );
+    let strange = [
+        (strangers.form + counts.malformed, "of another form"),
+        (strangers.seal, "under another secret or fleet"),
+        (strangers.again, "taken before"),
+        (strangers.unsent, "not sent"),
+    ];
+    let strange: Vec<String> = strange.iter().map(|(count, what)| format!("{count} {what}")).collect();
+    line("strange", strange.join(", "));
+    text
+}
--- a/crates/proxy/src/net/discovery.rs
+++ b/crates/proxy/src/net/discovery.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::HOST;
+use hyper::header::{HOST, RETRY_AFTER};
 use hyper::StatusCode;
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
@@ -22,9 +22,9 @@
 /// but each call costs the service work.
 const WAIT: Duration = Duration::from_secs(10);
 /// Silence beyond the wait that is a failure.
-const SILENCE: Duration = Duration::from_secs(2);
+pub(super) const SILENCE: Duration = Duration::from_secs(2);
 /// ... and for a list that is asked for at once: the service gives its callers up after three.
-const FETCH: Duration = Duration::from_millis(3_500);
+pub(super) const FETCH: Duration = Duration::from_millis(3_500);
 /// A connection that is not up by then has failed: a service that has vanished refuses nobody.
 const CONNECT: Duration = Duration::from_secs(1);
 /// Most bytes of a list: some thousand hosts.
@@ -33,6 +33,9 @@
 /// next call continues the watch, and keeps a confused service from being asked without end.
 const CALM: Duration = Duration::from_millis(50);
 
+/// Longest that the service may send its callers away for, in seconds.
+const RETRY_MOST: f64 = 60.0;
+
 /// When the service is asked, where an operator has many proxies ask it.
 pub struct Pace {
     pub poll: Poll,
@@ -40,7 +43,8 @@
     pub idle_after: Micros,
 }
 
-struct Link {
+/// A connection to the service.
+pub(super) struct Link {
     sender: SendRequest<Empty<Bytes>>,
     task: JoinHandle<()>,
 }
@@ -87,7 +91,7 @@
 }
 
 /// Resolves when there is another address; never once none can come any more.
-async fn changed(address: &mut watch::Receiver<SocketAddr>) {
+pub(super) async fn changed(address: &mut watch::Receiver<SocketAddr>) {
     if address.changed().await.is_err() {
         std::future::pending::<()>().await;
     }
@@ -127,7 +131,7 @@
                 }
             }
             Ok(Err(fault)) => {
-                tracing::warn!("discovery: {fault}");
+                tracing::warn!("discovery: {}", fault.why);
                 return;
             }
             Err(_) => {
@@ -138,12 +142,27 @@
     }
 }
 
-async fn ask(
+/// Why there is no answer.
+pub(super) struct Unanswered {
+    /// In words.
+    pub why: String,
+    /// When the service wants to be asked again.
+    pub retry_after: Option<Duration>,
+}
+
+impl From<String> for Unanswered {
+    fn from(why: String) -> Self {
+        Unanswered { why, retry_after: None }
+    }
+}
+
+/// Asks for what is newer than `index`, or for the whole list.
+pub(super) async fn ask(
     link: &mut Option<Link>,
     network: &dyn Network,
     address: SocketAddr,
     (index, wait): (Option<u64>, Duration),
-) -> Result<List, String> {
+) -> Result<List, Unanswered> {
     let open = match link.take().filter(|l| l.sender.is_ready()) {
         Some(open) => open,
         None => connect(network, address).await?,
@@ -157,10 +176,12 @@
     let request = request.map_err(|e| e.to_string())?;
     let answer = open.sender.send_request(request).await.map_err(|e| e.to_string())?;
     if answer.status() != StatusCode::OK {
-        return Err(format!("answered {}", answer.status()));
+        let said = answer.headers().get(RETRY_AFTER).and_then(|v| v.to_str().ok()?.parse::<f64>().ok());
+        let retry_after = said.and_then(|s| Duration::try_from_secs_f64(s.min(RETRY_MOST)).ok());
+        return Err(Unanswered { why: format!("answered {}", answer.status()), retry_after });
     }
     let body = Limited::new(answer.into_body(), LIST_MOST).collect().await.map_err(|e| e.to_string())?;
-    serde_json::from_slice(&body.to_bytes()).map_err(|e| format!("odd list: {e}"))
+    serde_json::from_slice(&body.to_bytes()).map_err(|e| format!("odd list: {e}").into())
 }
 
 async fn connect(network: &dyn Network, address: SocketAddr) -> Result<Link, String> {
--- a/crates/proxy/src/net/driver.rs
+++ b/crates/proxy/src/net/driver.rs
@@ -58,21 +58,21 @@
 /// An entry of the list in discovery's form.
 #[derive(Debug, Deserialize)]
 pub struct Endpoint {
-    name: String,
+    pub(super) name: String,
     #[serde(default)]
-    address: String,
+    pub(super) address: String,
     #[serde(default)]
-    zone: String,
+    pub(super) zone: String,
     #[serde(default, rename = "type")]
-    kind: String,
+    pub(super) kind: String,
     #[serde(default)]
-    group: u32,
+    pub(super) group: u32,
     #[serde(default)]
-    status: String,
+    pub(super) status: String,
     #[serde(default)]
-    weight: f64,
+    pub(super) weight: f64,
     #[serde(default)]
-    since_ms: u64,
+    pub(super) since_ms: u64,
 }
 
 impl Endpoint {
@@ -174,6 +174,11 @@
     events: VecDeque<Event>,
     actions: Vec<Action>,
     chosen: Option<Chosen>,
+    /// What the file says, and how many proxies share the hosts as the module was told.
+    settings: Settings,
+    sharing: u32,
+    /// Proxies that are known to be alive.
+    alive: u32,
     /// When a call last came.
     called: Micros,
 }
@@ -200,6 +205,9 @@
         let chosen = subset.map(|subset| Chosen { subset, settings: facts.settings.clone() });
         let core = Core {
             chosen,
+            sharing: facts.settings.balancers,
+            settings: facts.settings.clone(),
+            alive: 0,
             called: clock.now(),
             balancer: Balancer::new(seed, facts.settings),
             tenants: facts.tenants,
@@ -273,6 +281,9 @@
     pub fn reconfigure(&self, mut settings: Settings, fresh: Vec<ClassId>, max_open: usize) {
         let mut core = self.core.borrow_mut();
         core.max_open = max_open;
+        core.settings = settings.clone();
+        settings.balancers = settings.balancers.max(core.alive);
+        core.sharing = settings.balancers;
         if let Some(chosen) = &mut core.chosen {
             chosen.settings = settings.clone();
             settings.balancers = chosen.subset.sharing();
@@ -281,6 +292,21 @@
         self.event(Event::Reconfigure { settings: Box::new(settings), fresh });
     }
 
+    /// So many proxies of the fleet are alive: where the file says fewer, hosts are shared by more than it says.
+    pub fn alive(&self, proxies: u32) {
+        let mut core = self.core.borrow_mut();
+        core.alive = proxies;
+        let sharing = core.settings.balancers.max(proxies);
+        // The budgets of a subset go by those that share its members.
+        if core.chosen.is_some() || sharing.abs_diff(core.sharing) * 4 <= core.sharing {
+            return;
+        }
+        core.sharing = sharing;
+        let settings = Box::new(Settings { balancers: sharing, ..core.settings.clone() });
+        drop(core);
+        self.event(Event::Reconfigure { settings, fresh: Vec::new() });
+    }
+
     /// Is a call of this class open, or an attempt of one still out?
     pub fn in_use(&self, class: ClassId) -> bool {
         self.core.borrow().calls.values().any(|c| c.class == class)
--- a/crates/proxy/src/net/mod.rs
+++ b/crates/proxy/src/net/mod.rs
@@ -9,6 +9,7 @@
 pub mod front;
 pub mod gate;
 pub mod hosts;
+pub mod peers;
 pub mod socket;
 
 use std::cell::Cell;
--- /dev/null
+++ b/crates/proxy/src/net/peers.rs
@@ -0,0 +1,429 @@
+//! The other proxies of the fleet: datagrams, each under a seal, and the questions to the list service that
+//! [`badgerramp_peers`] wants asked. What is decided is decided there.
+
+use super::discovery::{self, changed, Link, FETCH, SILENCE};
+use super::driver::{Driver, Endpoint, List};
+use super::socket::Network;
+use badgerramp_channel::{Secret, TAG};
+use badgerramp_decisions::{ListKind, Micros};
+use badgerramp_peers::list::{Change, Entry};
+use badgerramp_peers::peer::{Answer, Input, Member, Note, Output, Peer, Standing, Terms, MESSAGE_MOST};
+use badgerramp_peers::replay::Replays;
+use badgerramp_peers::turns::Id;
+use serde::{Deserialize, Serialize};
+use std::future::Future;
+use std::io;
+use std::net::{SocketAddr, UdpSocket as StdSocket};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::sync::{watch, Notify};
+use tokio::time::Instant;
+
+/// The version of the datagrams; one of another version is counted as strange.
+const VERSION: u8 = 1;
+/// Version, what it is, seal, sender, the sender's count.
+const HEAD: usize = 2 + TAG + 16;
+/// Most bytes of a datagram: a longer one is cut when it is read, and so is strange.
+const MOST: usize = HEAD + MESSAGE_MOST;
+/// Datagrams that are read before anything else gets its turn.
+const AT_ONCE: usize = 64;
+/// The answer to a look is larger than any message.
+const LOOK_MOST: usize = 60_000;
+
+/// What a datagram is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// From one proxy to another.
+    Letter = 0,
+    /// Somebody with the secret wants to know what this proxy knows.
+    Look = 1,
+    /// ... and is told.
+    Told = 2,
+}
+
+/// Seals datagrams and opens them.
+#[derive(Clone, Debug)]
+pub struct Seals {
+    secret: Secret,
+    fleet: String,
+}
+
+/// Why a datagram is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Strange {
+    /// Of another form or version, or too long.
+    Form,
+    /// Under another secret, of another fleet, or not what was sent.
+    Seal,
+}
+
+impl Seals {
+    /// Those of a fleet.
+    pub fn new(secret: Secret, fleet: String) -> Self {
+        Seals { secret, fleet }
+    }
+
+    fn seal(&self, kind: Kind, (sender, count): (u64, u64), body: &[u8]) -> Vec<u8> {
+        let head = [VERSION, kind as u8];
+        let numbers = [sender.to_le_bytes(), count.to_le_bytes()].concat();
+        let tag = self.secret.tag("badgerramp peers", &[self.fleet.as_bytes(), &head, &numbers, body]);
+        [&head[..], &tag, &numbers, body].concat()
+    }
+
+    fn open<'a>(&self, kind: Kind, datagram: &'a [u8]) -> Result<(u64, u64, &'a [u8]), Strange> {
+        let (head, rest) = datagram.split_at_checked(2).ok_or(Strange::Form)?;
+        let (tag, rest) = rest.split_at_checked(TAG).ok_or(Strange::Form)?;
+        let (numbers, body) = rest.split_at_checked(16).ok_or(Strange::Form)?;
+        if head != [VERSION, kind as u8] {
+            return Err(Strange::Form);
+        }
+        if !self.secret.tagged("badgerramp peers", &[self.fleet.as_bytes(), head, numbers, body], tag) {
+            return Err(Strange::Seal);
+        }
+        let number = |from: usize| {
+            let mut bytes = [0; 8];
+            bytes.copy_from_slice(&numbers[from..from + 8]);
+            u64::from_le_bytes(bytes)
+        };
+        Ok((number(0), number(8), body))
+    }
+}
+
+/// Datagrams that were not taken, and what went wrong with sending.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Strangers {
+    /// Of another form or version, or too long.
+    pub form: u64,
+    /// Under another secret, or of another fleet.
+    pub seal: u64,
+    /// Taken before, or too old to tell.
+    pub again: u64,
+    /// That the system would not send.
+    pub unsent: u64,
+}
+
+/// What a running proxy tells of its peers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Told {
+    /// What it knows.
+    pub standing: Standing,
+    /// What it did not take.
+    pub strangers: Strangers,
+}
+
+/// All that a proxy needs to be among its peers.
+pub struct Setup {
+    /// Where it hears; bound already, so that a start fails if that can't be.
+    pub socket: StdSocket,
+    /// Where others reach it.
+    pub advertise: SocketAddr,
+    /// Where others may be met.
+    pub seeds: Vec<SocketAddr>,
+    /// Of its fleet.
+    pub seals: Seals,
+    /// Its number, drawn anew at each start.
+    pub id: u64,
+}
+
+type Question = Pin<Box<dyn Future<Output = Asked>>>;
+
+struct Asked {
+    link: Option<Link>,
+    answer: Result<Answer, Option<Duration>>,
+}
+
+struct Here {
+    driver: Driver,
+    network: Rc<dyn Network>,
+    socket: UdpSocket,
+    seals: Seals,
+    id: u64,
+    peer: Peer,
+    replays: Replays,
+    strangers: Strangers,
+    count: u64,
+    address: SocketAddr,
+    link: Option<Link>,
+    question: Option<Question>,
+}
+
+/// Keeps the list up to date by what the fleet knows, for as long as the program runs, until `leave`.
+pub async fn run(
+    driver: Driver,
+    network: Rc<dyn Network>,
+    address: watch::Receiver<SocketAddr>,
+    setup: Setup,
+    leave: Rc<Notify>,
+) {
+    if let Err(fault) = serve(driver, network, address, setup, &leave).await {
+        tracing::error!("peers: {fault}");
+    }
+}
+
+async fn serve(
+    driver: Driver,
+    network: Rc<dyn Network>,
+    mut address: watch::Receiver<SocketAddr>,
+    setup: Setup,
+    leave: &Notify,
+) -> io::Result<()> {
+    let now = driver.clock().now();
+    let own = Member { address: setup.advertise, id: Id(setup.id), started: now / 1_000 };
+    setup.socket.set_nonblocking(true)?;
+    let at = *address.borrow_and_update();
+    let mut here = Here {
+        network,
+        socket: UdpSocket::from_std(setup.socket)?,
+        seals: setup.seals,
+        id: setup.id,
+        peer: Peer::new(now, Terms { own, seeds: setup.seeds }),
+        replays: Replays::default(),
+        strangers: Strangers::default(),
+        count: 0,
+        address: at,
+        link: None,
+        question: None,
+        driver,
+    };
+    tracing::info!("peers: this proxy is {} to others", own.address);
+    here.tell(Input::Timer);
+    let mut buffer = vec![0; MOST + 1];
+    loop {
+        let due = here.driver.clock().instant(here.peer.due());
+        tokio::select! {
+            () = leave.notified() => {
+                here.tell(Input::Leave);
+                return Ok(());
+            }
+            () = changed(&mut address) => {
+                here.address = *address.borrow_and_update();
+                (here.link, here.question) = (None, None);
+                here.tell(Input::Moved);
+            }
+            ready = here.socket.readable() => {
+                ready?;
+                here.read(&mut buffer);
+            }
+            asked = answered(&mut here.question) => here.asked(asked),
+            () = tokio::time::sleep_until(due) => here.tell(Input::Timer),
+        }
+    }
+}
+
+/// Resolves with the answer; never while no question is out.
+async fn answered(question: &mut Option<Question>) -> Asked {
+    match question {
+        Some(out) => {
+            let asked = out.as_mut().await;
+            *question = None;
+            asked
+        }
+        None => std::future::pending().await,
+    }
+}
+
+impl Here {
+    fn now(&self) -> Micros {
+        self.driver.clock().now()
+    }
+
+    fn read(&mut self, buffer: &mut [u8]) {
+        for _ in 0..AT_ONCE {
+            match self.socket.try_recv_from(buffer) {
+                Ok((count, from)) => self.datagram(&buffer[..count], from),
+                Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => return,
+                // Of an earlier datagram, which found nobody.
+                Err(_) => {}
+            }
+        }
+    }
+
+    fn datagram(&mut self, datagram: &[u8], from: SocketAddr) {
+        if datagram.len() > MOST {
+            self.strangers.form += 1;
+            return;
+        }
+        let kind = if datagram.get(1) == Some(&(Kind::Look as u8)) { Kind::Look } else { Kind::Letter };
+        let seals = self.seals.clone();
+        match seals.open(kind, datagram) {
+            Err(Strange::Form) => self.strangers.form += 1,
+            Err(Strange::Seal) => self.strangers.seal += 1,
+            Ok((sender, count, _)) if !self.replays.take(sender, count) => self.strangers.again += 1,
+            Ok((_, _, body)) if kind == Kind::Letter => self.tell(Input::Message(body)),
+            Ok((sender, count, _)) => {
+                let told = Told { standing: self.peer.standing(self.now()), strangers: self.strangers };
+                if let Ok(body) = postcard::to_stdvec(&told) {
+                    let bytes = self.seals.seal(Kind::Told, (sender, count), &body);
+                    self.strangers.unsent += u64::from(self.socket.try_send_to(&bytes, from).is_err());
+                }
+            }
+        }
+    }
+
+    fn asked(&mut self, asked: Asked) {
+        self.link = asked.link;
+        match asked.answer {
+            Ok(answer) => self.tell(Input::Answered(answer)),
+            Err(after) => {
+                let retry_after = after.map(|a| Micros::try_from(a.as_micros()).unwrap_or(Micros::MAX));
+                self.tell(Input::Failed { retry_after });
+            }
+        }
+    }
+
+    fn tell(&mut self, input: Input<'_>) {
+        let mut out = Vec::new();
+        self.peer.handle(self.now(), input, &mut out);
+        for output in out {
+            match output {
+                Output::Send(to, body) => {
+                    self.count += 1;
+                    let bytes = self.seals.seal(Kind::Letter, (self.id, self.count), &body);
+                    // What is not sent is as good as lost on the way.
+                    self.strangers.unsent += u64::from(self.socket.try_send_to(&bytes, to).is_err());
+                }
+                Output::Ask { index, wait } => self.question = Some(self.ask(index, Duration::from_micros(wait))),
+                Output::List { whole, changes } => {
+                    let kind = if whole { ListKind::Full } else { ListKind::Delta };
+                    let list: Vec<Endpoint> = changes.into_iter().map(Endpoint::from).collect();
+                    self.driver.members(kind, &list);
+                }
+                Output::Alive(proxies) => self.driver.alive(u32::try_from(proxies).unwrap_or(u32::MAX)),
+                Output::Note(note) => log(&note),
+            }
+        }
+    }
+
+    fn ask(&mut self, index: Option<u64>, wait: Duration) -> Question {
+        let (network, address, mut link) = (Rc::clone(&self.network), self.address, self.link.take());
+        Box::pin(async move {
+            let asked = Instant::now();
+            let patience = if index.is_some() { wait + SILENCE } else { FETCH };
+            let asking = discovery::ask(&mut link, &*network, address, (index, wait));
+            let answer = match tokio::time::timeout(patience, asking).await {
+                Ok(Ok(list)) => Ok(answer(list, index, asked.elapsed())),
+                Ok(Err(fault)) => {
+                    tracing::warn!("discovery: {}", fault.why);
+                    Err(fault.retry_after)
+                }
+                Err(_) => {
+                    tracing::warn!("discovery: no answer");
+                    link = None;
+                    Err(None)
+                }
+            };
+            Asked { link, answer }
+        })
+    }
+}
+
+fn answer(list: List, index: Option<u64>, took: Duration) -> Answer {
+    Answer {
+        whole: list.snapshot,
+        index: list.index,
+        changes: list.endpoints.into_iter().map(Change::from).collect(),
+        took: Micros::try_from(took.as_micros()).unwrap_or(Micros::MAX),
+        at_once: index.is_none(),
+    }
+}
+
+impl From<Endpoint> for Change {
+    fn from(e: Endpoint) -> Self {
+        let Endpoint { name, address, zone, kind, group, status, weight, since_ms } = e;
+        let gone = status == "removed";
+        let entry = Entry { address, zone, kind, group, status, weight, since_ms };
+        Change { name, entry: (!gone).then_some(entry) }
+    }
+}
+
+impl From<Change> for Endpoint {
+    fn from(Change { name, entry }: Change) -> Self {
+        let gone = || Entry { status: "removed".to_owned(), ..Entry::default() };
+        let Entry { address, zone, kind, group, status, weight, since_ms } = entry.unwrap_or_else(gone);
+        Endpoint { name, address, zone, kind, group, status, weight, since_ms }
+    }
+}
+
+fn log(note: &Note) {
+    match note {
+        Note::Listed { from, stamp, hosts, after } => {
+            let from = from.map_or_else(|| "the list service".to_owned(), |a| a.to_string());
+            let ms = after / 1_000;
+            tracing::info!("peers: list {} of {from} with {hosts} hosts, {ms} ms after the start", stamp.index);
+        }
+        Note::Asks(true) => tracing::info!("peers: this proxy asks the list service for others"),
+        Note::Asks(false) => tracing::info!("peers: others ask the list service"),
+        Note::Doubts(index) => {
+            tracing::warn!("peers: list {index} of the service is doubted: older than the one held, or half of it");
+        }
+        Note::Life(life) => tracing::warn!("peers: the list service was restored or changed: life {life}"),
+        Note::Settled(alive) => tracing::info!("peers: the start is over, {alive} proxies"),
+        Note::Unsettled(alive) => tracing::warn!("peers: most proxies have gone, {alive} are left"),
+    }
+}
+
+/// Asks the proxy that hears at `address` what it knows.
+///
+/// # Errors
+/// In words, if it does not answer.
+pub fn look(address: SocketAddr, seals: &Seals, wait: Duration) -> Result<Told, String> {
+    let any: SocketAddr = if address.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0u16; 8], 0).into() };
+    let fault = |e: io::Error| format!("{address}: {e}");
+    let socket = StdSocket::bind(any).map_err(fault)?;
+    socket.connect(address).map_err(fault)?;
+    socket.set_read_timeout(Some(wait)).map_err(fault)?;
+    let sender = rand::random();
+    socket.send(&seals.seal(Kind::Look, (sender, 1), &[])).map_err(fault)?;
+    let mut buffer = vec![0; LOOK_MOST];
+    let count = socket.recv(&mut buffer).map_err(|e| match e.kind() {
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => {
+            format!("{address}: no answer within {} s: another secret or fleet, or no proxy", wait.as_secs())
+        }
+        _ => fault(e),
+    })?;
+    match seals.open(Kind::Told, &buffer[..count]) {
+        Ok((who, _, body)) if who == sender => {
+            postcard::from_bytes(body).map_err(|e| format!("{address}: an odd answer: {e}"))
+        }
+        _ => Err(format!("{address}: an answer under another seal")),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn seals(secret: &str, fleet: &str) -> Seals {
+        Seals::new(Secret::new(secret.as_bytes()).expect("a secret"), fleet.to_owned())
+    }
+
+    #[test]
+    fn strange_datagrams_are_told_apart() {
+        let own = seals("0123456789abcdef", "north");
+        let sealed = own.seal(Kind::Letter, (7, 9), b"body");
+        assert_eq!(own.open(Kind::Letter, &sealed), Ok((7, 9, &b"body"[..])));
+        for other in [seals("0123456789abcdeF", "north"), seals("0123456789abcdef", "south")] {
+            assert_eq!(other.open(Kind::Letter, &sealed), Err(Strange::Seal));
+        }
+        for place in 2..sealed.len() {
+            let mut torn = sealed.clone();
+            torn[place] ^= 1;
+            assert_eq!(own.open(Kind::Letter, &torn), Err(Strange::Seal));
+        }
+        assert_eq!(own.open(Kind::Look, &sealed), Err(Strange::Form));
+        assert_eq!(own.open(Kind::Letter, &[&[2], &sealed[1..]].concat()), Err(Strange::Form));
+        (0..HEAD).for_each(|n| assert_eq!(own.open(Kind::Letter, &sealed[..n]), Err(Strange::Form)));
+    }
+
+    #[test]
+    fn entries_go_there_and_back() {
+        let text = r#"{"name":"s","address":"10.0.0.1:9","zone":"a","type":"m2","group":3,"status":"draining","weight":1.5,"since_ms":7}"#;
+        let one: Endpoint = serde_json::from_str(text).expect("an entry");
+        let change = Change::from(one);
+        assert_eq!(Change::from(Endpoint::from(change.clone())), change);
+        let gone = Change { name: "s".to_owned(), entry: None };
+        assert_eq!(Change::from(Endpoint::from(gone.clone())), gone);
+    }
+}
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -87,6 +87,7 @@
         members: Members::Discovery { address: config.discovery, known, index },
         subset: None,
         list: None,
+        peers: None,
         rules: rules_of,
         // What is refused without advice comes of a crowd, which passes in answer times rather than aims.
         advice: (longest_aim / ADVICE_AIM).max(1_000),
--- a/crates/proxy/src/program.rs
+++ b/crates/proxy/src/program.rs
@@ -8,6 +8,7 @@
 use crate::net::front::Front;
 use crate::net::gate::Gate;
 use crate::net::hosts::Hosts;
+use crate::net::peers;
 use crate::net::socket::{Listener, Network, Tcp};
 use crate::net::{Descriptors, Room};
 use badgerramp_config::{
@@ -23,7 +24,7 @@
 use std::time::Duration;
 use tokio::net::TcpSocket;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 use tokio::task::JoinHandle;
 
 /// Connections waiting to be accepted.
@@ -74,6 +75,8 @@
     pub subset: Option<SubsetTerms>,
     /// How the list service is asked where many do.
     pub list: Option<ListTerms>,
+    /// The other proxies of the fleet, where they pass the list on.
+    pub peers: Option<peers::Setup>,
     pub rules: Rules,
     /// Where the policy is the fleet's: what may begin, and by which rules. They stand in for `rules`.
     pub gate: Option<Rc<Gate>>,
@@ -198,10 +201,14 @@
     }));
     let (moved, moves) = watch::channel(address.unwrap_or(setup.listen));
     let driver_of_watch = driver.clone();
+    let among_peers = setup.peers.is_some();
+    let leave = Rc::new(Notify::new());
+    let (among, left) = (setup.peers, Rc::clone(&leave));
     let mut watch = Task(tokio::task::spawn_local(async move {
-        match address {
-            Some(_) => discovery::run(driver_of_watch, network, moves, index, pace).await,
-            None => std::future::pending().await,
+        match (address, among) {
+            (Some(_), Some(among)) => peers::run(driver_of_watch, network, moves, among, left).await,
+            (Some(_), None) => discovery::run(driver_of_watch, network, moves, index, pace).await,
+            (None, _) => std::future::pending().await,
         }
     }));
     let front = Rc::new(Front {
@@ -237,7 +244,7 @@
             front.clients.sweep(clock.now());
         }
     };
-    tokio::select! {
+    let served = tokio::select! {
         biased;
         () = Rc::clone(&front).serve(listener, stop) => Ok(()),
         // Without these calls would stay unanswered: better a crash that is seen.
@@ -245,7 +252,13 @@
         ended = &mut watch.0 => Err(format!("discovery ended: {ended:?}")),
         () = reloads => Err("the reader of the configuration ended".to_owned()),
         () = sweep => Ok(()),
+    };
+    if among_peers && served.is_ok() {
+        // The others need not find out by themselves.
+        leave.notify_one();
+        let _ = (&mut watch.0).await;
     }
+    served
 }
 
 /// A task that ends with its owner.
--- a/crates/proxy/src/sidecar.rs
+++ b/crates/proxy/src/sidecar.rs
@@ -3,9 +3,11 @@
 use crate::fleet::Fleet;
 use crate::net::admit::{Rules, Sidecar};
 use crate::net::driver::Endpoint;
+use crate::net::peers;
 use crate::places::{seed, Places};
 use crate::program::{self, Fault, Members, Running, Setup};
-use badgerramp_config::{Config, Use};
+use badgerramp_channel::Secret;
+use badgerramp_config::{Config, PeersTerms, Use};
 use badgerramp_decisions::settings::{Facts, Transport};
 use badgerramp_decisions::ListKind;
 use std::collections::HashMap;
@@ -53,6 +55,7 @@
         ("upstream.idle", old.upstream.idle == new.upstream.idle),
         ("subset", old.subset == new.subset),
         ("list", old.list == new.list),
+        ("peers", old.peers == new.peers),
         ("policy", old.policy == new.policy),
         ("upstream.discovery", old.upstream.discovery.is_some() == new.upstream.discovery.is_some()),
     ];
@@ -101,6 +104,7 @@
         members,
         subset: config.subset,
         list: config.list,
+        peers: None,
         advice: config.limits.retry_after,
         rules: Rules::Sidecar(Box::new(Sidecar::new(config, numbers, seed))),
         gate: None,
@@ -108,6 +112,24 @@
     }
 }
 
+/// The seals of a fleet.
+pub(crate) fn seals(terms: &PeersTerms) -> Result<peers::Seals, String> {
+    let secret =
+        Secret::read(&terms.secret).map_err(|e| format!("peers.secret: {}: {e}", terms.secret.display()))?;
+    Ok(peers::Seals::new(secret, terms.fleet.clone()))
+}
+
+/// Opens the way to the others.
+fn peers_of(terms: &PeersTerms) -> Result<peers::Setup, String> {
+    let seals = seals(terms)?;
+    let fault = |e| format!("peers.listen: {}: {e}", terms.listen);
+    let socket = std::net::UdpSocket::bind(terms.listen).map_err(fault)?;
+    let here = socket.local_addr().map_err(fault)?;
+    tracing::info!("peers: hearing on {here}");
+    let advertise = terms.advertise.unwrap_or(here);
+    Ok(peers::Setup { socket, advertise, seeds: terms.seeds.clone(), seals, id: seed() })
+}
+
 /// All that a start by a file needs, where it is not read again later.
 pub fn setup_once(config: Config, seed: u64) -> Setup {
     setup(config, &mut Places::default(), &mut Known::default(), seed)
@@ -122,7 +144,9 @@
         return run_in_fleet(path, config);
     }
     let (mut places, mut known) = (Places::default(), Known::default());
-    let setup = setup(config, &mut places, &mut known, seed());
+    let peers = config.peers.as_ref().map(peers_of).transpose()?;
+    let mut setup = setup(config, &mut places, &mut known, seed());
+    setup.peers = peers;
     let reload = move |running: &Running| {
         let config = reread(&path)?;
         let old = Rc::clone(&running.front.rules.borrow());
@@ -147,7 +171,9 @@
 fn run_in_fleet(path: PathBuf, config: Config) -> Result<(), Fault> {
     let (mut places, mut known) = (Places::default(), Known::default());
     let local = load(&path)?;
+    let peers = config.peers.as_ref().map(peers_of).transpose()?;
     let mut setup = setup(config, &mut places, &mut known, seed());
+    setup.peers = peers;
     let fleet = Fleet::new(local, places)?;
     setup.gate = Some(fleet.gate());
     let reload = |running: &Running| {
