--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod scenario_file;
 pub mod sockets;
 pub mod trial;
+mod trial_start;
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -17,6 +17,8 @@
 pub enum Trial {
     /// A change of policy takes hold everywhere or nowhere.
     Policy(Policy),
+    /// All proxies start together, with hosts that are all cold and a list service that bears little.
+    ColdStart(Box<crate::trial_start::ColdStart>),
 }
 
 /// The fleet, and how many courses.
@@ -82,7 +84,10 @@
 /// # Errors
 /// If the trial itself could not be played.
 pub fn run(trial: Trial) -> Result<bool, play::Fault> {
-    let Trial::Policy(terms) = trial;
+    let terms = match trial {
+        Trial::Policy(terms) => terms,
+        Trial::ColdStart(terms) => return crate::trial_start::run(&terms),
+    };
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
     let runtime = runtime.map_err(|e| play::Fault::Other(e.to_string()))?;
     runtime.block_on(policy(&terms)).map_err(play::Fault::Other)
--- /dev/null
+++ b/crates/lab/src/trial_start.rs
@@ -0,0 +1,208 @@
+//! `trial cold-start`: all proxies start together, side by side by several ways.
+
+use crate::play;
+use badgerramp_trial::process::all_descriptors;
+use badgerramp_trial::start::cold;
+use badgerramp_trial::start::course::{Course, Kind, KINDS};
+use badgerramp_trial::start::{play as play_start, report, Played, Size, Way};
+use clap::Args;
+use std::io::Write;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The fleet, and how many courses.
+#[derive(Args)]
+pub struct ColdStart {
+    /// Client proxies.
+    #[arg(long, default_value_t = 50, value_parser = clap::value_parser!(u64).range(2..=5_000))]
+    proxies: u64,
+    /// Hosts, all cold.
+    #[arg(long, default_value_t = 24, value_parser = clap::value_parser!(u64).range(2..=500))]
+    hosts: u64,
+    /// Questions a second that the list service bears, one at a time.
+    #[arg(long, default_value_t = 125.0)]
+    capacity: f64,
+    /// How a proxy comes to its list: asks at once, takes its turn ([list]), hears it from peers ([peers]). Several,
+    /// with commas, are played one after the other with the same seed.
+    #[arg(long, default_value = "peers", value_delimiter = ',', value_parser = Way::NAMES)]
+    way: Vec<String>,
+    /// Courses; the first is drawn from --seed, the others from those that follow it.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=100_000))]
+    courses: u64,
+    /// The first course's seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Faults of this kind alone, or none.
+    #[arg(long, value_name = "FAULT", value_parser = only)]
+    only: Option<Only>,
+    /// Proxies start within so many milliseconds.
+    #[arg(long, default_value_t = 1_000)]
+    within_ms: u64,
+    /// How long clients call, in seconds.
+    #[arg(long, default_value_t = 10)]
+    seconds: u64,
+    /// Work of a request and of a new connection at a warm host, in milliseconds.
+    #[arg(long, default_values_t = [25.0, 5.0], num_args = 2, value_names = ["REQUEST", "CONNECTION"])]
+    work_ms: Vec<f64>,
+    /// Share of a host's speed at its start, and seconds until it is warm.
+    #[arg(long, default_values_t = [0.2, 10.0], num_args = 2, value_names = ["SHARE", "SECONDS"])]
+    cold: Vec<f64>,
+    /// Courses that run beside each other.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=64))]
+    at_once: u64,
+    /// A line for each course, as JSON, into this file.
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+    /// Questions, share with a list, connections and calls served by time since the start as a plot, into this file.
+    #[arg(long, value_name = "FILE")]
+    svg: Option<PathBuf>,
+    /// The folders of courses stay.
+    #[arg(long)]
+    keep: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Only {
+    Kind(Kind),
+    Nothing,
+}
+
+fn only(name: &str) -> Result<Only, String> {
+    if name == "none" {
+        return Ok(Only::Nothing);
+    }
+    let names: Vec<String> = KINDS.into_iter().map(Kind::name).collect();
+    Kind::named(name).map(Only::Kind).ok_or_else(|| format!("allowed are none, {}", names.join(", ")))
+}
+
+impl ColdStart {
+    fn size(&self, way: Way) -> Size {
+        let count = |n: u64| usize::try_from(n).unwrap_or(usize::MAX);
+        let ms = |ms: f64| Duration::from_secs_f64(ms.clamp(0.0, 10_000.0) / 1e3);
+        let host = cold::Kind {
+            work: ms(self.work_ms[0].max(0.1)),
+            handshake: ms(self.work_ms[1]),
+            cold_share: self.cold[0].clamp(0.01, 1.0),
+            cold_time: Duration::from_secs_f64(self.cold[1].clamp(0.1, 600.0)),
+            fall_multiple: 3.0,
+            waiting: Duration::from_millis(700),
+        };
+        Size {
+            proxies: count(self.proxies),
+            hosts: count(self.hosts),
+            capacity: self.capacity.clamp(0.1, 1e5),
+            way,
+            within: Duration::from_millis(self.within_ms),
+            lasts: Duration::from_secs(self.seconds),
+            host,
+        }
+    }
+
+    /// The command that plays one course again.
+    fn again(&self, played: &Played) -> String {
+        let only = match self.only {
+            Some(Only::Kind(kind)) => format!(" --only {}", kind.name()),
+            Some(Only::Nothing) => " --only none".to_owned(),
+            None => String::new(),
+        };
+        format!(
+            "badgerramp-lab trial cold-start --seed {} --proxies {} --hosts {} --capacity {} --way {}{only}",
+            played.seed,
+            self.proxies,
+            self.hosts,
+            self.capacity,
+            format!("{:?}", played.way).to_lowercase()
+        )
+    }
+
+    fn course(&self, seed: u64) -> Course {
+        let mut course = Course::draw(
+            seed,
+            match self.only {
+                Some(Only::Kind(kind)) => Some(kind),
+                _ => None,
+            },
+        );
+        if matches!(self.only, Some(Only::Nothing)) {
+            course.faults.clear();
+        }
+        course
+    }
+}
+
+/// Runs the trial. True if all held.
+///
+/// # Errors
+/// If the trial itself could not be played.
+pub fn run(terms: &ColdStart) -> Result<bool, play::Fault> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| play::Fault::Other(e.to_string()))?;
+    runtime.block_on(trial(terms)).map_err(play::Fault::Other)
+}
+
+async fn trial(terms: &ColdStart) -> Result<bool, String> {
+    let own = std::env::current_exe().map_err(|e| e.to_string())?;
+    let programs = Arc::new((own, vec![crate::AS_PROXY.to_owned()]));
+    // For each proxy: a log, two sockets for datagrams, a listener and two connections to the list service, and what it
+    // holds at hosts.
+    let each = terms.proxies * (8 + terms.hosts.min(24)) + 4 * terms.hosts + 1_000;
+    let (wanted, allowed) = (each * terms.at_once, all_descriptors());
+    if wanted > allowed {
+        return Err(format!(
+            "{wanted} descriptors are wanted and the system allows {allowed}: fewer courses at once, or fewer proxies"
+        ));
+    }
+    let mut json = match &terms.json {
+        Some(path) => Some(std::fs::File::create(path).map_err(|e| format!("{}: {e}", path.display()))?),
+        None => None,
+    };
+    let ways: Vec<Way> = terms.way.iter().filter_map(|name| Way::named(name)).collect();
+    let seeds = terms.seed..terms.seed.saturating_add(terms.courses);
+    let mut plays = seeds.flat_map(|seed| ways.iter().map(move |way| (seed, *way)));
+    let mut running = tokio::task::JoinSet::new();
+    let (mut all, mut failed): (Vec<Played>, Option<String>) = (Vec::new(), None);
+    loop {
+        while running.len() < terms.at_once as usize && failed.is_none() {
+            let Some((seed, way)) = plays.next() else { break };
+            let (course, size) = (terms.course(seed), terms.size(way));
+            let (programs, keep) = (Arc::clone(&programs), terms.keep);
+            running.spawn(async move { (seed, play_start(&programs, size, &course, keep).await) });
+        }
+        let Some(done) = running.join_next().await else { break };
+        let (seed, played) = done.map_err(|e| e.to_string())?;
+        match played {
+            Ok(played) => {
+                let line = serde_json::to_string(&played).map_err(|e| e.to_string())?;
+                if let Some(file) = &mut json {
+                    writeln!(file, "{line}").map_err(|e| e.to_string())?;
+                }
+                println!(
+                    "course {seed} ({:?}): {}; listed {:?} ms, {} questions, goodput {:.3}",
+                    played.way,
+                    if played.held() { "held" } else { "BROKE" },
+                    played.listed_ms,
+                    played.questions,
+                    played.goodput
+                );
+                if let Some(first) = &played.first {
+                    println!("  {first}\n  again: {}", terms.again(&played));
+                }
+                all.push(played);
+            }
+            Err(fault) => failed = Some(format!("course {seed} could not be played: {fault}")),
+        }
+    }
+    if all.len() <= 6 {
+        print!("{}", report::table(&all));
+    } else {
+        print!("{}", report::sums(&all));
+    }
+    if let Some(file) = &terms.svg {
+        report::plot(&all, terms.proxies as usize, file)?;
+    }
+    match failed {
+        Some(fault) => Err(fault),
+        None => Ok(all.iter().all(Played::held)),
+    }
+}
--- a/crates/proxy/src/look.rs
+++ b/crates/proxy/src/look.rs
@@ -56,7 +56,12 @@
         Some((stamp, since, from)) => {
             let from = from.map_or_else(|| "the list service".to_owned(), |a| a.to_string());
             let life = if stamp.life > 1 { format!(" (life {})", stamp.life) } else { String::new() };
-            format!("{}{life} of {from}, {} ago; {} hosts take calls", stamp.index, span(*since), standing.hosts)
+            format!(
+                "{}{life} of {from}, {} ago; {} hosts take calls",
+                stamp.index,
+                span(*since),
+                standing.hosts
+            )
         }
     };
     line("list", list);
--- a/crates/proxy/src/net/discovery.rs
+++ b/crates/proxy/src/net/discovery.rs
@@ -119,6 +119,9 @@
             Ok(Ok(list)) => {
                 let kind = if list.snapshot { ListKind::Full } else { ListKind::Delta };
                 driver.members(kind, &list.endpoints);
+                if index.is_none() {
+                    tracing::info!("discovery: list {} with {} hosts", list.index, list.endpoints.len());
+                }
                 if *index == Some(list.index) && asked.elapsed() < CALM {
                     tokio::time::sleep(CALM).await;
                 }
--- a/crates/proxy/src/net/peers.rs
+++ b/crates/proxy/src/net/peers.rs
@@ -284,7 +284,9 @@
                     // What is not sent is as good as lost on the way.
                     self.strangers.unsent += u64::from(self.socket.try_send_to(&bytes, to).is_err());
                 }
-                Output::Ask { index, wait } => self.question = Some(self.ask(index, Duration::from_micros(wait))),
+                Output::Ask { index, wait } => {
+                    self.question = Some(self.ask(index, Duration::from_micros(wait)))
+                }
                 Output::List { whole, changes } => {
                     let kind = if whole { ListKind::Full } else { ListKind::Delta };
                     let list: Vec<Endpoint> = changes.into_iter().map(Endpoint::from).collect();
@@ -351,12 +353,17 @@
         Note::Listed { from, stamp, hosts, after } => {
             let from = from.map_or_else(|| "the list service".to_owned(), |a| a.to_string());
             let ms = after / 1_000;
-            tracing::info!("peers: list {} of {from} with {hosts} hosts, {ms} ms after the start", stamp.index);
+            tracing::info!(
+                "peers: list {} of {from} with {hosts} hosts, {ms} ms after the start",
+                stamp.index
+            );
         }
         Note::Asks(true) => tracing::info!("peers: this proxy asks the list service for others"),
         Note::Asks(false) => tracing::info!("peers: others ask the list service"),
         Note::Doubts(index) => {
-            tracing::warn!("peers: list {index} of the service is doubted: older than the one held, or half of it");
+            tracing::warn!(
+                "peers: list {index} of the service is doubted: older than the one held, or half of it"
+            );
         }
         Note::Life(life) => tracing::warn!("peers: the list service was restored or changed: life {life}"),
         Note::Settled(alive) => tracing::info!("peers: the start is over, {alive} proxies"),
--- a/crates/trial/src/clients.rs
+++ b/crates/trial/src/clients.rs
@@ -1,6 +1,6 @@
 //! Clients that call through the proxies, and try again at another one when they are refused or find nobody.
 
-use crate::link::{message, send};
+use crate::link::{header, message, send};
 use crate::now;
 use badgerramp_policy::Micros;
 use rand::{Rng, SeedableRng};
@@ -76,7 +76,7 @@
             for proxy in at {
                 let from = now();
                 let address = proxies.read().unwrap_or_else(PoisonError::into_inner)[proxy];
-                let ended = once(address, path, &key).await;
+                let (ended, _) = once(address, path, &key).await;
                 let done = Try { key: key.clone(), proxy, from, until: now(), ended };
                 tries.lock().unwrap_or_else(PoisonError::into_inner).push(done);
                 // Elsewhere only what provably never ran.
@@ -93,24 +93,27 @@
     std::mem::take(&mut *tries)
 }
 
-async fn once(address: SocketAddr, path: &str, key: &str) -> Ended {
+/// Calls once; with what the proxy says of coming back.
+pub(crate) async fn once(address: SocketAddr, path: &str, key: &str) -> (Ended, Option<Duration>) {
     let call = async {
-        let Ok(mut stream) = TcpStream::connect(address).await else { return Ended::Nobody };
+        let Ok(mut stream) = TcpStream::connect(address).await else { return (Ended::Nobody, None) };
         let request = format!(
             "POST {path} HTTP/1.1\r\nHost: x\r\nX-Timeout: {}m\r\nX-Request-ID: {key}\r\nIdempotency-Key: {key}\r\n\
              Content-Length: 2\r\n\r\nok",
             TIME.as_millis()
         );
         if send(&mut stream, request.as_bytes()).await.is_err() {
-            return Ended::Cut;
+            return (Ended::Cut, None);
         }
         match message(&mut stream, &mut Vec::new()).await {
             Some((head, _)) => {
                 let status = head.split(' ').nth(1).and_then(|s| s.parse().ok());
-                status.map_or(Ended::Cut, Ended::Status)
+                let again = header(&head, "retry-after").and_then(|v| v.parse().ok());
+                let again = again.and_then(|s| Duration::try_from_secs_f64(s).ok());
+                (status.map_or(Ended::Cut, Ended::Status), again)
             }
-            None => Ended::Cut,
+            None => (Ended::Cut, None),
         }
     };
-    tokio::time::timeout(PATIENCE, call).await.unwrap_or(Ended::Silence)
+    tokio::time::timeout(PATIENCE, call).await.unwrap_or((Ended::Silence, None))
 }
--- a/crates/trial/src/datagrams.rs
+++ b/crates/trial/src/datagrams.rs
@@ -2,6 +2,7 @@
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
+use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -24,15 +25,18 @@
 }
 
 /// Both directions.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct State {
     /// From whom sends first.
     pub forth: Pass,
     /// To whom sent first.
     pub back: Pass,
+    /// Nothing goes forth from these.
+    pub refused: Arc<HashSet<SocketAddr>>,
 }
 
-/// A link for datagrams to one target; answers go to whom it last heard from. It ends with its owner.
+/// A link for datagrams to one target, wherever that is at the moment; answers go to whom it last heard from. It ends
+/// with its owner.
 pub struct Datagrams {
     /// Where it hears.
     pub address: SocketAddr,
@@ -48,10 +52,9 @@
     ///
     /// # Errors
     /// If no port can be had.
-    pub async fn to(target: SocketAddr, seed: u64) -> io::Result<Datagrams> {
+    pub async fn to(target: watch::Receiver<Option<SocketAddr>>, seed: u64) -> io::Result<Datagrams> {
         let near = Arc::new(UdpSocket::bind("127.0.0.1:0").await?);
         let far = Arc::new(UdpSocket::bind("127.0.0.1:0").await?);
-        far.connect(target).await?;
         let address = near.local_addr()?;
         let (state, _) = watch::channel(State::default());
         let (heard, hears) = watch::channel(None);
@@ -63,12 +66,20 @@
                     // An error tells of an earlier datagram that found nobody.
                     let Ok((count, from)) = near.recv_from(&mut buffer).await else { continue };
                     heard.send_replace(Some(from));
-                    let pass = state.borrow().forth;
-                    for late in copies(pass, &mut draws) {
+                    let (pass, refused) = {
+                        let state = state.borrow();
+                        (state.forth, state.refused.contains(&from))
+                    };
+                    for late in copies(pass, &mut draws).into_iter().filter(|_| !refused) {
+                        let Some(to) = *target.borrow() else { continue };
+                        if late.is_zero() {
+                            let _ = far.send_to(&buffer[..count], to).await;
+                            continue;
+                        }
                         let (far, text) = (Arc::clone(&far), buffer[..count].to_vec());
                         tokio::spawn(async move {
                             tokio::time::sleep(late).await;
-                            let _ = far.send(&text).await;
+                            let _ = far.send_to(&text, to).await;
                         });
                     }
                 }
@@ -135,7 +146,7 @@
 
     #[tokio::test]
     async fn each_direction_has_its_own_lot() {
-        let link = Datagrams::to(echo().await, 1).await.expect("a link");
+        let link = Datagrams::to(watch::channel(Some(echo().await)).1, 1).await.expect("a link");
         let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
         socket.connect(link.address).await.expect("it hears");
         let mut buffer = [0; 64];
@@ -149,7 +160,7 @@
             assert_eq!(buffer[0], b'b');
         }
         // It hears and is not heard; what was lost does not come later.
-        link.set(|s| *s = State { forth: Pass { cut: true, ..Pass::default() }, back: Pass::default() });
+        link.set(|s| s.forth = Pass { cut: true, ..Pass::default() });
         socket.send(b"c").await.expect("sent");
         link.set(|s| *s = State::default());
         loop {
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`contender`]: other ways to bring a policy to a fleet.
 //! - [`judge`]: what broke.
 //! - [`policy`]: the trial of a change of policy.
+//! - [`start`]: the trial of a start of all proxies together.
 //! - [`report`]: tables and plots.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -23,6 +24,7 @@
 pub mod policy;
 pub mod process;
 pub mod report;
+pub mod start;
 
 /// The clock of all notes, which is the one that leases run on.
 pub use badgerramp_channel::clock::now;
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -32,9 +32,9 @@
 /// A process; killed with its owner.
 pub struct Process {
     plan: Plan,
-    child: Child,
-    pid: Pid,
+    child: Option<(Child, Pid)>,
     listening: watch::Receiver<Option<SocketAddr>>,
+    hearing: watch::Sender<Option<SocketAddr>>,
     log: Arc<Mutex<Vec<Line>>>,
     readers: Vec<tokio::task::JoinHandle<()>>,
 }
@@ -45,13 +45,20 @@
     /// # Errors
     /// If it does not start, or does not listen: with the end of its log.
     pub async fn start(plan: Plan) -> Result<Process, String> {
-        let log = Arc::new(Mutex::new(Vec::new()));
-        let (child, pid, listening, reader) = spawn(&plan, &log)?;
-        let mut process = Process { plan, child, pid, listening, log, readers: vec![reader] };
+        let mut process = Process::waiting(plan, watch::channel(None).0);
+        process.again()?;
         process.listens().await?;
         Ok(process)
     }
 
+    /// One that is not started yet: see [`Process::again`]. Where it hears datagrams comes into `hearing`, with each
+    /// start.
+    pub fn waiting(plan: Plan, hearing: watch::Sender<Option<SocketAddr>>) -> Process {
+        let (_, listening) = watch::channel(None);
+        let (log, readers) = (Arc::new(Mutex::new(Vec::new())), Vec::new());
+        Process { plan, child: None, listening, hearing, log, readers }
+    }
+
     /// Waits until it listens, and tells where.
     ///
     /// # Errors
@@ -64,32 +71,51 @@
 
     /// Sends a signal. One to a process that has ended does nothing.
     pub fn signal(&self, signal: Signal) {
-        let _ = kill_process(self.pid, signal);
+        if let Some((_, pid)) = &self.child {
+            let _ = kill_process(*pid, signal);
+        }
     }
 
     /// Ends it (SIGKILL), and waits until it has gone and its log was read.
     pub async fn kill(&mut self) {
-        let _ = self.child.kill().await;
+        if let Some((child, _)) = &mut self.child {
+            let _ = child.kill().await;
+        }
         for reader in self.readers.drain(..) {
             let _ = reader.await;
         }
     }
 
-    /// Starts it again after its end. It is not waited for.
+    /// Asks it to end (SIGTERM), and waits until it has.
+    ///
+    /// # Errors
+    /// If it does not.
+    pub async fn terminate(&mut self) -> Result<(), String> {
+        self.signal(Signal::TERM);
+        if let Some((child, _)) = &mut self.child {
+            let ended = tokio::time::timeout(LONG, child.wait()).await;
+            ended
+                .map_err(|_| format!("{:?} does not end", self.plan.arguments))?
+                .map_err(|e| e.to_string())?;
+        }
+        Ok(())
+    }
+
+    /// Starts it, also again after its end. It is not waited for.
     ///
     /// # Errors
     /// If it does not start.
     pub fn again(&mut self) -> Result<(), String> {
-        let (child, pid, listening, reader) = spawn(&self.plan, &self.log)?;
-        (self.child, self.pid, self.listening) = (child, pid, listening);
+        let (child, pid, listening, reader) = spawn(&self.plan, &self.log, &self.hearing)?;
+        (self.child, self.listening) = (Some((child, pid)), listening);
         self.readers.push(reader);
         Ok(())
     }
 
     /// CPU time that it has used so far, in microseconds, and memory that it holds, in KiB, as the system counts them.
     pub fn usage(&self) -> Option<(u64, u64)> {
-        let own =
-            |file: &str| std::fs::read_to_string(format!("/proc/{}/{file}", self.pid.as_raw_nonzero())).ok();
+        let pid = self.child.as_ref()?.1;
+        let own = |file: &str| std::fs::read_to_string(format!("/proc/{}/{file}", pid.as_raw_nonzero())).ok();
         let stat = own("stat")?;
         // The name, in brackets, may have blanks of its own.
         let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
@@ -108,7 +134,7 @@
 
     /// Has it ended by itself? With the end of its log.
     pub fn ended(&mut self) -> Option<String> {
-        let status = self.child.try_wait().ok().flatten()?;
+        let status = self.child.as_mut()?.0.try_wait().ok().flatten()?;
         Some(format!("{status}: {}", self.end()))
     }
 
@@ -121,7 +147,11 @@
 
 type Spawned = (Child, Pid, watch::Receiver<Option<SocketAddr>>, tokio::task::JoinHandle<()>);
 
-fn spawn(plan: &Plan, log: &Arc<Mutex<Vec<Line>>>) -> Result<Spawned, String> {
+fn spawn(
+    plan: &Plan,
+    log: &Arc<Mutex<Vec<Line>>>,
+    hearing: &watch::Sender<Option<SocketAddr>>,
+) -> Result<Spawned, String> {
     let mut command = Command::new(&plan.program);
     command.args(&plan.arguments).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
     for name in ["RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY", "RELAY_CONFIG"] {
@@ -132,13 +162,14 @@
     let pid = child.id().and_then(|id| Pid::from_raw(id as i32)).ok_or("a process without a number")?;
     let mut lines = BufReader::new(child.stderr.take().ok_or("no log")?).lines();
     let (says, listening) = watch::channel(None);
-    let (log, keep) = (Arc::clone(log), plan.keep.clone());
+    let (log, keep, hearing) = (Arc::clone(log), plan.keep.clone(), hearing.clone());
     let reader = tokio::spawn(async move {
         while let Ok(Some(line)) = lines.next_line().await {
-            if let Some((_, after)) = line.split_once("listening on ") {
-                let address: String =
-                    after.chars().take_while(|c| c.is_ascii_hexdigit() || ".:[]".contains(*c)).collect();
-                let _ = says.send(address.parse().ok());
+            if let Some(address) = address(&line, "listening on ") {
+                let _ = says.send(Some(address));
+            }
+            if let Some(address) = address(&line, "hearing on ") {
+                hearing.send_replace(Some(address));
             }
             let loud = !line.contains("\"DEBUG\"");
             if loud || keep.iter().any(|word| line.contains(word)) {
@@ -149,6 +180,13 @@
     Ok((child, pid, listening, reader))
 }
 
+/// The address that follows on these words.
+fn address(line: &str, words: &str) -> Option<SocketAddr> {
+    let (_, after) = line.split_once(words)?;
+    let text: String = after.chars().take_while(|c| c.is_ascii_hexdigit() || ".:[]".contains(*c)).collect();
+    text.parse().ok()
+}
+
 /// Lets this process have as many descriptors as the system allows: a trial has thousands of links. Tells how many.
 pub fn all_descriptors() -> u64 {
     use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
--- /dev/null
+++ b/crates/trial/src/start/report.rs
@@ -0,0 +1,271 @@
+//! What a start came to.
+
+use super::cold::Seen;
+use super::{locked, Call, Course, Played, World};
+use crate::clients::Ended;
+use badgerramp_policy::Micros;
+use plotters::prelude::*;
+use std::fmt::Write;
+use std::path::Path;
+
+fn ms(micros: Micros) -> u64 {
+    micros / 1_000
+}
+
+/// The lives of a proxy by its log: when it listened, and when it first had a list.
+fn lives(log: &[(Micros, String)]) -> Vec<(Micros, Option<Micros>)> {
+    let mut lives: Vec<(Micros, Option<Micros>)> = Vec::new();
+    let mut waiting = None;
+    for (at, line) in log {
+        // The list may be told before the listener is.
+        if line.contains("peers: list ") || line.contains("discovery: list ") {
+            match lives.last_mut().filter(|l| l.1.is_none()) {
+                Some(life) => life.1 = Some(*at),
+                None => waiting = Some(*at),
+            }
+        } else if line.contains("listening on") {
+            lives.push((*at, waiting.take()));
+        }
+    }
+    lives
+}
+
+pub(super) async fn judge(
+    world: &World,
+    course: &Course,
+    (zero, calls): (Micros, Vec<Call>),
+    behind: usize,
+) -> Result<Played, String> {
+    let mut all_lives = Vec::new();
+    for (place, proxy) in world.proxies.iter().enumerate() {
+        let mut process = proxy.process.lock().await;
+        if let Some(end) = process.ended() {
+            return Err(format!("p{place} ended by itself: {end}"));
+        }
+        process.kill().await;
+        all_lives.push(lives(&process.log()));
+    }
+    let counts = world.service.counts();
+    let first = counts.first_answer.unwrap_or(zero);
+    let last_lives = || all_lives.iter().filter_map(|l| l.last());
+    let unlisted = last_lives().filter(|l| l.1.is_none()).count();
+    let listed = || all_lives.iter().flatten().filter_map(|(from, at)| Some((*from, (*at)?)));
+    let mut waits: Vec<Micros> = listed().map(|(from, at)| at.saturating_sub(first.max(from))).collect();
+    waits.sort_unstable();
+    let quantile = |share: f64| {
+        let place = ((waits.len() as f64 - 1.0) * share).ceil().max(0.0) as usize;
+        ms(waits.get(place).copied().unwrap_or(0))
+    };
+    // Of the first start of each.
+    let firsts: Vec<Micros> = all_lives.iter().filter_map(|l| l.first()?.1).collect();
+    let all_at = firsts.iter().copied().max().unwrap_or(zero);
+    let seen: Vec<Seen> = world.hosts.lock().await.seen();
+    let executed = world.hosts.lock().await.executed();
+    let executed_twice = executed.values().filter(|times| **times > 1).count();
+    let down = locked(&world.down).clone();
+    // One that was killed under the call, or stood still, is no proxy's fault; nor one that had not come up.
+    let well = |call: &Call| {
+        !down.iter().any(|(who, from, until)| {
+            *who == call.proxy && *until >= call.last && *from <= call.last + 6_000_000
+        })
+    };
+    let lost: Vec<&Call> =
+        calls.iter().filter(|c| matches!(c.ended, Ended::Cut | Ended::Silence) && well(c)).collect();
+    let early: Vec<&Call> = calls.iter().filter(|c| c.from < zero + 10_000_000).collect();
+    let served_early = early.iter().filter(|c| c.served.is_some()).count();
+    let drained = locked(&world.drained).clone();
+    let last_call = |place: usize, version: u64| {
+        let told = counts.told.get(version as usize - 1).copied().flatten()?;
+        let last = seen.get(place)?.requests.last().copied()?;
+        Some(ms(last.saturating_sub(told)))
+    };
+    let drained_ms = drained.iter().filter_map(|(place, version)| last_call(*place, *version)).max();
+    let mut problems = Vec::new();
+    if unlisted > 0 {
+        problems.push(format!("{unlisted} proxies have no list"));
+    }
+    if behind > 0 {
+        problems.push(format!("{behind} proxies do not have the newest list"));
+    }
+    if let Some(call) = lost.first() {
+        problems.push(format!("call {} at p{} was lost: {:?}", call.key, call.proxy, call.ended));
+    }
+    if executed_twice > 0 {
+        let twice = executed.iter().find(|(_, times)| **times > 1).map(|(key, _)| key.clone());
+        problems.push(format!("call {} ran twice", twice.unwrap_or_default()));
+    }
+    let second = |at: Micros| (at.saturating_sub(zero) / 1_000_000) as usize;
+    let most = calls.iter().map(|c| second(c.last)).max().unwrap_or(0);
+    let mut seconds = vec![[0; 4]; most + 1];
+    let mut count = |at: Micros, what: usize| {
+        if let Some(row) = seconds.get_mut(second(at)) {
+            row[what] += 1;
+        }
+    };
+    counts.questions.iter().for_each(|at| count(*at, 0));
+    seen.iter().flat_map(|s| &s.connects).for_each(|at| count(*at, 1));
+    calls.iter().for_each(|c| count(c.from, 2));
+    calls.iter().filter_map(|c| c.served).for_each(|at| count(at, 3));
+    let questions_most = seconds.iter().map(|s| s[0]).max().unwrap_or(0);
+    let tenths = (0..(most + 1) * 10)
+        .map(|n| {
+            let at = zero + (n as Micros + 1) * 100_000;
+            let has = |l: &&(Micros, Option<Micros>)| l.1.is_some_and(|listed| listed <= at);
+            all_lives.iter().filter(|lives| lives.iter().rfind(|l| l.0 <= at).filter(has).is_some()).count()
+        })
+        .collect();
+    Ok(Played {
+        seed: course.seed,
+        way: world.size.way,
+        faults: course.faults.clone(),
+        listed_ms: [quantile(0.5), quantile(0.99), quantile(1.0)],
+        all_listed_ms: ms(all_at.saturating_sub(first)),
+        unlisted,
+        behind,
+        questions_start: counts.questions.iter().filter(|at| **at <= all_at).count(),
+        questions: counts.questions.len(),
+        questions_most,
+        given_up: counts.given_up,
+        connects_most: seen.iter().map(Seen::connects_most).max().unwrap_or(0),
+        connects: seen.iter().map(|s| s.connects.len()).sum(),
+        multiple_most: seen.iter().map(|s| s.multiple(&world.size.host)).fold(0.0, f64::max),
+        calls: calls.len(),
+        served: calls.iter().filter(|c| c.served.is_some()).count(),
+        goodput: served_early as f64 / early.len().max(1) as f64,
+        lost: lost.len(),
+        executed_twice,
+        drained_ms,
+        first: (!problems.is_empty()).then(|| problems.join("; ")),
+        seconds,
+        tenths,
+    })
+}
+
+/// The figures of some courses, one column each.
+pub fn table(all: &[Played]) -> String {
+    let mut text = String::new();
+    let mut row = |name: &str, of: &dyn Fn(&Played) -> String| {
+        let _ = write!(text, "{name:<36}");
+        for played in all {
+            let _ = write!(text, "{:>10}", of(played));
+        }
+        text.push('\n');
+    };
+    row("way", &|p| format!("{:?}", p.way).to_lowercase());
+    row("seed", &|p| p.seed.to_string());
+    for (place, name) in ["half", "99 in 100", "all"].into_iter().enumerate() {
+        row(&format!("listed, {name}, ms"), &|p| p.listed_ms[place].to_string());
+    }
+    row("first answer to the last list, ms", &|p| p.all_listed_ms.to_string());
+    row("without a list", &|p| p.unlisted.to_string());
+    row("not the newest list", &|p| p.behind.to_string());
+    row("questions until all had their list", &|p| p.questions_start.to_string());
+    row("questions", &|p| p.questions.to_string());
+    row("questions, most in a second", &|p| p.questions_most.to_string());
+    row("questions given up", &|p| p.given_up.to_string());
+    row("connections at hosts", &|p| p.connects.to_string());
+    row("connections at one, most in a second", &|p| p.connects_most.to_string());
+    row("sent over what a host can do, most", &|p| format!("{:.2}", p.multiple_most));
+    row("calls", &|p| p.calls.to_string());
+    row("served", &|p| p.served.to_string());
+    row("goodput, first 10 s", &|p| format!("{:.3}", p.goodput));
+    row("lost", &|p| p.lost.to_string());
+    row("executed twice", &|p| p.executed_twice.to_string());
+    row("last call after a drain, ms", &|p| p.drained_ms.map_or("-".to_owned(), |ms| ms.to_string()));
+    text
+}
+
+/// The sums of many courses.
+pub fn sums(all: &[Played]) -> String {
+    let mut text = String::new();
+    let sum = |of: fn(&Played) -> usize| all.iter().map(of).sum::<usize>();
+    let most = |of: fn(&Played) -> u64| all.iter().map(of).max().unwrap_or(0);
+    let mut row = |name: &str, value: u64| {
+        let _ = writeln!(text, "{name:<36}{value:>10}");
+    };
+    row("courses", all.len() as u64);
+    row("that held", all.iter().filter(|p| p.held()).count() as u64);
+    row("faults", sum(|p| p.faults.len()) as u64);
+    row("without a list", sum(|p| p.unlisted) as u64);
+    row("not the newest list", sum(|p| p.behind) as u64);
+    row("listed, all, ms, the longest", most(|p| p.listed_ms[2]));
+    row("questions", sum(|p| p.questions) as u64);
+    row("questions in a second, most", most(|p| p.questions_most as u64));
+    row("questions given up", sum(|p| p.given_up as usize) as u64);
+    row("connections at one host, most in 1 s", most(|p| p.connects_most as u64));
+    row("calls", sum(|p| p.calls) as u64);
+    row("served", sum(|p| p.served) as u64);
+    row("lost", sum(|p| p.lost) as u64);
+    row("executed twice", sum(|p| p.executed_twice) as u64);
+    text
+}
+
+/// Questions, share of proxies with a list, connections and goodput by time since the start, as SVG.
+///
+/// # Errors
+/// If the file can't be written.
+pub fn plot(all: &[Played], proxies: usize, file: &Path) -> Result<(), String> {
+    let root = SVGBackend::new(file, (900, 640)).into_drawing_area();
+    let drawn = || -> Result<(), Box<dyn std::error::Error>> {
+        root.fill(&WHITE)?;
+        let most = all.iter().map(|p| p.seconds.len()).max().unwrap_or(1) as f64;
+        type Line = Vec<(f64, f64)>;
+        let by_second = |p: &Played, of: &dyn Fn(&[usize; 4]) -> f64| -> Line {
+            p.seconds.iter().enumerate().map(|(n, s)| (n as f64 + 0.5, of(s))).collect()
+        };
+        let share = |p: &Played| -> Line {
+            p.tenths.iter().enumerate().map(|(n, c)| (n as f64 / 10.0, *c as f64 / proxies as f64)).collect()
+        };
+        let panels: [(&str, Box<dyn Fn(&Played) -> Line>); 4] = [
+            ("questions a second", Box::new(move |p| by_second(p, &|s| s[0] as f64))),
+            ("share of proxies with a list", Box::new(share)),
+            ("connections opened a second", Box::new(move |p| by_second(p, &|s| s[1] as f64))),
+            ("served a second", Box::new(move |p| by_second(p, &|s| s[3] as f64))),
+        ];
+        for (area, (name, line)) in root.split_evenly((2, 2)).iter().zip(&panels) {
+            let lines: Vec<Line> = all.iter().map(line).collect();
+            let high = lines.iter().flatten().map(|p| p.1).fold(1.0, f64::max);
+            let mut chart = ChartBuilder::on(area)
+                .margin(10)
+                .caption(*name, ("sans-serif", 16))
+                .x_label_area_size(28)
+                .y_label_area_size(44)
+                .build_cartesian_2d(0.0..most, 0.0..high * 1.05)?;
+            chart.configure_mesh().x_desc("s since the first start").draw()?;
+            for (line, played) in lines.into_iter().zip(all) {
+                let colour = match played.way {
+                    super::Way::None => RED,
+                    super::Way::Turns => BLACK,
+                    super::Way::Peers => BLUE,
+                };
+                let label = format!("{:?}", played.way).to_lowercase();
+                chart
+                    .draw_series(LineSeries::new(line, &colour))?
+                    .label(label)
+                    .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], colour));
+            }
+            chart.configure_series_labels().border_style(BLACK).draw()?;
+        }
+        root.present()?;
+        Ok(())
+    };
+    drawn().map_err(|e| format!("{}: {e}", file.display()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn lives_are_told_apart_by_their_listening() {
+        let line = |at: Micros, text: &str| (at, text.to_owned());
+        let log = [
+            line(1, "listening on 127.0.0.1:1"),
+            line(5, "peers: list 3 of 127.0.0.1:2 with 4 hosts"),
+            line(7, "listening on 127.0.0.1:1"),
+            line(8, "peers: list 3 of 127.0.0.1:2 with 4 hosts"),
+            line(9, "listening on 127.0.0.1:1"),
+        ];
+        assert_eq!(lives(&log), vec![(1, Some(5)), (7, Some(8)), (9, None)]);
+    }
+}
