--- a/crates/config/tests/files.rs
+++ b/crates/config/tests/files.rs
@@ -31,6 +31,7 @@
     let deploy = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy");
     for (name, usage) in [
         ("sidecar.example.toml", Use::Alone),
+        ("peers.example.toml", Use::Alone),
         ("expressions.example.toml", Use::Alone),
         ("demo.example.toml", Use::Alone),
         ("operator.example.toml", Use::Platform),
--- a/crates/lab/src/generate.rs
+++ b/crates/lab/src/generate.rs
@@ -72,6 +72,7 @@
         duration,
         proxies,
         // Apart from the sequence of draws: what a number stands for must not change with it.
+        peers: 0,
         subset: if number % 4 == 3 { 2 + (number / 4 % 5) as u32 } else { 0 },
         classes,
         hosts,
--- /dev/null
+++ b/crates/lab/src/play/among.rs
@@ -0,0 +1,64 @@
+//! Proxies that pass the list on among each other, in the play on the decisions: the program's own code, on the play's
+//! network.
+
+use badgerramp_peers::list::{Change, Entry as PeerEntry};
+use badgerramp_peers::peer::{Answer, Input, Member, Output, Peer, Terms};
+use badgerramp_peers::turns::Id;
+use badgerramp_world::{Entry, Micros, Told};
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// The address of a proxy.
+pub(super) fn address(place: u32) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::from_bits(0x0a00_0000 + place), 7_946))
+}
+
+/// The proxy at an address.
+pub(super) fn place(address: SocketAddr) -> u32 {
+    match address.ip() {
+        std::net::IpAddr::V4(ip) => ip.to_bits().wrapping_sub(0x0a00_0000),
+        std::net::IpAddr::V6(_) => u32::MAX,
+    }
+}
+
+/// One that starts now; the first `seeds` are seeds.
+pub(super) fn start(now: Micros, (place, seeds): (u32, u32), id: u64) -> Peer {
+    let own = Member { address: address(place), id: Id(id), started: now };
+    Peer::new(now, Terms { own, seeds: (0..seeds).map(address).collect() })
+}
+
+const STATUS: [&str; 3] = ["up", "draining", "removed"];
+
+fn change(entry: Entry) -> Change {
+    let Entry { host, state, started } = entry;
+    let status = STATUS[usize::from(state.min(2))].to_owned();
+    let there = state < 2;
+    // The play's times are no Unix times; it is enough that they come back.
+    let entry = PeerEntry { status, since_ms: started, ..PeerEntry::default() };
+    Change { name: host.to_string(), entry: there.then_some(entry) }
+}
+
+/// What the list says, in the play's words.
+pub(super) fn entry(change: &Change) -> Option<Entry> {
+    let host = change.name.parse().ok()?;
+    Some(match &change.entry {
+        Some(told) => Entry { host, state: u8::from(!told.up()), started: told.since_ms },
+        None => Entry { host, state: 2, started: 0 },
+    })
+}
+
+/// What the service's answer is to a peer; `None`: it failed.
+pub(super) fn answer(told: Told, took: Micros, at_once: bool) -> Option<Answer> {
+    let (whole, index, entries) = match told {
+        Told::Full(index, entries) => (true, index, entries),
+        Told::Changes(index, entries) => (false, index, entries),
+        Told::Nothing | Told::Failed | Told::Silence => return None,
+    };
+    Some(Answer { whole, index, changes: entries.into_iter().map(change).collect(), took, at_once })
+}
+
+/// Tells a peer; what it wants done.
+pub(super) fn tell(peer: &mut Peer, now: Micros, input: Input<'_>) -> Vec<Output> {
+    let mut out = Vec::new();
+    peer.handle(now, input, &mut out);
+    out
+}
--- a/crates/lab/src/play/mod.rs
+++ b/crates/lab/src/play/mod.rs
@@ -1,5 +1,6 @@
 //! Ways to play a scenario.
 
+mod among;
 mod events;
 mod shell;
 mod virtually;
--- a/crates/lab/src/play/shell.rs
+++ b/crates/lab/src/play/shell.rs
@@ -2,6 +2,7 @@
 
 use badgerramp_config::Config;
 use badgerramp_decisions::{Balancer, CallId, ClassId, Micros, Terms};
+use badgerramp_peers::peer::Peer;
 use badgerramp_world::{Ask, Scenario};
 use http::{HeaderMap, HeaderValue, Method};
 use rustc_hash::FxHashMap;
@@ -97,6 +98,10 @@
     /// The decisions have asked for the list while one was on its way.
     pub(crate) wanted: bool,
     pub(crate) sweeping: bool,
+    /// Among its peers, where the scenario has them; when it is due, and messages that it has sent.
+    pub(crate) peer: Option<Peer>,
+    pub(crate) peer_due: Micros,
+    pub(crate) letters: u64,
 }
 
 impl Proxy {
@@ -118,6 +123,9 @@
             questions: 0,
             wanted: false,
             sweeping: false,
+            peer: None,
+            peer_due: 0,
+            letters: 0,
         }
     }
 }
--- a/crates/lab/src/play/virtually.rs
+++ b/crates/lab/src/play/virtually.rs
@@ -1,5 +1,6 @@
 //! A scenario in virtual time: the real decisions, routes and operator's files of all proxies on modelled hosts.
 
+use super::among;
 use super::events::{Events, Rank};
 use super::shell::{self, Attempt, Call, Known, Link, Proxy, Routed};
 use super::{judge_recovery, Fault, Options};
@@ -10,6 +11,7 @@
     self as decisions, settings, Action, Balancer, CallId, CellId, Event, ListKind, Load, Outcome, ServerId,
     Settings, State,
 };
+use badgerramp_peers::peer::{Input, Output};
 use badgerramp_world::{
     Answered, Arrival, Ask, Clients, Done, Draws, Entry, Host, Job, Judge, ListService, Memory, Micros,
     Network, Next, Report, Rule, Scenario, Told, Trouble, Verdict, Way,
@@ -78,6 +80,13 @@
         epoch: u32,
     },
     Sample,
+    /// A message of one proxy reaches another; a proxy's own time among its peers.
+    Peer(u32, Vec<u8>),
+    PeerDue {
+        proxy: u32,
+        epoch: u32,
+        at: Micros,
+    },
 }
 
 /// One attempt on its way.
@@ -97,6 +106,8 @@
     number: u64,
     known: Option<u64>,
     asked: Micros,
+    /// How long it may wait for news.
+    wait: Micros,
 }
 
 struct Play {
@@ -342,6 +353,13 @@
             Ev::Joins(host) => self.host_starts(host),
             Ev::Sweep { proxy, epoch } => self.sweep(proxy, epoch),
             Ev::Sample => self.sample(),
+            Ev::Peer(proxy, bytes) => self.among(proxy, Input::Message(&bytes)),
+            Ev::PeerDue { proxy, epoch, at } => {
+                let shell = &self.proxies[proxy as usize];
+                if shell.up && shell.epoch == epoch && shell.peer_due == at {
+                    self.among(proxy, Input::Timer);
+                }
+            }
         }
     }
 
@@ -359,6 +377,48 @@
         }
         self.tell(place, Event::Start);
         self.tell(place, Event::Members { kind: ListKind::Cached, entries: Vec::new() });
+        if self.scenario.peers > 0 {
+            let id = self.draws.between((0x9ee5, u64::from(place), u64::from(epoch)), (0, u64::MAX));
+            let peer = among::start(self.now, (place, self.scenario.peers), id);
+            self.proxies[place as usize].peer = Some(peer);
+            self.among(place, Input::Timer);
+        }
+    }
+
+    // Peers.
+
+    fn among(&mut self, place: u32, input: Input<'_>) {
+        let shell = &mut self.proxies[place as usize];
+        let Some(peer) = shell.peer.as_mut().filter(|_| shell.up) else { return };
+        let out = among::tell(peer, self.now, input);
+        let (due, epoch) = (peer.due().max(self.now + 1), shell.epoch);
+        if due != shell.peer_due {
+            shell.peer_due = due;
+            self.at(due, Ev::PeerDue { proxy: place, epoch, at: due });
+        }
+        for output in out {
+            match output {
+                Output::Send(to, bytes) => {
+                    let (shell, to) = (&mut self.proxies[place as usize], among::place(to));
+                    shell.letters += 1;
+                    let name = (0xda7a, u64::from(place), (u64::from(epoch) << 32) | shell.letters);
+                    if let (Way::Arrives(at), true) =
+                        (self.network.way(self.now, None, false, name), (to as usize) < self.proxies.len())
+                    {
+                        self.at(at, Ev::Peer(to, bytes));
+                    }
+                }
+                Output::Ask { index, wait } => {
+                    self.proxies[place as usize].version = index;
+                    self.ask_list_for(place, wait);
+                }
+                Output::List { whole, changes } => {
+                    let entries = changes.iter().filter_map(among::entry).collect();
+                    self.learn(place, if whole { ListKind::Full } else { ListKind::Delta }, entries);
+                }
+                Output::Alive(_) | Output::Note(_) => {}
+            }
+        }
     }
 
     fn tell(&mut self, proxy: u32, event: Event) {
@@ -405,6 +465,8 @@
                     self.events.push(at, Rank::Timer, Ev::Timer { proxy, epoch, at });
                 }
             }
+            // Whoever asks for all does.
+            Action::Subscribe if self.scenario.peers > 0 => {}
             Action::Subscribe => {
                 let shell = &mut self.proxies[proxy as usize];
                 if shell.asking.is_some() {
@@ -944,12 +1006,16 @@
     }
 
     fn ask_list(&mut self, proxy: u32) {
+        self.ask_list_for(proxy, WATCH);
+    }
+
+    fn ask_list_for(&mut self, proxy: u32, wait: Micros) {
         let shell = &mut self.proxies[proxy as usize];
         shell.questions += 1;
         shell.asking = Some(shell.questions);
         let (number, known, epoch) = (shell.questions, shell.version, shell.epoch);
-        let question = Question { proxy, epoch, number, known, asked: self.now };
-        let patience = if known.is_some() { WATCH + WATCH_SILENCE } else { FETCH };
+        let question = Question { proxy, epoch, number, known, asked: self.now, wait };
+        let patience = if known.is_some() { wait + WATCH_SILENCE } else { FETCH };
         self.at(self.now + patience, Ev::ListLate(question));
         if let Way::Arrives(at) = self.list_way(&question, 0) {
             self.at(at, Ev::ListAsked(question));
@@ -962,9 +1028,9 @@
         }
         let told = match self.list.answer(self.now, question.known) {
             Told::Silence => return,
-            Told::Nothing if self.now < question.asked + WATCH => {
+            Told::Nothing if self.now < question.asked + question.wait => {
                 self.watching.push(question);
-                self.at(question.asked + WATCH, Ev::ListAnswers(question));
+                self.at(question.asked + question.wait, Ev::ListAnswers(question));
                 return;
             }
             Told::Nothing => Told::Changes(question.known.unwrap_or_default(), Vec::new()),
@@ -980,6 +1046,12 @@
         if !self.is_asking(&question) {
             return;
         }
+        if self.scenario.peers > 0 {
+            self.proxies[question.proxy as usize].asking = None;
+            let answer = among::answer(told, self.now - question.asked, question.known.is_none());
+            let input = answer.map_or(Input::Failed { retry_after: None }, Input::Answered);
+            return self.among(question.proxy, input);
+        }
         let (kind, version, list) = match told {
             Told::Full(version, list) => (ListKind::Full, version, list),
             Told::Changes(version, list) => (ListKind::Delta, version, list),
@@ -991,6 +1063,14 @@
         let shell = &mut self.proxies[proxy as usize];
         shell.version = Some(version);
         shell.asking = None;
+        // The watch goes on at once.
+        self.ask_list(proxy);
+        self.learn(proxy, kind, list);
+    }
+
+    /// A proxy's list is this, or has changed by this.
+    fn learn(&mut self, proxy: u32, kind: ListKind, list: Vec<Entry>) {
+        let shell = &mut self.proxies[proxy as usize];
         if kind == ListKind::Full {
             for (host, known) in shell.hosts.iter_mut().enumerate() {
                 if known.ready && !list.iter().any(|e| e.host == host) {
@@ -1020,14 +1100,15 @@
         gone.sort_unstable();
         let gone: Vec<Link> = gone.into_iter().filter_map(|h| shell.links.remove(&h)).flatten().collect();
         gone.into_iter().for_each(|link| self.close(link, u64::MAX));
-        // The watch goes on at once.
-        self.ask_list(proxy);
         self.tell(proxy, Event::Members { kind, entries });
     }
 
     fn list_failed(&mut self, proxy: u32) {
         let shell = &mut self.proxies[proxy as usize];
         shell.asking = None;
+        if self.scenario.peers > 0 {
+            return self.among(proxy, Input::Failed { retry_after: None });
+        }
         if std::mem::take(&mut shell.wanted) {
             self.ask_list(proxy);
         }
@@ -1076,7 +1157,7 @@
             }
             Trouble::ProxyCrash { proxy } => {
                 let shell = &mut self.proxies[proxy as usize];
-                shell.up = false;
+                (shell.up, shell.peer) = (false, None);
                 // What it held is its clients' to repeat: they see the connection end.
                 let mut calls: Vec<(CallId, Call)> = shell.calls.drain().collect();
                 calls.sort_by_key(|c| c.0);
--- a/crates/lab/src/scenario_file.rs
+++ b/crates/lab/src/scenario_file.rs
@@ -9,8 +9,8 @@
 use std::fmt::Write;
 use std::path::Path;
 
-const FILE: [&str; 12] = [
-    "name", "duration", "proxies", "subset", "clients", "class", "host", "network", "list", "fault",
+const FILE: [&str; 13] = [
+    "name", "duration", "proxies", "subset", "peers", "clients", "class", "host", "network", "list", "fault",
     "request", "judged",
 ];
 const CLIENTS: [&str; 9] =
@@ -164,6 +164,8 @@
     let proxies = keys.integer("proxies", 1..=PROXIES_MOST, 1) as u32;
     // What the operator's file allows; 0 is no subset.
     let subset = keys.integer("subset", 0..=10_000, 0) as u32;
+    // Seeds, as the operator's file allows them.
+    let peers = keys.integer("peers", 0..=16, 0) as u32;
     let classes = classes(keys.notes, &file);
     let hosts = hosts(keys.notes, &file);
     let empty = DeTable::new();
@@ -185,6 +187,7 @@
         duration,
         proxies,
         subset,
+        peers,
         classes,
         hosts,
         clients,
@@ -502,6 +505,7 @@
     out.time("duration", scenario.duration);
     out.raw("proxies", scenario.proxies);
     out.raw("subset", scenario.subset);
+    out.raw("peers", scenario.peers);
     let clients = &scenario.clients;
     out.table("[clients]");
     out.number("rate", clients.rate);
--- a/crates/lab/tests/trial.rs
+++ b/crates/lab/tests/trial.rs
@@ -45,3 +45,53 @@
     assert_eq!(output.status.code(), Some(2));
     assert!(told(&output).contains("kill-proxy"), "{}", told(&output));
 }
+
+fn start(arguments: &str) -> Output {
+    let done = Command::new(LAB).args(["trial", "cold-start"]).args(arguments.split(' ')).output();
+    done.expect("it runs")
+}
+
+/// Of each way one line: what it came to.
+fn played(json: &std::path::Path) -> Vec<serde_json::Value> {
+    let lines = std::fs::read_to_string(json).expect("written");
+    std::fs::remove_file(json).expect("a file");
+    lines.lines().map(|l| serde_json::from_str(l).expect("JSON")).collect()
+}
+
+#[test]
+fn proxies_that_start_together_hear_the_list_from_few_under_drawn_faults() {
+    let json = std::env::temp_dir().join(format!("badgerramp-start-{}.json", std::process::id()));
+    let arguments =
+        format!("--proxies 12 --hosts 8 --courses 4 --seed 31 --at-once 2 --json {}", json.display());
+    let output = start(&arguments);
+    assert!(output.status.success(), "{}", told(&output));
+    let played = played(&json);
+    assert_eq!(played.len(), 4);
+    for one in played {
+        for key in ["lost", "executed_twice", "unlisted", "behind", "given_up"] {
+            assert_eq!(one[key], 0, "{one}");
+        }
+        assert!(one["served"].as_u64() > Some(0) && one["listed_ms"].is_array(), "{one}");
+    }
+}
+
+#[test]
+fn with_peers_the_service_is_asked_by_few_and_without_by_each() {
+    let json = std::env::temp_dir().join(format!("badgerramp-ways-{}.json", std::process::id()));
+    let arguments =
+        format!("--proxies 40 --hosts 8 --seconds 3 --only none --way none,peers --json {}", json.display());
+    let output = start(&arguments);
+    assert!(output.status.success(), "{}", told(&output));
+    let questions = |one: &serde_json::Value| one["questions_start"].as_u64().unwrap_or(0);
+    let played = played(&json);
+    // Each asks for the list and then for what changes; with peers some ask, and those that began late.
+    assert!(questions(&played[0]) >= 40, "{}", played[0]);
+    assert!(questions(&played[1]) <= 24, "{}", played[1]);
+}
+
+#[test]
+fn the_same_start_in_virtual_time() {
+    let output = start("--in-virtual-time --proxies 30 --courses 3 --seed 5");
+    assert!(output.status.success(), "{}", told(&output));
+    assert_eq!(told(&output).matches("held").count(), 3, "{}", told(&output));
+}
--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -13,6 +13,9 @@
     pub proxies: u32,
     /// Hosts that each proxy keeps to; 0: all. The play on the decisions alone knows no subsets.
     pub subset: u32,
+    /// The first so many proxies are seeds, and all pass the list on among each other; 0: each asks for itself. The
+    /// plays on sockets know no peers: a trial does.
+    pub peers: u32,
     /// Kinds of calls.
     pub classes: Vec<Class>,
     /// Hosts, each for itself.
