--- a/crates/config-tool/src/rollout.rs
+++ b/crates/config-tool/src/rollout.rs
@@ -75,6 +75,7 @@
         ("limits.descriptors", before.limits.descriptors == after.limits.descriptors),
         ("upstream.idle", before.upstream.idle == after.upstream.idle),
         ("upstream.discovery", before.upstream.discovery.is_some() == after.upstream.discovery.is_some()),
+        ("peers", before.peers == after.peers),
     ] {
         if !same {
             change.note(format!("{key} changes: a reload refuses that, it wants a new start"));
--- a/crates/config-tool/src/set.rs
+++ b/crates/config-tool/src/set.rs
@@ -112,6 +112,7 @@
         self.names(report);
         self.classes(report);
         self.listeners(report);
+        self.fleets(report);
         for app in &self.applications {
             let Some((file, facts)) = &app.facts else { continue };
             client(report, app, *file, facts);
@@ -245,6 +246,40 @@
         }
     }
 
+    /// Sidecars of one fleet pass one list on: they must mean the same service, and be able to meet.
+    fn fleets(&self, report: &mut Report) {
+        let mut first: BTreeMap<&str, &Application> = BTreeMap::new();
+        for app in &self.applications {
+            let Some(own) = &app.config.peers else { continue };
+            let Some(other) = first.get(own.fleet.as_str()) else {
+                first.insert(&own.fleet, app);
+                continue;
+            };
+            let Some(theirs) = &other.config.peers else { continue };
+            let (a, b) = (app.config.upstream.discovery, other.config.upstream.discovery);
+            if a != b {
+                let reason = format!("{} is of the same fleet and names another list service", other.name);
+                let place = app.place(&["upstream", "discovery"]);
+                let mut finding =
+                    app.finding("fleet-differs", ("upstream.discovery".to_owned(), place), reason);
+                finding.found = a.map_or("none".to_owned(), |a| a.to_string());
+                let wanted = b.map_or("none".to_owned(), |b| b.to_string());
+                finding.allowed = format!("{wanted}, or another peers.fleet");
+                finding.related.push((other.place(&["upstream", "discovery"]), "the other one".to_owned()));
+                report.findings.push(finding);
+            }
+            if !own.seeds.iter().any(|seed| theirs.seeds.contains(seed)) {
+                let reason = format!("{} is of the same fleet and has none of these seeds", other.name);
+                let place = app.place(&["peers", "seeds"]);
+                let mut finding = app.finding("fleet-apart", ("peers.seeds".to_owned(), place), reason);
+                finding.found = "no seed in common".to_owned();
+                finding.allowed = "a seed that both have, or another peers.fleet".to_owned();
+                finding.related.push((other.place(&["peers", "seeds"]), "the other one".to_owned()));
+                report.findings.push(finding);
+            }
+        }
+    }
+
     /// What all sidecars together ask of an upstream.
     fn load(&self, report: &mut Report, upstream: &Described) {
         let users: Vec<(&Application, &facts::App)> = self
@@ -521,3 +556,33 @@
         report.findings.push(told("path-alike", reason));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn sidecars_of_one_fleet_mean_one_list_service_and_can_meet() {
+        let app = |name: &str, discovery: &str, (seed, fleet): (&str, &str)| {
+            let text = format!(
+                "listen = \"127.0.0.1:0\"\n[upstream]\ndiscovery = \"{discovery}\"\n[class.e]\naim = \"500ms\"\n\
+                 deadline = \"1s\"\neffect = \"safe\"\n[[route]]\nname = \"e\"\nprefix = \"/e\"\nclass = \"e\"\n\
+                 [peers]\nlisten = \"10.0.0.9:7946\"\nseeds = [\"{seed}\"]\nsecret = \"s\"\nfleet = \"{fleet}\"\n"
+            );
+            let config = badgerramp_config::parse("a.toml", &text).unwrap_or_else(|m| panic!("{m}"));
+            Application { name: name.to_owned(), file: 0, config, facts: None }
+        };
+        let found = |applications: Vec<Application>| {
+            let mut report = Report::default();
+            Set { applications, ..Set::default() }.fleets(&mut report);
+            report.findings.iter().map(|f| f.code).collect::<Vec<_>>()
+        };
+        let (one, two) = (("10.0.0.1:1", "north"), ("10.0.0.2:1", "north"));
+        let same = vec![app("a", "10.0.0.7:1", one), app("b", "10.0.0.7:1", one)];
+        assert!(found(same).is_empty());
+        assert_eq!(found(vec![app("a", "10.0.0.7:1", one), app("b", "10.0.0.8:1", one)]), ["fleet-differs"]);
+        assert_eq!(found(vec![app("a", "10.0.0.7:1", one), app("b", "10.0.0.7:1", two)]), ["fleet-apart"]);
+        let other = app("b", "10.0.0.8:1", ("10.0.0.2:1", "south"));
+        assert!(found(vec![app("a", "10.0.0.7:1", one), other]).is_empty());
+    }
+}
--- a/crates/lab/src/play/among.rs
+++ b/crates/lab/src/play/among.rs
@@ -23,7 +23,7 @@
 /// One that starts now; the first `seeds` are seeds.
 pub(super) fn start(now: Micros, (place, seeds): (u32, u32), id: u64) -> Peer {
     let own = Member { address: address(place), id: Id(id), started: now };
-    Peer::new(now, Terms { own, seeds: (0..seeds).map(address).collect() })
+    Peer::new(now, Terms { own, seeds: (0..seeds).map(address).collect(), without: None })
 }
 
 const STATUS: [&str; 3] = ["up", "draining", "removed"];
--- a/crates/lab/src/trial_start.rs
+++ b/crates/lab/src/trial_start.rs
@@ -2,6 +2,7 @@
 
 use crate::play;
 use badgerramp_peers::play::{self as peers, World};
+use badgerramp_peers::turns::Mechanism;
 use badgerramp_trial::process::all_descriptors;
 use badgerramp_trial::start::cold;
 use badgerramp_trial::start::course::{Course, Kind, KINDS};
@@ -49,6 +50,9 @@
     /// Share of a host's speed at its start, and seconds until it is warm.
     #[arg(long, default_values_t = [0.2, 10.0], num_args = 2, value_names = ["SHARE", "SECONDS"])]
     cold: Vec<f64>,
+    /// Hosts that each proxy keeps to ([subset]); 0: all.
+    #[arg(long, default_value_t = 0, value_parser = clap::value_parser!(u64).range(0..=500))]
+    subset: u64,
     /// Courses that run beside each other.
     #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=64))]
     at_once: u64,
@@ -65,6 +69,9 @@
     /// Without hosts and clients; --way is peers.
     #[arg(long, conflicts_with_all = ["json", "svg", "keep", "at_once"])]
     in_virtual_time: bool,
+    /// In virtual time: one mechanism is left out, to measure what it is worth.
+    #[arg(long, requires = "in_virtual_time", value_parser = Mechanism::NAMES)]
+    without: Option<String>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -101,6 +108,7 @@
             within: Duration::from_millis(self.within_ms),
             lasts: Duration::from_secs(self.seconds),
             host,
+            subset: count(self.subset),
         }
     }
 
@@ -161,10 +169,13 @@
         start: terms.within_ms * 1_000,
         ..World::default()
     };
-    let calm = World { until: terms.seconds * 1_000_000, ..calm };
+    // One change, so that its way to all can be told.
+    let until = terms.seconds * 1_000_000;
+    let calm = World { until, changes: vec![until / 4 * 3], ..calm };
     let mut held = true;
     for seed in terms.seed..terms.seed.saturating_add(terms.courses) {
-        let world = if drawn { peers::draw(proxies, seed) } else { calm.clone() };
+        let mut world = if drawn { peers::draw(proxies, seed) } else { calm.clone() };
+        world.without = terms.without.as_deref().and_then(Mechanism::named);
         let played = peers::play(&world, seed);
         let broken = played.broken(&world).filter(|_| drawn || played.given_up > 0);
         let waits = played.waits();
@@ -173,12 +184,16 @@
             waits.get(place).copied().flatten().map_or("-".to_owned(), |wait| (wait / 1_000).to_string())
         };
         held &= broken.is_none();
+        let spread = world.changes.iter().zip(&played.spread).filter_map(|(at, all)| Some((*all)? - at));
+        let spread = spread.max().map(|micros| micros / 1_000);
         println!(
-            "world {seed}: {}; listed {} {} {} ms; {} questions, {} in a second at the most, {} given up; {} ask; {:.1} messages a second and proxy in the end, {} at the most",
+            "world {seed}: {}; listed {} {} {} ms, the last {} ms after the first start; a change at all in {} ms; {} questions, {} in a second at the most, {} given up; {} ask; {:.1} messages a second and proxy in the end, {} at the most",
             broken.as_deref().map_or("held".to_owned(), |b| format!("BROKE: {b}")),
             at(0.5),
             at(0.99),
             at(1.0),
+            played.listed.iter().flatten().max().map_or(0, |at| at / 1_000),
+            spread.map_or("-".to_owned(), |ms| ms.to_string()),
             played.questions.iter().sum::<u32>(),
             played.questions.iter().max().unwrap_or(&0),
             played.given_up,
@@ -198,7 +213,8 @@
     let programs = Arc::new((own, vec![crate::AS_PROXY.to_owned()]));
     // For each proxy: a log, two sockets for datagrams, a listener and two connections to the list service, and what it
     // holds at hosts.
-    let each = terms.proxies * (8 + terms.hosts.min(24)) + 4 * terms.hosts + 1_000;
+    let held = if terms.subset > 0 { 3 * terms.subset } else { terms.hosts };
+    let each = terms.proxies * (8 + held.min(24)) + 4 * terms.hosts + 1_000;
     let (wanted, allowed) = (each * terms.at_once, all_descriptors());
     if wanted > allowed {
         return Err(format!(
--- a/crates/peers/src/peer.rs
+++ b/crates/peers/src/peer.rs
@@ -7,7 +7,7 @@
 use crate::belief::{Belief, Verdict, DOUBT};
 use crate::list::{Book, Change, Stamp};
 use crate::parcel::{Assembly, Parcel, PART};
-use crate::turns::{Id, Turns, Word};
+use crate::turns::{Id, Mechanism, Turns, Word};
 use crate::Micros;
 use foca::{
     AccumulatingRuntime, Foca, NoCustomBroadcast, OwnedNotification, PeriodicParams, PostcardCodec, Timer,
@@ -33,6 +33,8 @@
 /// How often: while there is news, and in calm.
 const TICK_LEAST: Micros = 100_000;
 const TICK_MOST: Micros = 1_000_000;
+/// ... and while it has no list: what it waits for may come up at any moment.
+const TICK_WITHOUT: Micros = 250_000;
 /// Messages a second that a proxy sends at the most, and how many at once.
 pub const RATE: f64 = 400.0;
 /// See [`RATE`].
@@ -236,6 +238,8 @@
     pub own: Member,
     /// Where others may be met.
     pub seeds: Vec<SocketAddr>,
+    /// What is left out, to measure what it is worth; else `None`.
+    pub without: Option<Mechanism>,
 }
 
 type Swim = Foca<Member, PostcardCodec, SmallRng, NoCustomBroadcast>;
@@ -251,6 +255,7 @@
     parcel: Option<Parcel>,
     assembly: Option<(Assembly, SocketAddr, Micros)>,
     turns: Turns,
+    without: Option<Mechanism>,
     /// The next question is for the whole list.
     whole: bool,
     swim: Swim,
@@ -311,7 +316,8 @@
             source: None,
             parcel: None,
             assembly: None,
-            turns: Turns::new(own.id, seed),
+            turns: Turns::new(own.id, seed).without(terms.without),
+            without: terms.without,
             whole: true,
             swim: Foca::new(own, swim_terms(), rng, PostcardCodec),
             runtime: AccumulatingRuntime::new(),
@@ -448,7 +454,8 @@
                 self.written(Message::Status { stamp: Some(stamp), words })
             }
         };
-        for to in self.others(FAN, source) {
+        let fan = if self.without == Some(Mechanism::Push) { 0 } else { FAN };
+        for to in self.others(fan, source) {
             self.post(now, to, bytes.clone(), out);
         }
     }
@@ -559,7 +566,7 @@
             self.hurry(now);
             // More news within a moment goes with the next word of all: what is told about those that ask must never
             // become a storm.
-            if self.passed_on + TICK_LEAST <= now {
+            if self.passed_on + TICK_LEAST <= now && self.without != Some(Mechanism::Words) {
                 self.passed_on = now;
                 self.tell(now, out);
             }
@@ -701,7 +708,8 @@
         // A little apart: proxies that start together do not speak together for ever.
         let tick = self.tick * self.random.gen_range(75..=125) / 100;
         self.tick_at = now + tick;
-        self.tick = (self.tick * 3 / 2).min(TICK_MOST);
+        let most = if self.belief.held().is_some() { TICK_MOST } else { TICK_WITHOUT };
+        self.tick = (self.tick * 3 / 2).min(most);
         let alone = self.swim.num_members() == 0;
         if alone || self.seeds_at <= now {
             // At the start, and where a part of the fleet has lost the others.
--- a/crates/peers/src/play.rs
+++ b/crates/peers/src/play.rs
@@ -3,7 +3,7 @@
 
 use crate::list::{Change, Entry};
 use crate::peer::{Answer, Input, Member, Output, Peer, Terms};
-use crate::turns::Id;
+use crate::turns::{Id, Mechanism};
 use crate::Micros;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -67,6 +67,8 @@
     pub faults: Vec<Fault>,
     /// How long it is played.
     pub until: Micros,
+    /// What is left out.
+    pub without: Option<Mechanism>,
 }
 
 impl Default for World {
@@ -86,6 +88,7 @@
             changes: Vec::new(),
             faults: Vec::new(),
             until: 10_000_000,
+            without: None,
         }
     }
 }
@@ -340,7 +343,7 @@
                 let proxy = &mut self.proxies[who];
                 proxy.life += 1;
                 proxy.timer = now;
-                proxy.peer = Some(Peer::new(now, Terms { own, seeds }));
+                proxy.peer = Some(Peer::new(now, Terms { own, seeds, without: self.world.without }));
                 (self.played.started[who], self.played.listed[who]) = (now, None);
                 self.handle(now, who, Input::Timer);
             }
--- a/crates/peers/src/turns.rs
+++ b/crates/peers/src/turns.rs
@@ -7,7 +7,7 @@
 //! at its start) stop.
 //!
 //! One that has met no peer at all (its seeds are down) can't be heard and hears nobody: then each asks for itself, at a
-//! time whose logarithm is drawn evenly, so that a few who are alone wait for two seconds in the middle, and hundreds do
+//! time whose logarithm is drawn evenly, so that a few who are alone wait for four seconds in the middle, and hundreds do
 //! not come together.
 //!
 //! One that fails pauses for longer each time, never for less than the service has said, and for longer where the service
@@ -28,9 +28,10 @@
 /// Span of the draw of one that has no list, has met a peer and knows of nobody who asks. A question, its answer and their way to the
 /// others take about a tenth of it, so that few begin in vain.
 const SPAN: Micros = 1_000_000;
-/// Earliest and latest time of one that has met no peer. 300 of them are 72 questions in the first second and fewer in
-/// each later one.
-const ALONE: (Micros, Micros) = (250_000, 16_000_000);
+/// Earliest and latest time of one that has met no peer. Machines that are switched on together come up within a
+/// second, seeds among them: who asks before has not waited for any. 300 that are alone are 75 questions for the list in
+/// the second after, and fewer in each later one.
+const ALONE: (Micros, Micros) = (1_000_000, 16_000_000);
 /// ... of a seed, which is asked by those that start: it is the first to need the list.
 const SPAN_SEED: Micros = 100_000;
 /// ... of one that has a list, or knows somebody who asks.
@@ -63,6 +64,30 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Id(pub u64);
 
+/// What can be left out, to measure what it is worth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mechanism {
+    /// The law by which few times are short: all are alike.
+    Law,
+    /// A seed asks sooner than others.
+    Seeds,
+    /// A new list goes to some others at once.
+    Push,
+    /// News of those that ask goes on at once.
+    Words,
+}
+
+impl Mechanism {
+    /// The names of all.
+    pub const NAMES: [&'static str; 4] = ["law", "seeds", "push", "words"];
+
+    /// The one of this name.
+    pub fn named(name: &str) -> Option<Self> {
+        let all = [Self::Law, Self::Seeds, Self::Push, Self::Words];
+        all.into_iter().zip(Self::NAMES).find(|(_, n)| *n == name).map(|(one, _)| one)
+    }
+}
+
 /// What is told of one that asks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Word {
@@ -117,6 +142,7 @@
     met: bool,
     /// This proxy has a list.
     listed: bool,
+    without: Option<Mechanism>,
     rest_until: Micros,
     /// Somebody has failed with this least pause, until then.
     not_before: Micros,
@@ -137,11 +163,19 @@
             lot: None,
             met: seed,
             listed: false,
+            without: None,
             rest_until: 0,
             not_before: 0,
         }
     }
 
+    /// Leaves a mechanism out.
+    #[must_use]
+    pub fn without(mut self, without: Option<Mechanism>) -> Self {
+        self.without = without;
+        self
+    }
+
     /// Does this proxy ask for all?
     pub fn asks(&self) -> bool {
         self.own.asks
@@ -240,7 +274,7 @@
         let span = match (hearing, cut_off) {
             (1.., _) => SPAN_MORE,
             (0, 0) if self.listed => SPAN_MORE,
-            (0, 0) if self.seed => SPAN_SEED,
+            (0, 0) if self.seed && self.without != Some(Mechanism::Seeds) => SPAN_SEED,
             (0, 0) if !self.met => return Some(Lot::Alone),
             (0, 0) => SPAN,
             (0, _) => SPAN_FAILED,
@@ -251,6 +285,7 @@
     fn draw(&mut self, lot: Lot) -> Micros {
         let share: f64 = self.random.gen_range(f64::MIN_POSITIVE..=1.0);
         match lot {
+            Lot::Within(span) if self.without == Some(Mechanism::Law) => (span as f64 * share) as Micros,
             Lot::Within(span) => (span as f64 * (1.0 + share.ln() / PROXIES_MOST.ln()).max(0.0)) as Micros,
             Lot::Alone => (ALONE.0 as f64 * (ALONE.1 as f64 / ALONE.0 as f64).powf(share)) as Micros,
         }
--- a/crates/proxy/src/net/peers.rs
+++ b/crates/proxy/src/net/peers.rs
@@ -178,7 +178,7 @@
         socket: UdpSocket::from_std(setup.socket)?,
         seals: setup.seals,
         id: setup.id,
-        peer: Peer::new(now, Terms { own, seeds: setup.seeds }),
+        peer: Peer::new(now, Terms { own, seeds: setup.seeds, without: None }),
         replays: Replays::default(),
         strangers: Strangers::default(),
         count: 0,
--- a/crates/trial/src/start/mod.rs
+++ b/crates/trial/src/start/mod.rs
@@ -84,6 +84,8 @@
     pub lasts: Duration,
     /// What a host is.
     pub host: cold::Kind,
+    /// Hosts that each proxy keeps to (`[subset]`); 0: all.
+    pub subset: usize,
 }
 
 /// What a course came to.
@@ -197,7 +199,7 @@
 }
 
 fn file(
-    size: &Size,
+    (size, place): (&Size, usize),
     service: SocketAddr,
     (name, advertise, seeds): (&str, SocketAddr, &str),
     fleet: &str,
@@ -210,6 +212,10 @@
              fleet = \"{fleet}\"\n"
         ),
     };
+    let subset = match size.subset {
+        0 => String::new(),
+        hosts => format!("[subset]\ninstance = {place}\nsize = {hosts}\n"),
+    };
     format!(
         r#"listen = "127.0.0.1:0"
 [limits]
@@ -227,7 +233,7 @@
 cold_share = {}
 cold_time = "{}ms"
 fall_multiple = {}
-{list}[defaults]
+{list}{subset}[defaults]
 connect = "400ms"
 second_copy = "off"
 [class.registro-entrada]
@@ -302,7 +308,7 @@
             let own = (&*secret.display().to_string(), peers.address, &*seeds.join(", "));
             let file = folder.write(
                 &format!("p{place}.toml"),
-                &file(&size, service.address, own, "trial"),
+                &file((&size, place), service.address, own, "trial"),
                 false,
             )?;
             let mut arguments = programs.1.clone();
