--- a/crates/peers/src/parcel.rs
+++ b/crates/peers/src/parcel.rs
@@ -18,7 +18,8 @@
 }
 
 impl Parcel {
-    /// Packs a list. `None`: it is too large to pass on; each proxy asks the service for such a one.
+    /// Packs a list. `None`: it is too large to pass on. No answer that is read of a list service (4 MiB) makes such a
+    /// one.
     pub fn pack(stamp: Stamp, book: &Book) -> Option<Self> {
         let bytes = zstd::bulk::compress(&book.bytes(), 1).ok()?;
         (bytes.len() <= PART * PARTS_MOST).then(|| Parcel { stamp, bytes: bytes.into() })
--- a/crates/peers/src/peer.rs
+++ b/crates/peers/src/peer.rs
@@ -775,10 +775,10 @@
                     }
                 }
                 // Another process at the same address: the old one is not there any more.
-                OwnedNotification::MemberDown(old) | OwnedNotification::Rename(old, _) => {
-                    if old.id != self.own.id {
-                        self.turns.gone(now, old.id);
-                    }
+                OwnedNotification::MemberDown(old) | OwnedNotification::Rename(old, _)
+                    if old.id != self.own.id =>
+                {
+                    self.turns.gone(now, old.id);
                 }
                 _ => {}
             }
--- a/crates/proxy/src/net/peers.rs
+++ b/crates/proxy/src/net/peers.rs
@@ -138,7 +138,7 @@
     driver: Driver,
     network: Rc<dyn Network>,
     socket: UdpSocket,
-    seals: Seals,
+    seals: Rc<Seals>,
     id: u64,
     peer: Peer,
     replays: Replays,
@@ -176,7 +176,7 @@
     let mut here = Here {
         network,
         socket: UdpSocket::from_std(setup.socket)?,
-        seals: setup.seals,
+        seals: Rc::new(setup.seals),
         id: setup.id,
         peer: Peer::new(now, Terms { own, seeds: setup.seeds, without: None }),
         replays: Replays::default(),
@@ -246,7 +246,7 @@
             return;
         }
         let kind = if datagram.get(1) == Some(&(Kind::Look as u8)) { Kind::Look } else { Kind::Letter };
-        let seals = self.seals.clone();
+        let seals = Rc::clone(&self.seals);
         match seals.open(kind, datagram) {
             Err(Strange::Form) => self.strangers.form += 1,
             Err(Strange::Seal) => self.strangers.seal += 1,
--- a/crates/trial/src/course.rs
+++ b/crates/trial/src/course.rs
@@ -12,6 +12,8 @@
 pub enum Kind {
     /// A proxy is killed (SIGKILL) and started again.
     KillProxy,
+    /// All proxies are killed at once and started again.
+    KillAll,
     /// A proxy stands still (SIGSTOP) and goes on.
     StopProxy,
     /// A proxy is killed, and its copy of the policy is torn before it starts again.
@@ -39,8 +41,9 @@
 }
 
 /// All kinds.
-pub const KINDS: [Kind; 13] = [
+pub const KINDS: [Kind; 14] = [
     Kind::KillProxy,
+    Kind::KillAll,
     Kind::StopProxy,
     Kind::TearProxy,
     Kind::CutProxy,
@@ -124,7 +127,9 @@
             let until = from + Duration::from_millis(draws.gen_range(LASTS));
             let fault = Fault { kind, whom, from, until };
             let beside = |f: &Fault| {
-                f.kind.of_replica() == kind.of_replica() && f.whom == whom && f.from < until && from < f.until
+                let all = f.kind == Kind::KillAll || kind == Kind::KillAll;
+                let same = f.kind.of_replica() == kind.of_replica() && (f.whom == whom || all);
+                same && f.from < until && from < f.until
             };
             if !faults.iter().any(beside) {
                 faults.push(fault);
@@ -152,7 +157,8 @@
             for (place, a) in course.faults.iter().enumerate() {
                 assert!(a.whom < if a.kind.of_replica() { 3 } else { 50 });
                 for b in &course.faults[place + 1..] {
-                    let same = a.kind.of_replica() == b.kind.of_replica() && a.whom == b.whom;
+                    let all = a.kind == Kind::KillAll || b.kind == Kind::KillAll;
+                    let same = a.kind.of_replica() == b.kind.of_replica() && (a.whom == b.whom || all);
                     assert!(!same || a.until <= b.from, "{a:?} {b:?}");
                 }
             }
--- a/crates/trial/src/policy.rs
+++ b/crates/trial/src/policy.rs
@@ -488,6 +488,19 @@
         };
         let slow = Pass::Delayed(Duration::from_millis(120));
         match fault.kind {
+            Kind::KillAll => {
+                let all: Vec<usize> = (0..self.proxies.len()).collect();
+                locked(&self.passes).down.extend(&all);
+                let mut killed = tokio::task::JoinSet::new();
+                for &whom in &all {
+                    let world = Arc::clone(&self);
+                    killed.spawn(async move { world.kill_proxy(Fault { whom, ..fault }, end).await });
+                }
+                while let Some(done) = killed.join_next().await {
+                    done.map_err(|e| e.to_string())??;
+                }
+                locked(&self.passes).down.clear();
+            }
             Kind::KillProxy | Kind::TearProxy => {
                 locked(&self.passes).down.insert(fault.whom);
                 self.kill_proxy(fault, end).await?;
@@ -537,14 +550,24 @@
         if !fault.kind.of_replica() {
             ways((Pass::Free, Pass::Free));
         }
-        let process = matches!(fault.kind, Kind::KillProxy | Kind::TearProxy | Kind::StopProxy);
-        let proxy = (!fault.kind.of_replica()).then_some(fault.whom);
-        locked(&self.unwell).push(Unwell { proxy, process, from, until: now() });
+        let process =
+            matches!(fault.kind, Kind::KillProxy | Kind::KillAll | Kind::TearProxy | Kind::StopProxy);
+        let whom = match fault.kind {
+            Kind::KillAll => (0..self.proxies.len()).map(Some).collect(),
+            kind if kind.of_replica() => vec![None],
+            _ => vec![Some(fault.whom)],
+        };
+        let until = now();
+        let unwell = whom.into_iter().map(|proxy| Unwell { proxy, process, from, until });
+        locked(&self.unwell).extend(unwell);
         Ok(())
     }
 
     async fn kill_proxy(&self, fault: Fault, end: Instant) -> Result<(), String> {
         let mut proxy = self.proxies[fault.whom].lock().await;
+        // Its port may be another process's at once, and of another course's fleet: until it listens nobody is there.
+        let nobody = SocketAddr::from(([127, 0, 0, 1], 9));
+        self.addresses.write().unwrap_or_else(PoisonError::into_inner)[fault.whom] = nobody;
         proxy.kill().await;
         let name = format!("p{}", fault.whom);
         // One that goes on without a lease holds changes up until the operator answers for its end.
--- a/crates/trial/src/start/report.rs
+++ b/crates/trial/src/start/report.rs
@@ -216,7 +216,8 @@
         let share = |p: &Played| -> Line {
             p.tenths.iter().enumerate().map(|(n, c)| (n as f64 / 10.0, *c as f64 / proxies as f64)).collect()
         };
-        let panels: [(&str, Box<dyn Fn(&Played) -> Line>); 4] = [
+        type Panel<'a> = (&'static str, Box<dyn Fn(&Played) -> Line + 'a>);
+        let panels: [Panel<'_>; 4] = [
             ("questions a second", Box::new(move |p| by_second(p, &|s| s[0] as f64))),
             ("share of proxies with a list", Box::new(share)),
             ("connections opened a second", Box::new(move |p| by_second(p, &|s| s[1] as f64))),
--- a/crates/world/tests/model.rs
+++ b/crates/world/tests/model.rs
@@ -45,6 +45,7 @@
 fn scenario(effect: Effect) -> Scenario {
     Scenario {
         subset: 0,
+        peers: 0,
         name: "test".to_owned(),
         duration: 10_000_000,
         proxies: 2,
