Peers: lints, docs; the reader of [peers] stands by itself

The new reader took part in an old circle of the config package for one fact; it is handed that fact now.

--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -371,7 +371,7 @@
         let upstream = top.section(self.notes, "upstream", &UPSTREAM).map(|section| self.upstream(&section));
         let subset = subset::subset(self.notes, &top, upstream.as_ref(), limits.as_ref());
         let list = subset::list(self.notes, &top, upstream.as_ref());
-        let peers = peers::read(self.notes, &top, upstream.as_ref());
+        let peers = peers::read(self.notes, &top, upstream.as_ref().map(|u| u.discovery.is_some()));
         let defaults = match top.section(self.notes, "defaults", &timing::KEYS) {
             Some(section) => Draft::read(self.notes, &section),
             None => Draft::default(),
--- a/crates/config/src/peers.rs
+++ b/crates/config/src/peers.rs
@@ -1,6 +1,5 @@
 //! `[peers]`: where this proxy hears the others of its fleet, and where others may be met.
 
-use crate::file::Upstream;
 use badgerramp_reading::{show, Notes, Section, Set};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -24,14 +23,14 @@
     pub fleet: String,
 }
 
-/// Reads the table.
-pub(crate) fn read(notes: &mut Notes, top: &Section<'_>, upstream: Option<&Upstream>) -> Option<PeersTerms> {
+/// Reads the table; `asks`: there is a list service, if there is an upstream at all.
+pub(crate) fn read(notes: &mut Notes, top: &Section<'_>, asks: Option<bool>) -> Option<PeersTerms> {
     let section = top.section(notes, "peers", &KEYS)?;
     section.want(notes, "listen", "an address and a UDP port, like \"10.0.0.4:7946\"");
     section.want(notes, "seeds", "addresses of some proxies of the fleet, like [\"10.0.0.4:7946\"]");
     section.want(notes, "secret", "the path of a file that only its owner may read");
     section.want(notes, "fleet", "the name of the fleet, like \"cordillera\"");
-    if upstream.is_some_and(|u| u.discovery.is_none()) {
+    if asks == Some(false) {
         let allowed = "upstream.discovery, or no [peers]";
         notes.add((&section.key, &section.span), "there is no list to pass on", "`endpoints`", allowed);
     }
--- a/crates/peers/src/turns.rs
+++ b/crates/peers/src/turns.rs
@@ -241,8 +241,7 @@
 
     /// A peer was heard.
     pub fn met(&mut self, now: Micros) {
-        let before = std::mem::replace(&mut self.met, Some(now));
-        if before.is_none() {
+        if self.met.replace(now).is_none() {
             self.look(now);
         }
     }
