--- a/crates/trial/src/course.rs
+++ b/crates/trial/src/course.rs
@@ -104,6 +104,9 @@
 /// A fault lasts so many milliseconds: some much less than a lease of the trial, some several.
 const LASTS: std::ops::RangeInclusive<u64> = 100..=4_000;
 
+/// All are down for so long at the most.
+const ALL_LASTS: Duration = Duration::from_secs(1);
+
 impl Course {
     /// Draws a course for so many proxies and replicas. `only`: faults of no other kind. Faults of one process do not
     /// overlap; those of different ones may.
@@ -124,7 +127,14 @@
             let kind = kinds[place % kinds.len()];
             let whom = draws.gen_range(0..if kind.of_replica() { replicas } else { proxies });
             let from = Duration::from_millis(draws.gen_range(0..BEGIN_WITHIN));
-            let until = from + Duration::from_millis(draws.gen_range(LASTS));
+            let mut until = from + Duration::from_millis(draws.gen_range(LASTS));
+            if kind == Kind::KillAll {
+                // Shortly, and once beside others: while all are down nothing else can happen to a proxy.
+                until = until.min(from + ALL_LASTS);
+                if only.is_none() && faults.iter().any(|f| f.kind == kind) {
+                    continue;
+                }
+            }
             let fault = Fault { kind, whom, from, until };
             let beside = |f: &Fault| {
                 let all = f.kind == Kind::KillAll || kind == Kind::KillAll;
