--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod experiment;
 pub mod generate;
 pub mod hunt;
+mod only;
 pub mod operator;
 pub mod play;
 pub mod report;
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -1,5 +1,6 @@
 //! `trial`: several processes of the real program with faults between them.
 
+use crate::only::Only;
 use crate::play;
 use badgerramp_trial::contender::Way;
 use badgerramp_trial::course::{Course, Fault, Kind, KINDS};
@@ -38,7 +39,7 @@
     seed: u64,
     /// Faults of this kind alone, or none.
     #[arg(long, value_name = "FAULT", value_parser = kind)]
-    only: Option<Only>,
+    only: Option<Only<Kind>>,
     /// One proxy has the fault of --only over all changes but the last, and nothing else goes wrong.
     #[arg(long, requires = "only")]
     one: bool,
@@ -65,18 +66,8 @@
     keep: bool,
 }
 
-#[derive(Clone, Copy, Debug)]
-enum Only {
-    Kind(Kind),
-    Nothing,
-}
-
-fn kind(name: &str) -> Result<Only, String> {
-    if name == "none" {
-        return Ok(Only::Nothing);
-    }
-    let names: Vec<String> = KINDS.into_iter().map(Kind::name).collect();
-    Kind::named(name).map(Only::Kind).ok_or_else(|| format!("allowed are none, {}", names.join(", ")))
+fn kind(name: &str) -> Result<Only<Kind>, String> {
+    Only::read(name, Kind::named(name), KINDS.into_iter().map(Kind::name))
 }
 
 /// Runs a trial. True if all held.
@@ -97,11 +88,7 @@
 fn again(terms: &Policy, seed: u64) -> String {
     let Policy { proxies, replicas, publishes, rate, way, .. } = terms;
     let one = if terms.one { " --one" } else { "" };
-    let only = match terms.only {
-        Some(Only::Kind(kind)) => format!(" --only {}", kind.name()),
-        Some(Only::Nothing) => " --only none".to_owned(),
-        None => String::new(),
-    };
+    let only = Only::option(terms.only, Kind::name);
     format!(
         "badgerramp-lab trial policy --courses 1 --seed {seed} --proxies {proxies} --replicas {replicas} \
          --publishes {publishes} --rate {rate} --way {way}{only}{one}"
@@ -145,10 +132,7 @@
                 // The same courses for all ways.
                 (size.proxies, terms.replicas.parse().unwrap_or(3)),
                 size.publishes,
-                match terms.only {
-                    Some(Only::Kind(kind)) => Some(kind),
-                    _ => None,
-                },
+                Only::kind(terms.only),
             );
             match terms.only {
                 Some(Only::Nothing) => course.faults.clear(),
--- a/crates/lab/src/trial_start.rs
+++ b/crates/lab/src/trial_start.rs
@@ -1,5 +1,6 @@
 //! `trial cold-start`: all proxies start together, side by side by several ways.
 
+use crate::only::Only;
 use crate::play;
 use badgerramp_peers::play::{self as peers, World};
 use badgerramp_peers::turns::Mechanism;
@@ -37,7 +38,7 @@
     seed: u64,
     /// Faults of this kind alone, or none.
     #[arg(long, value_name = "FAULT", value_parser = only)]
-    only: Option<Only>,
+    only: Option<Only<Kind>>,
     /// Proxies start within so many milliseconds.
     #[arg(long, default_value_t = 1_000)]
     within_ms: u64,
@@ -74,18 +75,8 @@
     without: Option<String>,
 }
 
-#[derive(Clone, Copy, Debug)]
-enum Only {
-    Kind(Kind),
-    Nothing,
-}
-
-fn only(name: &str) -> Result<Only, String> {
-    if name == "none" {
-        return Ok(Only::Nothing);
-    }
-    let names: Vec<String> = KINDS.into_iter().map(Kind::name).collect();
-    Kind::named(name).map(Only::Kind).ok_or_else(|| format!("allowed are none, {}", names.join(", ")))
+fn only(name: &str) -> Result<Only<Kind>, String> {
+    Only::read(name, Kind::named(name), KINDS.into_iter().map(Kind::name))
 }
 
 impl ColdStart {
@@ -114,11 +105,7 @@
 
     /// The command that plays one course again.
     fn again(&self, played: &Played) -> String {
-        let only = match self.only {
-            Some(Only::Kind(kind)) => format!(" --only {}", kind.name()),
-            Some(Only::Nothing) => " --only none".to_owned(),
-            None => String::new(),
-        };
+        let only = Only::option(self.only, Kind::name);
         format!(
             "badgerramp-lab trial cold-start --seed {} --proxies {} --hosts {} --capacity {} --way {}{only}",
             played.seed,
@@ -130,13 +117,7 @@
     }
 
     fn course(&self, seed: u64) -> Course {
-        let mut course = Course::draw(
-            seed,
-            match self.only {
-                Some(Only::Kind(kind)) => Some(kind),
-                _ => None,
-            },
-        );
+        let mut course = Course::draw(seed, Only::kind(self.only));
         if matches!(self.only, Some(Only::Nothing)) {
             course.faults.clear();
         }
