Where lists are pushed the agent is watched; before, the list of the start stood for good

The watch waited for the decisions to subscribe, and they do so only where the settings say `ask` (balance.rs, Event::Start and a failed list). Ruled out: lists that come late or can't be read (none is asked for), sends displaced while connecting (the host is ready in the proxy's view).

Now the watch begins by itself where lists are pushed, and again 100 ms after a failure. The test fails without the change.

--- a/crates/proxy/src/net/discovery.rs
+++ b/crates/proxy/src/net/discovery.rs
@@ -32,6 +32,8 @@
 /// A pause after an answer that came at once and told nothing new: it stays within the 200 ms in which the
 /// next call continues the watch, and keeps a confused service from being asked without end.
 const CALM: Duration = Duration::from_millis(50);
+/// Between questions to an agent that fails: asking costs it nothing, and what it has counts as told.
+const AGENT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Longest that the service may send its callers away for, in seconds.
 const RETRY_MOST: f64 = 60.0;
@@ -55,6 +57,15 @@
     }
 }
 
+/// Who says when a watch begins, and begins again after a failure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Begin {
+    /// The decisions: one service bears the questions of all proxies.
+    Told,
+    /// Nobody: lists are pushed to an agent on this machine, and what it has counts as told.
+    AtOnce,
+}
+
 /// Keeps the list up to date, for as long as the program runs. When `address` changes, the whole list is
 /// fetched at the new one at once: the old service's index means nothing there.
 pub async fn run(
@@ -62,16 +73,17 @@
     network: Rc<dyn Network>,
     mut address: watch::Receiver<SocketAddr>,
     mut index: Option<u64>,
-    mut pace: Option<Pace>,
+    (begin, mut pace): (Begin, Option<Pace>),
 ) {
-    let mut moved = false;
+    let (mut moved, mut pause) = (false, Duration::ZERO);
     // Where many ask one service, each takes its turn: the module's own pauses are made for a few.
     let mut turn = pace.as_mut().map_or(0, |p| p.poll.first());
     loop {
         if !moved {
             tokio::select! {
                 biased;
-                () = driver.subscribed() => {}
+                () = driver.subscribed(), if begin == Begin::Told => {}
+                () = tokio::time::sleep(pause), if begin == Begin::AtOnce => {}
                 () = changed(&mut address) => index = None,
             }
         }
@@ -82,6 +94,7 @@
             () = follow(&driver, &*network, at, &mut index, (turn, &mut pace)) => false,
         };
         turn = pace.as_mut().map_or(0, |p| if moved { p.poll.first() } else { p.poll.failed() });
+        pause = AGENT_PAUSE;
         if moved {
             index = None;
         } else {
--- a/crates/proxy/src/program.rs
+++ b/crates/proxy/src/program.rs
@@ -178,6 +178,7 @@
         None => (connections_kept(setup.facts.settings.balancers), Micros::MAX),
     };
     let hosts = Hosts::new(setup.facts.transport, kept, counted, Rc::clone(&network), clock);
+    let asked = setup.facts.settings.ask;
     let subset = setup.subset.map(|terms| Subset::new(terms.need, terms.instance));
     let driver = Driver::new(setup.seed, setup.facts, setup.plain_http, subset, clock, Rc::clone(&hosts));
     let pace = setup.list.map(|terms| discovery::Pace {
@@ -185,6 +186,7 @@
         idle_after: terms.idle_after,
     });
     driver.start();
+    let begin = if asked { discovery::Begin::Told } else { discovery::Begin::AtOnce };
     let (address, index) = match setup.members {
         Members::Discovery { address, known, index } => {
             driver.members(ListKind::Cached, &known);
@@ -207,7 +209,7 @@
     let mut watch = Task(tokio::task::spawn_local(async move {
         match (address, among) {
             (Some(_), Some(among)) => peers::run(driver_of_watch, network, moves, among, left).await,
-            (Some(_), None) => discovery::run(driver_of_watch, network, moves, index, pace).await,
+            (Some(_), None) => discovery::run(driver_of_watch, network, moves, index, (begin, pace)).await,
             (None, _) => std::future::pending().await,
         }
     }));
--- a/crates/proxy/tests/proxy.rs
+++ b/crates/proxy/tests/proxy.rs
@@ -588,3 +588,21 @@
         let _ = std::fs::remove_file(path);
     }
 }
+
+/// The watch waited for the decisions to ask for it, and they ask only where the settings say so: where lists are
+/// pushed a proxy kept to the list of its start for good.
+#[test]
+fn where_lists_are_pushed_the_agent_is_watched_all_the_same() {
+    let (discovery, drains, stays) = (Discovery::start(), Host::serving("old"), Host::serving("new"));
+    let known = [up("s-1", &drains)];
+    let listen = "127.0.0.1:0".parse().expect("an address");
+    let proxy = Proxy::with(PROGRAM, &pushed(&config(listen, discovery.address, 1_024, &known)));
+    assert!(discovery.asked().contains("index=41&"));
+    let news = [entry("s-1", drains.address, "draining", 0), up("s-2", &stays)];
+    discovery.tell(&list(42, false, &news));
+    assert!(discovery.asked().contains("index=42&"), "the news is taken");
+    assert_eq!(proxy.call("safe", "2000m").body, b"new");
+    // One that fails is asked again, with nothing to say so.
+    discovery.say(answer("503 Service Unavailable", "", ""));
+    assert!(discovery.asked().contains("index=42&"));
+}
--- a/crates/testkit/src/program.rs
+++ b/crates/testkit/src/program.rs
@@ -70,6 +70,11 @@
     )
 }
 
+/// The same where lists are pushed: discovery is an agent on the proxy's own machine.
+pub fn pushed(text: &str) -> String {
+    text.replace(r#""discovery":"ask""#, r#""discovery":"push""#)
+}
+
 impl Proxy {
     pub fn start(program: &str, discovery: &Discovery, known: &[String]) -> Proxy {
         let listen = "127.0.0.1:0".parse().expect("an address");
