A silent watch is doubted in time: the times of asking are derived, a second question goes beside

The watch asked at 0.0 s waited 10 s and was given up 2 s later. What a silent watch misses counts as told 2 s after its wait: at 12.0 s, the moment in which it was given up. Then came the decisions' pause (0.16 to 0.47 s) and an answer that the service gives in turn, 277 ms a question (282 to 1,431 ms): up to 1.9 s after told, where 1 s is allowed. Ruled out: news that was there and not acted on (none came before the second question), sends displaced while connecting (the host was ready in the proxy's list), the service (it answered).

crates/watch derives the times without I/O or clock: 2 s of wait at a service, doubt after half of the grace, then a second question beside the first on a fresh connection; an agent is asked every half grace. One answer settles all; an index of another life means nothing. Going on with a watch costs the service nothing there: answers of empty watches come 0.5 to 1 ms after their wait, while new watches wait 277 ms each.

--- a/crates/proxy/src/net/discovery.rs
+++ b/crates/proxy/src/net/discovery.rs
@@ -1,50 +1,29 @@
-//! The list of hosts: a watch that follows on the last answer at once. When it fails, the module says when
-//! to ask again; calls never wait for it.
+//! The list of hosts: carries out what [`badgerramp_watch`] says. When asking fails, the decisions say when to ask again;
+//! calls never wait for it.
 
 use super::driver::{Driver, List};
 use super::socket::{Network, Socket};
 use badgerramp_decisions::{ListKind, Micros};
-use badgerramp_subset::Poll;
+use badgerramp_watch::{Budget, Input, Odd, Output, QuestionId, Source, Watch, CONNECT};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, RETRY_AFTER};
 use hyper::StatusCode;
 use hyper_util::rt::TokioIo;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::watch;
-use tokio::task::JoinHandle;
-use tokio::time::Instant;
-
-/// How long a watch waits for news. A service that has fallen silent shows only after that, so it is short;
-/// but each call costs the service work.
-const WAIT: Duration = Duration::from_secs(10);
-/// Silence beyond the wait that is a failure.
-pub(super) const SILENCE: Duration = Duration::from_secs(2);
-/// ... and for a list that is asked for at once: the service gives its callers up after three.
-pub(super) const FETCH: Duration = Duration::from_millis(3_500);
-/// A connection that is not up by then has failed: a service that has vanished refuses nobody.
-const CONNECT: Duration = Duration::from_secs(1);
-/// Most bytes of a list: some thousand hosts.
+use tokio::sync::{mpsc, watch};
+use tokio::task::{AbortHandle, JoinHandle};
+
+/// Most bytes of a list: over twenty thousand hosts. Memory is taken as they come.
 const LIST_MOST: usize = 4 << 20;
-/// A pause after an answer that came at once and told nothing new: it stays within the 200 ms in which the
-/// next call continues the watch, and keeps a confused service from being asked without end.
-const CALM: Duration = Duration::from_millis(50);
-/// Between questions to an agent that fails: asking costs it nothing, and what it has counts as told.
-const AGENT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Longest that the service may send its callers away for, in seconds.
 const RETRY_MOST: f64 = 60.0;
 
-/// When the service is asked, where an operator has many proxies ask it.
-pub struct Pace {
-    pub poll: Poll,
-    /// Without a call for this long the proxy is idle.
-    pub idle_after: Micros,
-}
-
 /// A connection to the service.
 pub(super) struct Link {
     sender: SendRequest<Empty<Bytes>>,
@@ -57,105 +36,157 @@
     }
 }
 
-/// Who says when a watch begins, and begins again after a failure.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Begin {
-    /// The decisions: one service bears the questions of all proxies.
-    Told,
-    /// Nobody: lists are pushed to an agent on this machine, and what it has counts as told.
-    AtOnce,
+/// What became of a question, and the connection that it left.
+struct Answer {
+    question: QuestionId,
+    list: Result<List, Unanswered>,
+    link: Option<Link>,
+}
+
+/// A question that is out. Its connection goes with it.
+struct Out(AbortHandle);
+
+impl Drop for Out {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
 }
 
 /// Keeps the list up to date, for as long as the program runs. When `address` changes, the whole list is
-/// fetched at the new one at once: the old service's index means nothing there.
+/// fetched at the new one at once: the old service's index means nothing there. After `idle_after` without a call the
+/// proxy is idle.
 pub async fn run(
     driver: Driver,
     network: Rc<dyn Network>,
     mut address: watch::Receiver<SocketAddr>,
-    mut index: Option<u64>,
-    (begin, mut pace): (Begin, Option<Pace>),
+    (budget, watch): (Budget, Watch),
+    idle_after: Micros,
 ) {
-    let (mut moved, mut pause) = (false, Duration::ZERO);
-    // Where many ask one service, each takes its turn: the module's own pauses are made for a few.
-    let mut turn = pace.as_mut().map_or(0, |p| p.poll.first());
+    let (answers, mut answered) = mpsc::unbounded_channel();
+    let at = *address.borrow_and_update();
+    let open = BTreeMap::new();
+    let mut asking = Asking { driver, network, address: at, watch, link: None, open, answers, idle_after };
+    if budget.source == Source::Agent {
+        // Nobody else says so: the decisions ask where it costs the service something.
+        asking.tell(Input::Begin, None);
+    }
     loop {
-        if !moved {
-            tokio::select! {
-                biased;
-                () = driver.subscribed(), if begin == Begin::Told => {}
-                () = tokio::time::sleep(pause), if begin == Begin::AtOnce => {}
-                () = changed(&mut address) => index = None,
+        let due = asking.watch.due().map(|due| asking.driver.clock().instant(due));
+        let late = async {
+            match due {
+                Some(due) => tokio::time::sleep_until(due).await,
+                None => std::future::pending().await,
             }
-        }
-        let at = *address.borrow_and_update();
-        moved = tokio::select! {
-            biased;
-            () = changed(&mut address) => true,
-            () = follow(&driver, &*network, at, &mut index, (turn, &mut pace)) => false,
         };
-        turn = pace.as_mut().map_or(0, |p| if moved { p.poll.first() } else { p.poll.failed() });
-        pause = AGENT_PAUSE;
-        if moved {
-            index = None;
-        } else {
-            driver.members_failed();
+        tokio::select! {
+            // What has come in goes before what is late: a proxy that stood still may find both.
+            biased;
+            () = changed(&mut address) => {
+                asking.address = *address.borrow_and_update();
+                asking.link = None;
+                asking.tell(Input::Moved, None);
+            }
+            Some(answer) = answered.recv() => asking.answered(answer),
+            () = asking.driver.subscribed() => asking.tell(Input::Begin, None),
+            () = late => asking.tell(Input::Timer, None),
         }
     }
 }
 
-/// Resolves when there is another address; never once none can come any more.
-pub(super) async fn changed(address: &mut watch::Receiver<SocketAddr>) {
-    if address.changed().await.is_err() {
-        std::future::pending::<()>().await;
-    }
+/// The questions that are out, and what they are asked over.
+struct Asking {
+    driver: Driver,
+    network: Rc<dyn Network>,
+    address: SocketAddr,
+    watch: Watch,
+    /// Left open by the last answer.
+    link: Option<Link>,
+    open: BTreeMap<QuestionId, Out>,
+    answers: mpsc::UnboundedSender<Answer>,
+    idle_after: Micros,
 }
 
-/// Watches at one address until that fails.
-async fn follow(
-    driver: &Driver,
-    network: &dyn Network,
-    address: SocketAddr,
-    index: &mut Option<u64>,
-    (turn, pace): (Micros, &mut Option<Pace>),
-) {
-    if turn > 0 {
-        tokio::time::sleep(Duration::from_micros(turn)).await;
+impl Asking {
+    fn answered(&mut self, Answer { question, list, link }: Answer) {
+        // One that was dropped meanwhile means nothing any more.
+        if self.open.remove(&question).is_none() {
+            return;
+        }
+        match list {
+            Ok(list) => {
+                self.link = link;
+                let input = Input::Answered { question, index: list.index, whole: list.snapshot };
+                self.tell(input, Some(list));
+            }
+            Err(fault) => {
+                tracing::warn!("discovery: {}", fault.why);
+                self.tell(Input::Failed { question }, None);
+            }
+        }
     }
-    let mut link = None;
-    loop {
-        let asked = Instant::now();
-        let wait = pace
-            .as_mut()
-            .map_or(WAIT, |p| Duration::from_micros(p.poll.wait(driver.quiet_for() >= p.idle_after)));
-        let patience = if index.is_some() { wait + SILENCE } else { FETCH };
-        match tokio::time::timeout(patience, ask(&mut link, network, address, (*index, wait))).await {
-            Ok(Ok(list)) => {
-                let kind = if list.snapshot { ListKind::Full } else { ListKind::Delta };
-                driver.members(kind, &list.endpoints);
-                if index.is_none() {
-                    tracing::info!("discovery: list {} with {} hosts", list.index, list.endpoints.len());
-                }
-                if *index == Some(list.index) && asked.elapsed() < CALM {
-                    tokio::time::sleep(CALM).await;
+
+    fn tell(&mut self, input: Input, list: Option<List>) {
+        let before = self.watch.index();
+        let idle = self.driver.quiet_for() >= self.idle_after;
+        let mut out = Vec::new();
+        self.watch.handle(self.driver.clock().now(), input, idle, &mut out);
+        for output in out {
+            match output {
+                Output::Ask { question, index, wait, fresh } => self.ask(question, (index, wait), fresh),
+                Output::Drop(question) => {
+                    self.open.remove(&question);
                 }
-                let news = index.replace(list.index) != Some(list.index);
-                if let Some(pace) = pace {
-                    pace.poll.answered();
-                    if news {
-                        tokio::time::sleep(Duration::from_micros(pace.poll.told())).await;
+                Output::Take => {
+                    let Some(list) = &list else { continue };
+                    if before.is_none() {
+                        tracing::info!("discovery: list {} with {} hosts", list.index, list.endpoints.len());
                     }
+                    let kind = if list.snapshot { ListKind::Full } else { ListKind::Delta };
+                    self.driver.members(kind, &list.endpoints);
+                }
+                Output::Odd(odd) => self.odd(odd),
+                Output::Doubted(QuestionId(number)) => {
+                    self.link = None;
+                    tracing::warn!("discovery: no answer to question {number} in its time");
+                }
+                Output::Failed => {
+                    self.link = None;
+                    self.driver.members_failed();
                 }
             }
-            Ok(Err(fault)) => {
-                tracing::warn!("discovery: {}", fault.why);
-                return;
+        }
+    }
+
+    fn odd(&self, odd: Odd) {
+        match odd {
+            Odd::NoList => tracing::warn!("discovery: odd list: changes, where the whole was asked for"),
+            Odd::Back { from, to } => {
+                tracing::warn!("discovery: odd list: changes up to {to}, asked for those after {from}");
             }
-            Err(_) => {
-                tracing::warn!("discovery: no answer");
-                return;
+            Odd::AnotherLife { from, to } => {
+                tracing::warn!("discovery: the index went back from {from} to {to}: another service's list");
             }
         }
     }
+
+    fn ask(&mut self, question: QuestionId, (index, wait): (Option<u64>, Micros), fresh: bool) {
+        let mut link = self.link.take().filter(|_| !fresh);
+        let (network, address, answers) = (Rc::clone(&self.network), self.address, self.answers.clone());
+        tracing::debug!(number = question.0, index, wait, fresh, "discovery: asked");
+        let task = tokio::task::spawn_local(async move {
+            let list = ask(&mut link, &*network, address, (index, Duration::from_micros(wait))).await;
+            // Nobody listens at the end of the program.
+            let _ = answers.send(Answer { question, list, link });
+        });
+        self.open.insert(question, Out(task.abort_handle()));
+    }
+}
+
+/// Resolves when there is another address; never once none can come any more.
+pub(super) async fn changed(address: &mut watch::Receiver<SocketAddr>) {
+    if address.changed().await.is_err() {
+        std::future::pending::<()>().await;
+    }
 }
 
 /// Why there is no answer.
@@ -201,7 +232,7 @@
 }
 
 async fn connect(network: &dyn Network, address: SocketAddr) -> Result<Link, String> {
-    let stream = tokio::time::timeout(CONNECT, network.connect(address)).await;
+    let stream = tokio::time::timeout(Duration::from_micros(CONNECT), network.connect(address)).await;
     let stream = stream.map_err(|_| "no connection in time".to_owned())?;
     let stream = stream.map_err(|e| format!("no connection: {e}"))?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(Socket::new(&stream)))
--- a/crates/proxy/src/net/peers.rs
+++ b/crates/proxy/src/net/peers.rs
@@ -1,7 +1,7 @@
 //! The other proxies of the fleet: datagrams, each under a seal, and the questions to the list service that
 //! [`badgerramp_peers`] wants asked. What is decided is decided there.
 
-use super::discovery::{self, changed, Link, FETCH, SILENCE};
+use super::discovery::{self, changed, Link};
 use super::driver::{Driver, Endpoint, List};
 use super::socket::Network;
 use badgerramp_channel::{Secret, TAG};
@@ -10,6 +10,7 @@
 use badgerramp_peers::peer::{Answer, Input, Member, Note, Output, Peer, Standing, Terms, MESSAGE_MOST};
 use badgerramp_peers::replay::Replays;
 use badgerramp_peers::turns::Id;
+use badgerramp_watch::FETCH;
 use serde::{Deserialize, Serialize};
 use std::future::Future;
 use std::io;
@@ -29,6 +30,8 @@
 const MOST: usize = HEAD + MESSAGE_MOST;
 /// Datagrams that are read before anything else gets its turn.
 const AT_ONCE: usize = 64;
+/// An answer that is so much later than its wait does not come: [`badgerramp_peers`] decides what follows.
+const SILENCE: Duration = Duration::from_secs(2);
 /// The answer to a look is larger than any message.
 const LOOK_MOST: usize = 60_000;
 
@@ -302,7 +305,7 @@
         let (network, address, mut link) = (Rc::clone(&self.network), self.address, self.link.take());
         Box::pin(async move {
             let asked = Instant::now();
-            let patience = if index.is_some() { wait + SILENCE } else { FETCH };
+            let patience = if index.is_some() { wait + SILENCE } else { Duration::from_micros(FETCH) };
             let asking = discovery::ask(&mut link, &*network, address, (index, wait));
             let answer = match tokio::time::timeout(patience, asking).await {
                 Ok(Ok(list)) => Ok(answer(list, index, asked.elapsed())),
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -86,6 +86,7 @@
         memory: config.limits.memory_mb << 20,
         members: Members::Discovery { address: config.discovery, known, index },
         subset: None,
+        watch_wait: None,
         list: None,
         peers: None,
         rules: rules_of,
--- a/crates/proxy/src/program.rs
+++ b/crates/proxy/src/program.rs
@@ -17,6 +17,7 @@
 use badgerramp_decisions::settings::Facts;
 use badgerramp_decisions::{ListKind, Micros};
 use badgerramp_subset::{Poll, Subset};
+use badgerramp_watch::{Budget, Source, Terms, Watch};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -73,6 +74,8 @@
     pub members: Members,
     /// The endpoints that it keeps to; `None`: all.
     pub subset: Option<SubsetTerms>,
+    /// How long a watch waits, where that is not derived from what counts as told.
+    pub watch_wait: Option<Micros>,
     /// How the list service is asked where many do.
     pub list: Option<ListTerms>,
     /// The other proxies of the fleet, where they pass the list on.
@@ -178,15 +181,14 @@
         None => (connections_kept(setup.facts.settings.balancers), Micros::MAX),
     };
     let hosts = Hosts::new(setup.facts.transport, kept, counted, Rc::clone(&network), clock);
-    let asked = setup.facts.settings.ask;
+    let source = if setup.facts.settings.ask { Source::Service } else { Source::Agent };
+    let grace = setup.facts.settings.rules.drain_grace;
     let subset = setup.subset.map(|terms| Subset::new(terms.need, terms.instance));
     let driver = Driver::new(setup.seed, setup.facts, setup.plain_http, subset, clock, Rc::clone(&hosts));
-    let pace = setup.list.map(|terms| discovery::Pace {
-        poll: Poll::new(terms.poll, setup.seed),
-        idle_after: terms.idle_after,
-    });
+    let budget = Budget::of(Terms { source, grace, wait: setup.watch_wait });
+    let poll = setup.list.map(|terms| Poll::new(terms.poll, setup.seed));
+    let idle_after = setup.list.map_or(Micros::MAX, |terms| terms.idle_after);
     driver.start();
-    let begin = if asked { discovery::Begin::Told } else { discovery::Begin::AtOnce };
     let (address, index) = match setup.members {
         Members::Discovery { address, known, index } => {
             driver.members(ListKind::Cached, &known);
@@ -209,7 +211,10 @@
     let mut watch = Task(tokio::task::spawn_local(async move {
         match (address, among) {
             (Some(_), Some(among)) => peers::run(driver_of_watch, network, moves, among, left).await,
-            (Some(_), None) => discovery::run(driver_of_watch, network, moves, index, (begin, pace)).await,
+            (Some(_), None) => {
+                let asking = (budget, Watch::new(budget, index, poll));
+                discovery::run(driver_of_watch, network, moves, asking, idle_after).await;
+            }
             (None, _) => std::future::pending().await,
         }
     }));
--- a/crates/proxy/src/sidecar.rs
+++ b/crates/proxy/src/sidecar.rs
@@ -15,6 +15,9 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
+/// How long a watch waits, in microseconds: what it costs a list service to go on with one is not known here.
+const WATCH_WAIT: u64 = 10_000_000;
+
 fn load(path: &Path) -> Result<Config, Fault> {
     let config = badgerramp_config::load(path)?;
     if config.usage != Use::Alone {
@@ -103,6 +106,7 @@
         memory: config.limits.memory,
         members,
         subset: config.subset,
+        watch_wait: Some(WATCH_WAIT),
         list: config.list,
         peers: None,
         advice: config.limits.retry_after,
--- /dev/null
+++ b/crates/watch/src/budget.rs
@@ -0,0 +1,120 @@
+//! The times of a watch, each derived from the protocol's clocks and the settings.
+
+use crate::Micros;
+
+/// A change that a silent watch misses counts as told so long after it fell silent (the protocol's figures).
+pub const TOLD_AFTER_SILENCE: Micros = 6_000_000;
+/// ... and no sooner than so long after its wait is over.
+pub const TOLD_AFTER_WAIT: Micros = 2_000_000;
+/// A service that works through questions in turn gives one up that waited for longer.
+pub const SERVICE_ANSWERS: Micros = 3_000_000;
+/// A connection to the service that is not up by then has failed: one that has vanished refuses nobody.
+pub const CONNECT: Micros = 1_000_000;
+/// Patience with a question for the whole list: the service's own, and half a second of ways and work.
+pub const FETCH: Micros = SERVICE_ANSWERS + 500_000;
+
+/// The least and the most that an answer may be late before its watch is doubted. A little under the least is what a
+/// proxy with almost no processor time is late by itself; the most is half of a usual grace.
+const DOUBT: (Micros, Micros) = (100_000, 500_000);
+/// Bounds of the wait at an agent: it costs nothing, yet a proxy should sleep between questions.
+const AGENT_WAIT: (Micros, Micros) = (100_000, 500_000);
+
+/// Where lists come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// An agent on the proxy's own machine, which is sent them. It answers at once and at no cost, and is silent while
+    /// the list service is down; what it has counts as told.
+    Agent,
+    /// One service for all proxies, which works through new questions in turn. To go on with a watch costs it little.
+    Service,
+}
+
+/// What the times are derived from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// Where lists come from.
+    pub source: Source,
+    /// Time in which sends to a host that drains must end, from when that counts as told.
+    pub grace: Micros,
+    /// How long a watch waits, where an operator says so. What a silent one misses is then heard later than it counts
+    /// as told.
+    pub wait: Option<Micros>,
+}
+
+/// The times of a watch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Budget {
+    /// Where lists come from.
+    pub source: Source,
+    /// How long a question waits at the source for news.
+    pub wait: Micros,
+    /// An answer that is so much later than its wait is doubted: another question goes out beside it.
+    pub doubt: Micros,
+    /// Between questions that fail where nobody else says when.
+    pub pause: Micros,
+}
+
+impl Budget {
+    /// Half of the grace is left for the last step, from the list to what is being written; the other half bounds the
+    /// doubt. At a service the wait is what remains after a fresh connection that hangs and an answer that takes as long
+    /// as the service bears: `wait + doubt + CONNECT + SERVICE_ANSWERS <= TOLD_AFTER_SILENCE + grace / 2`. At an agent,
+    /// where the return of the service counts as told at once, wait and doubt together stay within the grace.
+    pub fn of(terms: Terms) -> Self {
+        let doubt = (terms.grace / 2).clamp(DOUBT.0, DOUBT.1);
+        let (derived, doubt) = match terms.source {
+            Source::Agent => ((terms.grace / 2).clamp(AGENT_WAIT.0, AGENT_WAIT.1), doubt / 2),
+            Source::Service => {
+                let told = TOLD_AFTER_SILENCE + terms.grace / 2;
+                (told.saturating_sub(doubt + CONNECT + SERVICE_ANSWERS).min(TOLD_AFTER_SILENCE / 3), doubt)
+            }
+        };
+        Budget { source: terms.source, wait: terms.wait.unwrap_or(derived), doubt, pause: doubt }
+    }
+
+    /// When a change that a watch misses counts as told at the earliest, after the watch's question went out and silence
+    /// began `silence` later.
+    pub fn told(&self, silence: Micros) -> Micros {
+        (silence + TOLD_AFTER_SILENCE).max(self.wait + TOLD_AFTER_WAIT)
+    }
+
+    /// When a change is heard at the latest, after the question of a watch that falls silent went out, if a fresh
+    /// connection serves.
+    pub fn heard(&self) -> Micros {
+        self.wait + self.doubt + CONNECT + SERVICE_ANSWERS
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        /// Whatever the grace, and whenever silence begins: who is told has heard, with a part of the grace left. At an
+        /// agent the return of the service is heard within the grace.
+        #[test]
+        fn who_is_told_has_heard(grace in 300_000u64..5_000_000, into_wait in 0.0f64..=1.0) {
+            let service = Budget::of(Terms { source: Source::Service, grace, wait: None });
+            let silence = (service.wait as f64 * into_wait) as Micros;
+            prop_assert!(service.heard() <= service.told(silence) + grace / 2, "{service:?}");
+            prop_assert!(service.wait >= 1_500_000, "{service:?}");
+            let agent = Budget::of(Terms { source: Source::Agent, grace, wait: None });
+            prop_assert!(agent.wait + agent.doubt < grace, "{agent:?}");
+        }
+    }
+
+    /// The figures that the pages name, so that they can't drift apart.
+    #[test]
+    fn the_times_of_usual_graces() {
+        let of = |source, grace| {
+            let b = Budget::of(Terms { source, grace, wait: None });
+            (b.wait, b.doubt)
+        };
+        assert_eq!(of(Source::Service, 1_000_000), (2_000_000, 500_000));
+        assert_eq!(of(Source::Service, 500_000), (2_000_000, 250_000));
+        assert_eq!(of(Source::Agent, 1_000_000), (500_000, 250_000));
+        assert_eq!(of(Source::Agent, 500_000), (250_000, 125_000));
+        let long = Budget::of(Terms { source: Source::Service, grace: 1_000_000, wait: Some(10_000_000) });
+        assert!(long.heard() > long.told(0) + 1_000_000, "ten seconds are too long: it is heard too late");
+    }
+}
--- /dev/null
+++ b/crates/watch/src/watch.rs
@@ -0,0 +1,258 @@
+//! The watch: one question at a time, a second one beside it when its answer is late, and one answer that holds.
+
+use crate::budget::{Budget, Source, FETCH};
+use crate::Micros;
+use badgerramp_subset::Poll;
+
+/// An answer that came sooner and told nothing new is followed by a pause of as long: it stays within the 200 ms in which
+/// the next question goes on with the watch, and keeps a confused service from being asked without end.
+const CALM: Micros = 50_000;
+/// Questions that are out at the same time: the watch, and the one beside it.
+const OPEN_MOST: usize = 2;
+
+/// A question, by its number since the start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct QuestionId(pub u64);
+
+/// What happens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Input {
+    /// The decisions want the list to be watched. Means nothing while it is, or is about to be.
+    Begin,
+    /// An answer that can be read: its index, and whether it is the whole list.
+    Answered {
+        /// To which question.
+        question: QuestionId,
+        /// The list's version.
+        index: u64,
+        /// The whole list, or what changed.
+        whole: bool,
+    },
+    /// A question failed: no connection, a reset, a refusal, an answer that can't be read.
+    Failed {
+        /// Which.
+        question: QuestionId,
+    },
+    /// The source is another one now.
+    Moved,
+    /// [`Watch::due`] is over.
+    Timer,
+}
+
+/// What is wrong with an answer that could be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Odd {
+    /// Changes, where the whole list was asked for.
+    NoList,
+    /// Changes up to an index before the one asked from: they are those of another life of the service.
+    Back {
+        /// Asked from.
+        from: u64,
+        /// Told.
+        to: u64,
+    },
+    /// The whole list, with an index before the one asked from: it holds, as another life of the service.
+    AnotherLife {
+        /// Asked from.
+        from: u64,
+        /// Told.
+        to: u64,
+    },
+}
+
+/// What is to be done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Ask.
+    Ask {
+        /// Its number.
+        question: QuestionId,
+        /// For what is newer than this; `None`: for the whole list.
+        index: Option<u64>,
+        /// How long it may wait at the source for news, in microseconds.
+        wait: Micros,
+        /// On a connection of its own, as what is there may be silent.
+        fresh: bool,
+    },
+    /// Nobody waits for this question any more: its connection is closed.
+    Drop(QuestionId),
+    /// The answer that came just now holds.
+    Take,
+    /// The answer that came just now is odd.
+    Odd(Odd),
+    /// A watch is doubted: its answer is late.
+    Doubted(QuestionId),
+    /// Asking has failed; the list that is there stands.
+    Failed,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Question {
+    id: QuestionId,
+    asked: Micros,
+    index: Option<u64>,
+    wait: Micros,
+    doubted: bool,
+}
+
+/// When the list is asked for.
+#[derive(Clone, Debug)]
+pub struct Watch {
+    budget: Budget,
+    index: Option<u64>,
+    /// The oldest first.
+    open: Vec<Question>,
+    next: u64,
+    /// When to ask, if none is open.
+    ask_at: Option<Micros>,
+    poll: Option<Poll>,
+    /// What a failure says of the next turn, where turns are taken.
+    failed: bool,
+}
+
+impl Watch {
+    /// One that knows the list of this version. `poll` gives the turns, where an operator has many proxies ask one
+    /// service.
+    pub fn new(budget: Budget, index: Option<u64>, poll: Option<Poll>) -> Self {
+        Watch { budget, index, open: Vec::new(), next: 0, ask_at: None, poll, failed: false }
+    }
+
+    /// The version of the list that is there.
+    pub fn index(&self) -> Option<u64> {
+        self.index
+    }
+
+    /// Questions that are out.
+    pub fn open(&self) -> impl Iterator<Item = QuestionId> + '_ {
+        self.open.iter().map(|q| q.id)
+    }
+
+    /// When [`Input::Timer`] is due; `None`: not before something else happens.
+    pub fn due(&self) -> Option<Micros> {
+        let doubts = self.open.iter().filter(|q| !q.doubted).map(|q| self.patience(q));
+        self.ask_at.into_iter().chain(doubts).min()
+    }
+
+    /// Takes one input at `now` and appends what is to be done. `idle`: no call has come for long, so that a longer wait
+    /// serves, where an operator has set one.
+    pub fn handle(&mut self, now: Micros, input: Input, idle: bool, out: &mut Vec<Output>) {
+        match input {
+            Input::Begin if self.open.is_empty() && self.ask_at.is_none() => {
+                let failed = std::mem::replace(&mut self.failed, false);
+                let turn = self.poll.as_mut().map_or(0, |p| if failed { p.failed() } else { p.first() });
+                self.ask_at = Some(now + turn);
+            }
+            Input::Begin => {}
+            Input::Answered { question, index, whole } => {
+                if let Some(place) = self.open.iter().position(|q| q.id == question) {
+                    self.answered(now, place, (index, whole), out);
+                }
+            }
+            Input::Failed { question } => {
+                let before = self.open.len();
+                self.open.retain(|q| q.id != question);
+                // Of the rest a doubted one proves nothing.
+                if self.open.len() < before && self.open.iter().all(|q| q.doubted) {
+                    self.fail(now, out);
+                }
+            }
+            Input::Moved => {
+                self.drop_all(out);
+                self.index = None;
+                self.failed = false;
+                self.ask_at = Some(now + self.poll.as_mut().map_or(0, Poll::first));
+            }
+            Input::Timer => self.doubt(now, idle, out),
+        }
+        if self.ask_at.is_some_and(|at| at <= now) {
+            self.ask(now, idle, false, out);
+        }
+    }
+
+    fn answered(&mut self, now: Micros, place: usize, (index, whole): (u64, bool), out: &mut Vec<Output>) {
+        // It settles whatever else is out: an answer that comes later is to an older question, or tells nothing more.
+        let question = self.open.remove(place);
+        self.drop_all(out);
+        let odd = match question.index {
+            None if !whole => Some(Odd::NoList),
+            Some(from) if index < from && whole => Some(Odd::AnotherLife { from, to: index }),
+            Some(from) if index < from => Some(Odd::Back { from, to: index }),
+            _ => None,
+        };
+        out.extend(odd.map(Output::Odd));
+        match odd {
+            // Nothing is to be made of it; the whole list shows what holds.
+            Some(Odd::NoList) => return self.fail(now, out),
+            Some(Odd::Back { .. }) => {
+                self.index = None;
+                self.ask_at = Some(now);
+                return;
+            }
+            Some(Odd::AnotherLife { .. }) | None => out.push(Output::Take),
+        }
+        let news = self.index.replace(index) != Some(index);
+        let calm = !news && now.saturating_sub(question.asked) < CALM;
+        let told = self.poll.as_mut().map_or(0, |poll| {
+            poll.answered();
+            if news {
+                poll.told()
+            } else {
+                0
+            }
+        });
+        self.ask_at = Some(now + told.max(if calm { CALM } else { 0 }));
+    }
+
+    /// The newest question is late.
+    fn doubt(&mut self, now: Micros, idle: bool, out: &mut Vec<Output>) {
+        let Some(newest) = self.open.last().copied().filter(|q| !q.doubted && self.patience(q) <= now) else {
+            return;
+        };
+        self.open.iter_mut().for_each(|q| q.doubted = true);
+        out.push(Output::Doubted(newest.id));
+        // Whoever waits for the whole list has waited for as long as the service bears: one more would crowd it.
+        let list = newest.index.is_none() && self.budget.source == Source::Service;
+        if self.open.len() < OPEN_MOST && !list {
+            self.ask(now, idle, true, out);
+        } else if self.budget.source == Source::Agent {
+            // What it has counts as told the moment it answers again.
+            let oldest = self.open.remove(0);
+            out.push(Output::Drop(oldest.id));
+            self.ask(now, idle, true, out);
+        } else {
+            self.drop_all(out);
+            self.fail(now, out);
+        }
+    }
+
+    fn ask(&mut self, now: Micros, idle: bool, fresh: bool, out: &mut Vec<Output>) {
+        self.ask_at = None;
+        let wait = self.poll.as_mut().map_or(self.budget.wait, |p| p.wait(idle));
+        let question = QuestionId(self.next);
+        self.next += 1;
+        self.open.push(Question { id: question, asked: now, index: self.index, wait, doubted: false });
+        out.push(Output::Ask { question, index: self.index, wait, fresh });
+    }
+
+    fn patience(&self, question: &Question) -> Micros {
+        let most = match (question.index, self.budget.source) {
+            (Some(_), _) => question.wait + self.budget.doubt,
+            (None, Source::Agent) => self.budget.wait + self.budget.doubt,
+            (None, Source::Service) => FETCH,
+        };
+        question.asked + most
+    }
+
+    fn drop_all(&mut self, out: &mut Vec<Output>) {
+        out.extend(self.open.drain(..).map(|q| Output::Drop(q.id)));
+        self.ask_at = None;
+    }
+
+    fn fail(&mut self, now: Micros, out: &mut Vec<Output>) {
+        self.drop_all(out);
+        self.failed = true;
+        out.push(Output::Failed);
+        // Nobody else says when to ask an agent.
+        self.ask_at = (self.budget.source == Source::Agent).then_some(now + self.budget.pause);
+    }
+}
--- /dev/null
+++ b/crates/watch/tests/watch.rs
@@ -0,0 +1,150 @@
+//! The watch by hand: which question goes out when, and which answer holds.
+
+use badgerramp_watch::{Budget, Input, Micros, Odd, Output, QuestionId, Source, Terms, Watch, FETCH};
+
+const GRACE: Micros = 1_000_000;
+
+struct Hand {
+    watch: Watch,
+    out: Vec<Output>,
+}
+
+impl Hand {
+    fn new(source: Source, index: Option<u64>) -> Hand {
+        let watch = Watch::new(Budget::of(Terms { source, grace: GRACE, wait: None }), index, None);
+        let mut hand = Hand { watch, out: Vec::new() };
+        hand.tell(0, Input::Begin);
+        hand
+    }
+
+    fn tell(&mut self, now: Micros, input: Input) -> Vec<Output> {
+        self.out.clear();
+        self.watch.handle(now, input, false, &mut self.out);
+        self.out.clone()
+    }
+
+    fn answer(&mut self, now: Micros, question: u64, index: u64, whole: bool) -> Vec<Output> {
+        self.tell(now, Input::Answered { question: QuestionId(question), index, whole })
+    }
+
+    fn fail(&mut self, now: Micros, question: u64) -> Vec<Output> {
+        self.tell(now, Input::Failed { question: QuestionId(question) })
+    }
+
+    /// Lets the time come that it waits for.
+    fn late(&mut self) -> (Micros, Vec<Output>) {
+        let due = self.watch.due().expect("it waits for something");
+        (due, self.tell(due, Input::Timer))
+    }
+
+    fn open(&self) -> Vec<u64> {
+        self.watch.open().map(|q| q.0).collect()
+    }
+}
+
+fn ask(question: u64, index: Option<u64>, wait: Micros, fresh: bool) -> Output {
+    Output::Ask { question: QuestionId(question), index, wait, fresh }
+}
+
+fn dropped(question: u64) -> Output {
+    Output::Drop(QuestionId(question))
+}
+
+#[test]
+fn an_answer_holds_and_the_watch_goes_on_at_once() {
+    let mut hand = Hand::new(Source::Service, Some(41));
+    assert_eq!(hand.out, [ask(0, Some(41), 2_000_000, false)]);
+    assert_eq!(hand.tell(1, Input::Begin), [], "a second wish changes nothing");
+    assert_eq!(hand.answer(700_000, 0, 42, false), [Output::Take, ask(1, Some(42), 2_000_000, false)]);
+    // Nothing new at the end of the wait.
+    assert_eq!(hand.answer(2_700_000, 1, 42, false), [Output::Take, ask(2, Some(42), 2_000_000, false)]);
+    // Nothing new, and at once: a pause, which stays within the 200 ms.
+    assert_eq!(hand.answer(2_700_010, 2, 42, false), [Output::Take]);
+    assert_eq!(hand.late(), (2_750_010, vec![ask(3, Some(42), 2_000_000, false)]));
+}
+
+/// Its silence showed two seconds after its wait, when what it missed was told already.
+#[test]
+fn a_late_answer_brings_a_second_question_beside_the_first_on_a_fresh_connection() {
+    let mut hand = Hand::new(Source::Service, Some(41));
+    let beside = vec![Output::Doubted(QuestionId(0)), ask(1, Some(41), 2_000_000, true)];
+    assert_eq!(hand.late(), (2_500_000, beside));
+    assert_eq!(hand.open(), [0, 1]);
+    // Either answer holds, and settles the other.
+    let mut other = Hand { watch: hand.watch.clone(), out: Vec::new() };
+    let next = ask(2, Some(42), 2_000_000, false);
+    assert_eq!(hand.answer(2_600_000, 1, 42, false), [dropped(0), Output::Take, next]);
+    assert_eq!(hand.answer(2_700_000, 0, 43, false), [], "the old watch's news come too late");
+    assert_eq!(other.answer(2_600_000, 0, 42, false), [dropped(1), Output::Take, next]);
+    assert_eq!(other.answer(2_700_000, 1, 41, true), [], "and so does an older list");
+    assert_eq!(other.watch.index(), Some(42));
+}
+
+#[test]
+fn where_the_second_fails_as_well_or_is_silent_asking_has_failed() {
+    let mut hand = Hand::new(Source::Service, Some(41));
+    hand.late();
+    let mut other = Hand { watch: hand.watch.clone(), out: Vec::new() };
+    assert_eq!(hand.fail(2_600_000, 1), [dropped(0), Output::Failed], "the first is doubted");
+    assert_eq!((hand.watch.due(), hand.open().len()), (None, 0), "the decisions say when");
+    assert_eq!(hand.tell(2_900_000, Input::Begin), [ask(2, Some(41), 2_000_000, false)]);
+    let doubted = Output::Doubted(QuestionId(1));
+    assert_eq!(other.late(), (5_000_000, vec![doubted, dropped(0), dropped(1), Output::Failed]));
+    // The first fails, which is no news of the second.
+    let mut third = Hand::new(Source::Service, Some(41));
+    third.late();
+    assert_eq!(third.fail(2_600_000, 0), []);
+    assert_eq!(third.open(), [1]);
+}
+
+/// An agent costs nothing to ask, and what it has counts as told the moment it answers again.
+#[test]
+fn an_agent_that_is_silent_is_asked_again_and_again() {
+    let mut hand = Hand::new(Source::Agent, Some(41));
+    let (mut last, mut asked) = (0, 1);
+    for _ in 0..100 {
+        let (now, out) = hand.late();
+        assert!(now - last <= GRACE * 3 / 4, "{now} after {last}");
+        assert!(matches!(out.last(), Some(Output::Ask { fresh: true, .. })), "{out:?}");
+        assert!(hand.open().len() <= 2);
+        (last, asked) = (now, asked + 1);
+    }
+    let newest = asked - 1;
+    let taken = hand.answer(last + 1, newest, 50, false);
+    assert!(taken.contains(&Output::Take), "{taken:?}");
+    assert!(matches!(taken.last(), Some(Output::Ask { index: Some(50), .. })));
+    // Refused, it is asked again with nobody to say so.
+    let refused = hand.fail(last + 2, asked);
+    assert_eq!(refused, [Output::Failed]);
+    assert!(matches!(hand.late().1[..], [Output::Ask { .. }]));
+}
+
+#[test]
+fn an_index_of_another_life_means_nothing() {
+    let mut hand = Hand::new(Source::Service, Some(41));
+    let back = Output::Odd(Odd::Back { from: 41, to: 7 });
+    assert_eq!(hand.answer(10, 0, 7, false), [back, ask(1, None, 2_000_000, false)]);
+    // Changes are no answer to a question for the whole list.
+    assert_eq!(hand.answer(20, 1, 7, false), [Output::Odd(Odd::NoList), Output::Failed]);
+    assert_eq!(hand.tell(30, Input::Begin), [ask(2, None, 2_000_000, false)]);
+    assert_eq!(hand.answer(40, 2, 7, true)[..1], [Output::Take]);
+    assert_eq!(hand.watch.index(), Some(7));
+    let mut hand = Hand::new(Source::Service, Some(41));
+    let life = Output::Odd(Odd::AnotherLife { from: 41, to: 7 });
+    assert_eq!(hand.answer(10, 0, 7, true)[..2], [life, Output::Take]);
+    assert_eq!(hand.watch.index(), Some(7));
+}
+
+/// SIGHUP moves the service, also while a watch is doubted: what is out means nothing, and the whole list is asked for.
+#[test]
+fn a_move_asks_for_the_whole_list_at_once() {
+    let mut hand = Hand::new(Source::Service, Some(41));
+    hand.late();
+    let moved = hand.tell(2_600_000, Input::Moved);
+    assert_eq!(moved, [dropped(0), dropped(1), ask(2, None, 2_000_000, false)]);
+    assert_eq!(hand.answer(2_700_000, 1, 42, false), []);
+    // A question for the whole list has the service's own time, and no other beside it.
+    let (now, out) = hand.late();
+    assert_eq!(now, 2_600_000 + FETCH);
+    assert_eq!(out, [Output::Doubted(QuestionId(2)), dropped(2), Output::Failed]);
+}
