Trial of drains: processes with silent watches; one that stood still reads the news first

Need: proof between processes that nothing goes to a host after its drain is told, whatever else goes wrong; and what it found.

--- a/crates/control/tests/replica.rs
+++ b/crates/control/tests/replica.rs
@@ -46,7 +46,7 @@
             let made = std::process::Command::new(CONTROL).arg("create").arg(&file).output();
             assert!(made.expect("it runs").status.success());
             let arguments = vec!["serve".to_owned(), file.display().to_string()];
-            let plan = Plan { program: CONTROL.into(), arguments, keep: Vec::new() };
+            let plan = Plan { program: CONTROL.into(), arguments, keep: Vec::new(), variables: Vec::new() };
             let mut process = Process::start(plan).await.expect("it starts");
             replicas.at[number - 1].send_replace(Some(process.listens().await.expect("it listens")));
             replicas.all.push(process);
@@ -135,7 +135,7 @@
     let file = replicas.folder.path().join("1.toml").display().to_string();
     let script = format!("trap '' XFSZ; ulimit -f {room}; exec \"$0\" serve \"$1\"");
     let arguments = vec!["-c".to_owned(), script, CONTROL.to_owned(), file];
-    let plan = Plan { program: "/bin/sh".into(), arguments, keep: Vec::new() };
+    let plan = Plan { program: "/bin/sh".into(), arguments, keep: Vec::new(), variables: Vec::new() };
     let mut full = Process::start(plan).await.expect("it starts");
     replicas.at[0].send_replace(Some(full.listens().await.expect("it listens")));
     let mut answered = 0;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod scenario_file;
 pub mod sockets;
 pub mod trial;
+mod trial_drains;
 mod trial_start;
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -20,6 +20,8 @@
     Policy(Policy),
     /// All proxies start together, with hosts that are all cold and a list service that bears little.
     ColdStart(Box<crate::trial_start::ColdStart>),
+    /// Hosts leave while the watches of all proxies are silent.
+    Drains(crate::trial_drains::Drains),
 }
 
 /// The fleet, and how many courses.
@@ -78,6 +80,7 @@
     let terms = match trial {
         Trial::Policy(terms) => terms,
         Trial::ColdStart(terms) => return crate::trial_start::run(&terms),
+        Trial::Drains(terms) => return crate::trial_drains::run(&terms),
     };
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
     let runtime = runtime.map_err(|e| play::Fault::Other(e.to_string()))?;
--- a/crates/lab/tests/trial.rs
+++ b/crates/lab/tests/trial.rs
@@ -95,3 +95,31 @@
     assert!(output.status.success(), "{}", told(&output));
     assert_eq!(told(&output).matches("held").count(), 3, "{}", told(&output));
 }
+
+fn drains(arguments: &str) -> Output {
+    let done = Command::new(LAB).args(["trial", "drains"]).args(arguments.split(' ')).output();
+    done.expect("it runs")
+}
+
+/// Before, a watch waited ten seconds, and its silence showed when what it missed had been told already.
+#[test]
+fn nothing_goes_to_a_host_after_its_drain_is_told_though_watches_are_silent() {
+    let json = std::env::temp_dir().join(format!("badgerramp-drains-{}.json", std::process::id()));
+    let output = drains(&format!("--proxies 4 --courses 6 --seed 1 --at-once 6 --json {}", json.display()));
+    assert!(output.status.success(), "{}", told(&output));
+    let played = played(&json);
+    assert_eq!(played.len(), 6);
+    for course in &played {
+        assert!(course["verdict"]["arrivals"].as_u64() > Some(100), "{course}");
+        assert!(course["verdict"]["questions"].as_u64() > Some(4), "{course}");
+    }
+    assert!(played.iter().any(|p| p["course"]["pushed"] == true), "some lists are pushed");
+    assert!(played.iter().any(|p| p["course"]["pushed"] == false), "and some are asked for");
+}
+
+#[test]
+fn a_fault_that_no_trial_of_drains_knows_is_bad_usage() {
+    let output = drains("--only meteor");
+    assert_eq!(output.status.code(), Some(2));
+    assert!(told(&output).contains("silent-again"), "{}", told(&output));
+}
--- a/crates/proxy/src/net/driver.rs
+++ b/crates/proxy/src/net/driver.rs
@@ -11,11 +11,13 @@
     Settings, State, TenantId, Terms, View,
 };
 use badgerramp_subset::{Changes, Health, Subset};
+use badgerramp_watch::Stall;
 use serde::Deserialize;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
 use tracing::debug;
@@ -181,6 +183,7 @@
     alive: u32,
     /// When a call last came.
     called: Micros,
+    stall: Stall,
 }
 
 /// The driver as the other parts see it.
@@ -209,6 +212,7 @@
             settings: facts.settings.clone(),
             alive: 0,
             called: clock.now(),
+            stall: Stall::new(clock.now(), facts.settings.rules.drain_grace),
             balancer: Balancer::new(seed, facts.settings),
             tenants: facts.tenants,
             max_open: facts.transport.max_open,
@@ -363,9 +367,13 @@
     }
 
     /// May the first byte of this attempt be written now? Asked after the connection is there: the call may
-    /// have ended meanwhile, its time may be up, its host may drain or be another process.
+    /// have ended meanwhile, its time may be up, its host may drain or be another process; and what is believed of the
+    /// host may be old, if the process stood still.
     pub fn may_start(&self, call: CallId, attempt: u32, generation: u64) -> bool {
         let mut core = self.core.borrow_mut();
+        if core.stall.behind(self.clock.now()).is_some() {
+            return false;
+        }
         let Core { calls, hosts, .. } = &mut *core;
         let Some(call) = calls.get_mut(&call).filter(|c| c.answer.is_some()) else { return false };
         let Some(attempt) = call.attempts.get_mut(attempt as usize).filter(|a| a.out) else { return false };
@@ -456,13 +464,24 @@
         self.run_with(core);
     }
 
-    /// Looks whether the subset still fits what is asked of it.
-    pub fn pulse(&self) {
+    /// Looks whether the subset still fits what is asked of it, and whether the process has stood still; the next look
+    /// comes in `next`.
+    pub fn pulse(&self, next: Micros) {
         let mut core = self.core.borrow_mut();
-        core.pulse(self.clock.now());
+        let now = self.clock.now();
+        core.stall.beat(now, next);
+        core.pulse(now);
         self.run_with(&mut core);
     }
 
+    /// Resolves when what came in while the process stood still was read: at once, if it did not.
+    async fn caught_up(&self) {
+        let behind = self.core.borrow().stall.behind(self.clock.now());
+        if let Some(time) = behind {
+            tokio::time::sleep(Duration::from_micros(time)).await;
+        }
+    }
+
     /// How long no call has come.
     pub fn quiet_for(&self) -> Micros {
         self.clock.now().saturating_sub(self.core.borrow().called)
@@ -586,6 +605,7 @@
             // An attempt whose task dies may have run; without this its call would wait for its deadline.
             let mut guard = Guard { driver, call: id, attempt: number, ended: Some(Outcome::Unknown.into()) };
             let driver = &guard.driver;
+            driver.caught_up().await;
             let left = || until.saturating_sub(driver.clock.now());
             let may_start = || driver.may_start(id, number, target.generation);
             let ended = hosts::attempt(&driver.sockets, target, &request, left, may_start).await;
--- a/crates/proxy/src/program.rs
+++ b/crates/proxy/src/program.rs
@@ -245,9 +245,10 @@
         loop {
             // Thousands of quiet proxies on one machine must not keep it awake.
             let quiet = hosts.none_idle() && front.clients.count() == 0;
-            tokio::time::sleep(if quiet { SWEEP_QUIET } else { SWEEP }).await;
+            let next = if quiet { SWEEP_QUIET } else { SWEEP };
+            running.driver.pulse(Micros::try_from(next.as_micros()).unwrap_or(Micros::MAX));
+            tokio::time::sleep(next).await;
             hosts.sweep();
-            running.driver.pulse();
             front.clients.sweep(clock.now());
         }
     };
--- a/crates/proxy/tests/peers.rs
+++ b/crates/proxy/tests/peers.rs
@@ -55,7 +55,10 @@
 async fn started(file: &Path) -> (Process, SocketAddr) {
     let arguments = vec!["run".to_owned(), file.display().to_string()];
     let (tells, mut hears) = watch::channel(None);
-    let mut process = Process::waiting(Plan { program: PROXY.into(), arguments, keep: Vec::new() }, tells);
+    let mut process = Process::waiting(
+        Plan { program: PROXY.into(), arguments, keep: Vec::new(), variables: Vec::new() },
+        tells,
+    );
     process.again().expect("it starts");
     process.listens().await.expect("it listens");
     let hearing = *hears.wait_for(Option::is_some).await.expect("it runs");
--- /dev/null
+++ b/crates/trial/src/drains/course.rs
@@ -0,0 +1,102 @@
+//! What goes wrong while hosts leave, drawn from a seed.
+
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use serde::Serialize;
+use std::time::Duration;
+
+/// A kind of fault, beside the silence of all watches.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// All connections to the service are reset shortly before hosts drain.
+    Reset,
+    /// What a fresh connection brings is late, by up to 0.9 s.
+    Late,
+    /// A second silence, of what was opened after the first.
+    SilentAgain,
+    /// The service is down for some seconds, and hosts drain meanwhile.
+    Down,
+    /// SIGHUP moves the service while watches are silent.
+    Move,
+    /// A proxy stands still (SIGSTOP) for up to five seconds and goes on.
+    Stop,
+    /// A proxy is killed and started again, with the list of its first start.
+    Kill,
+    /// A host that drains is up again within a second, as another process.
+    Again,
+    /// A question that begins a watch takes the service a quarter of a second.
+    Slow,
+}
+
+/// All kinds.
+pub const KINDS: [Kind; 9] = [
+    Kind::Reset,
+    Kind::Late,
+    Kind::SilentAgain,
+    Kind::Down,
+    Kind::Move,
+    Kind::Stop,
+    Kind::Kill,
+    Kind::Again,
+    Kind::Slow,
+];
+
+impl Kind {
+    /// Its name, as it stands in a course that was written down.
+    pub fn name(self) -> String {
+        serde_json::to_value(self).ok().and_then(|v| v.as_str().map(str::to_owned)).unwrap_or_default()
+    }
+
+    /// The kind of this name.
+    pub fn named(name: &str) -> Option<Self> {
+        KINDS.into_iter().find(|k| k.name() == name)
+    }
+}
+
+/// A course. All times count from when the proxies are ready.
+#[derive(Clone, Debug, Serialize)]
+pub struct Course {
+    /// It was drawn from this.
+    pub seed: u64,
+    /// Lists are pushed.
+    pub pushed: bool,
+    /// Time in which sends to a host that drains must end.
+    pub grace: Duration,
+    /// When all open watches fall silent.
+    pub silent: Duration,
+    /// When each of these hosts begins to drain.
+    pub drains: Vec<(Duration, usize)>,
+    /// What else goes wrong, and whom it concerns.
+    pub faults: Vec<(Kind, usize)>,
+    /// How long it lasts.
+    pub length: Duration,
+}
+
+impl Course {
+    /// The course of this seed, for so many proxies and hosts. `only`: this fault, and no other.
+    pub fn draw(seed: u64, (proxies, hosts): (usize, usize), only: Option<Kind>) -> Course {
+        let mut draws = Pcg32::seed_from_u64(seed);
+        let mut ms = |from: u64, to: u64| Duration::from_millis(draws.gen_range(from..=to));
+        let (silent, drains_after, grace) = (ms(100, 2_500), ms(1, 900), ms(500, 1_000));
+        let (pushed, count) = (draws.gen_bool(0.3), draws.gen_range(0..=2));
+        let mut order: Vec<usize> = (0..hosts).collect();
+        order.shuffle(&mut draws);
+        let drains = order[..(hosts / 4).max(1)]
+            .iter()
+            .map(|&host| (silent + drains_after + Duration::from_millis(draws.gen_range(0..600)), host))
+            .collect();
+        let kinds: Vec<Kind> = match only {
+            Some(kind) => vec![kind],
+            None => KINDS.choose_multiple(&mut draws, count).copied().collect(),
+        };
+        let faults = kinds.into_iter().map(|kind| (kind, draws.gen_range(0..proxies))).collect();
+        Course { seed, pushed, grace, silent, drains, faults, length: silent + Duration::from_secs(11) }
+    }
+
+    /// Does this go wrong in it?
+    pub fn has(&self, kind: Kind) -> Option<usize> {
+        self.faults.iter().find(|f| f.0 == kind).map(|f| f.1)
+    }
+}
--- /dev/null
+++ b/crates/trial/src/drains/mod.rs
@@ -0,0 +1,268 @@
+//! The trial of hosts that leave: several proxies on the platform's terms, a list service whose open watches fall silent,
+//! and whatever else a course names. What came to the hosts is held against what each proxy had been told.
+
+mod course;
+mod judge;
+mod service;
+
+pub use course::{Course, Kind, KINDS};
+pub use judge::Verdict;
+
+use crate::clients::{once, Ended};
+use crate::hosts::Hosts;
+use crate::now;
+use crate::process::{Folder, Plan, Process};
+use badgerramp_policy::Micros;
+use judge::Histories;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use rustix::process::Signal;
+use serde::Serialize;
+use service::{Service, Status};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, RwLock};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::sleep;
+
+/// The ways of a busy machine, from a proxy's last look at its list to the host's note.
+const SLACK: Micros = 400_000;
+
+/// How large a course is.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Proxies.
+    pub proxies: usize,
+    /// Hosts.
+    pub hosts: usize,
+    /// Calls a second over all proxies.
+    pub rate: f64,
+}
+
+/// What a course came to.
+#[derive(Clone, Debug, Serialize)]
+pub struct Played {
+    /// What was played.
+    pub course: Course,
+    /// What came too late.
+    pub verdict: Verdict,
+    /// Calls, and those without an answer from a proxy that ran all the time.
+    pub calls: usize,
+    /// See `calls`.
+    pub lost: usize,
+    /// Keys that hosts executed more than once.
+    pub twice: usize,
+    /// Proxies that ended by themselves, with the ends of their logs.
+    pub crashed: Vec<String>,
+}
+
+impl Played {
+    /// Did all hold?
+    pub fn held(&self) -> bool {
+        self.verdict.late == 0 && self.lost == 0 && self.twice == 0 && self.crashed.is_empty()
+    }
+}
+
+fn configuration(course: &Course, door: SocketAddr, known: &str, proxies: usize, seed: u64) -> String {
+    let (grace, discovery) = (course.grace.as_micros(), if course.pushed { "push" } else { "ask" });
+    format!(
+        r#"{{"name":"p","listen":"127.0.0.1:0","discovery":"{door}","seed":"{seed:016x}",
+"limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},"known":{known},
+"settings":{{"balancers":{proxies},"tick_us":1000,"discovery":"{discovery}","locality":"",
+"classes":[{{"name":"do","objective_us":800000,"deadline_us":1500000,"worth":1,"idempotency":"guarded",
+"dedup_scope":"all","repeat_window_us":2500000}}],
+"limits":{{"cancel":true,"max_attempts":3,"second_copies":false,"retry_after":true,"max_retry_after_us":700000,
+"conn_idle_us":60000000,"connect_timeout_us":1000000,"max_open":1000}},
+"invariants":{{"cold_from":0.3,"cold_us":2000000,"tip_after_us":2000000,"ask_every_us":10000000,
+"drain_grace_us":{grace}}}}}}}"#
+    )
+}
+
+/// Plays one course with this program and the arguments before its own.
+///
+/// # Errors
+/// If it could not be played.
+pub async fn play(program: &(PathBuf, Vec<String>), size: Size, course: &Course) -> Result<Played, String> {
+    let folder = Folder::new(&format!("drains-{}", course.seed))?;
+    let hosts = Hosts::start(size.hosts, 0.0, &["/do"], course.seed).await?;
+    let work = course.has(Kind::Slow).map_or(Duration::from_millis(5), |_| Duration::from_millis(250));
+    let work = (!course.pushed).then_some(work);
+    let mut service = Service::new(hosts.addresses.clone(), work);
+    let known = service.known();
+    let (mut proxies, mut doors) = (Vec::new(), Vec::new());
+    for proxy in 0..size.proxies {
+        let door = service.door(proxy).await?;
+        let seed = course.seed.wrapping_mul(1_000).wrapping_add(proxy as u64);
+        let text = configuration(course, door, &known, size.proxies, seed);
+        let path = folder.write(&format!("p{proxy}.json"), &text, false)?;
+        let variables = vec![("RELAY_CONFIG", path)];
+        let plan =
+            Plan { program: program.0.clone(), arguments: program.1.clone(), keep: Vec::new(), variables };
+        proxies.push(Process::start(plan).await?);
+        doors.push((door, text));
+    }
+    let mut at = Vec::new();
+    for proxy in &mut proxies {
+        at.push(proxy.listens().await?);
+    }
+    let addresses = Arc::new(RwLock::new(at));
+    let clients = tokio::spawn(call(Arc::clone(&addresses), size.rate, course.clone()));
+    let down = faults(course, &folder, &mut service, &mut proxies, (&doors, &addresses)).await?;
+    let tries = clients.await.map_err(|e| e.to_string())?;
+    let (notes, log) = service.history();
+    let arrivals = hosts.arrivals();
+    let grace = u64::try_from(course.grace.as_micros()).unwrap_or(u64::MAX);
+    let histories = Histories {
+        notes: &notes,
+        log: &log,
+        arrivals: &arrivals,
+        grace,
+        pushed: course.pushed,
+        down: &down,
+    };
+    // A proxy that stood still or was killed has lost what it held.
+    let excused = [course.has(Kind::Stop), course.has(Kind::Kill)];
+    let lost = tries.iter().filter(|(proxy, ended)| {
+        matches!(ended, Ended::Cut | Ended::Silence | Ended::Nobody) && !excused.contains(&Some(*proxy))
+    });
+    let crashed = proxies.iter_mut().filter_map(Process::ended).collect();
+    Ok(Played {
+        course: course.clone(),
+        verdict: histories.judge(SLACK),
+        calls: tries.len(),
+        lost: lost.count(),
+        twice: hosts.executed().values().filter(|&&n| n > 1).count(),
+        crashed,
+    })
+}
+
+/// Carries the course out; tells when the service was down.
+async fn faults(
+    course: &Course,
+    folder: &Folder,
+    service: &mut Service,
+    proxies: &mut [Process],
+    (doors, addresses): (&[(SocketAddr, String)], &RwLock<Vec<SocketAddr>>),
+) -> Result<Vec<(Micros, Micros)>, String> {
+    let start = tokio::time::Instant::now();
+    let mut draws = Pcg32::seed_from_u64(course.seed ^ 1);
+    // What is to be done when, in order.
+    let mut due: Vec<(Duration, Step)> = vec![(course.silent, Step::Silence)];
+    due.extend(course.drains.iter().map(|&(at, host)| (at, Step::Drain(host))));
+    let first = course.drains.iter().map(|d| d.0).min().unwrap_or(course.silent);
+    let ms = Duration::from_millis;
+    for &(kind, whom) in &course.faults {
+        match kind {
+            Kind::Reset => due.push((first.saturating_sub(ms(100)), Step::Reset)),
+            Kind::Late => due.push((Duration::ZERO, Step::Late(ms(draws.gen_range(50..900))))),
+            Kind::SilentAgain => due.push((course.silent + ms(draws.gen_range(7_000..9_000)), Step::Silence)),
+            Kind::Down => {
+                let from = first.saturating_sub(ms(draws.gen_range(0..300)));
+                due.push((from, Step::Down));
+                due.push((from + ms(draws.gen_range(500..4_000)), Step::Back));
+            }
+            Kind::Move => due.push((first + ms(draws.gen_range(0..2_000)), Step::Move)),
+            Kind::Stop => {
+                let from = first.saturating_sub(ms(draws.gen_range(0..300)));
+                due.push((from, Step::Signal(whom, Signal::STOP)));
+                due.push((from + ms(draws.gen_range(500..5_000)), Step::Signal(whom, Signal::CONT)));
+            }
+            Kind::Kill => due.push((first + ms(draws.gen_range(0..1_500)), Step::Kill(whom))),
+            Kind::Again => {
+                let (at, host) = course.drains[0];
+                due.push((at + ms(draws.gen_range(50..1_000)), Step::Up(host)));
+            }
+            Kind::Slow => {}
+        }
+    }
+    due.sort_by_key(|d| d.0);
+    let mut down = Vec::new();
+    for (at, step) in due {
+        tokio::time::sleep_until(start + at).await;
+        match step {
+            Step::Silence => service.silence(),
+            Step::Reset => service.reset(),
+            Step::Late(late) => service.late(late),
+            Step::Drain(host) => service.change(host, Status::Draining),
+            Step::Up(host) => {
+                let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+                service.change(host, Status::Up(u64::try_from(unix.as_millis()).unwrap_or(0)));
+            }
+            Step::Down => {
+                down.push((now(), Micros::MAX));
+                service.down(true);
+            }
+            Step::Back => {
+                service.down(false);
+                if let Some(last) = down.last_mut() {
+                    last.1 = now();
+                }
+            }
+            Step::Move => {
+                for (proxy, (door, text)) in doors.iter().enumerate() {
+                    let other = service.door(proxy).await?.to_string();
+                    folder.write(
+                        &format!("p{proxy}.json"),
+                        &text.replace(&door.to_string(), &other),
+                        false,
+                    )?;
+                    proxies[proxy].signal(Signal::HUP);
+                }
+            }
+            Step::Signal(proxy, signal) => proxies[proxy].signal(signal),
+            Step::Kill(proxy) => {
+                proxies[proxy].kill().await;
+                proxies[proxy].again()?;
+                let address = proxies[proxy].listens().await?;
+                if let Ok(mut all) = addresses.write() {
+                    all[proxy] = address;
+                }
+            }
+        }
+    }
+    tokio::time::sleep_until(start + course.length).await;
+    Ok(down)
+}
+
+/// Something that is done to the system.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Silence,
+    Reset,
+    Late(Duration),
+    Drain(usize),
+    Up(usize),
+    Down,
+    Back,
+    Move,
+    Signal(usize, Signal),
+    Kill(usize),
+}
+
+/// Calls each proxy in turn, until a little before the end of the course.
+async fn call(addresses: Arc<RwLock<Vec<SocketAddr>>>, rate: f64, course: Course) -> Vec<(usize, Ended)> {
+    let mut beat = tokio::time::interval(Duration::from_secs_f64(1.0 / rate));
+    let (mut open, mut tries) = (tokio::task::JoinSet::new(), Vec::new());
+    let end = sleep(course.length.saturating_sub(Duration::from_millis(1_600)));
+    tokio::pin!(end);
+    for number in 0.. {
+        tokio::select! {
+            () = &mut end => break,
+            _ = beat.tick() => {}
+        }
+        let Some((proxy, address)) = addresses.read().ok().and_then(|all| {
+            let proxy = number % all.len();
+            Some((proxy, *all.get(proxy)?))
+        }) else {
+            break;
+        };
+        open.spawn(async move { (proxy, once(address, "/do", &format!("p{proxy}-{number}")).await.0) });
+        while let Some(done) = open.try_join_next() {
+            tries.extend(done.ok());
+        }
+    }
+    while let Some(done) = open.join_next().await {
+        tries.extend(done.ok());
+    }
+    tries
+}
--- a/crates/trial/src/hosts.rs
+++ b/crates/trial/src/hosts.rs
@@ -2,6 +2,8 @@
 //! long as they are told to: a host of the next release may do it no more.
 
 use crate::link::{header, message, send};
+use crate::now;
+use badgerramp_policy::Micros;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::{HashMap, HashSet};
@@ -20,10 +22,22 @@
     drops: HashSet<String>,
     seen: HashMap<String, Instant>,
     executed: HashMap<String, u32>,
+    arrivals: Vec<Arrival>,
     draws: Pcg32,
     spoilt: f64,
 }
 
+/// A request that came to a host.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// When it had come whole.
+    pub at: Micros,
+    /// Place of the host.
+    pub host: usize,
+    /// Its `X-Request-ID`.
+    pub request: String,
+}
+
 /// All hosts.
 pub struct Hosts {
     /// Where each listens.
@@ -47,17 +61,18 @@
             drops: drops.iter().map(|d| (*d).to_owned()).collect(),
             seen: HashMap::new(),
             executed: HashMap::new(),
+            arrivals: Vec::new(),
             draws: Pcg32::seed_from_u64(seed),
             spoilt,
         }));
         let (mut addresses, mut listeners) = (Vec::new(), Vec::new());
-        for _ in 0..count {
+        for place in 0..count {
             let listener = TcpListener::bind("127.0.0.1:0").await.map_err(|e| e.to_string())?;
             addresses.push(listener.local_addr().map_err(|e| e.to_string())?);
             let shared = Arc::clone(&shared);
             let task = tokio::spawn(async move {
                 while let Ok((stream, _)) = listener.accept().await {
-                    tokio::spawn(serve(stream, Arc::clone(&shared)));
+                    tokio::spawn(serve(stream, place, Arc::clone(&shared)));
                 }
             });
             listeners.push(task.abort_handle());
@@ -75,6 +90,11 @@
         }
     }
 
+    /// What came, in order.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        locked(&self.shared).arrivals.clone()
+    }
+
     /// How often each key was executed.
     pub fn executed(&self) -> HashMap<String, u32> {
         locked(&self.shared).executed.clone()
@@ -87,19 +107,21 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, shared: Arc<Mutex<Shared>>) {
+async fn serve(mut stream: TcpStream, host: usize, shared: Arc<Mutex<Shared>>) {
     let _ = stream.set_nodelay(true);
     let mut held = Vec::new();
     while let Some((head, _)) = message(&mut stream, &mut held).await {
         let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
         let key = header(&head, "idempotency-key").unwrap_or_default().to_owned();
+        let request = header(&head, "x-request-id").unwrap_or_default().to_owned();
+        locked(&shared).arrivals.push(Arrival { at: now(), host, request });
         let post = head.starts_with("POST");
         tokio::time::sleep(WORK).await;
         let spoilt = {
             let mut shared = locked(&shared);
-            let now = Instant::now();
-            let seen = shared.seen.insert(key.clone(), now);
-            let repeat = seen.is_some_and(|at| now.duration_since(at) < WINDOW);
+            let moment = Instant::now();
+            let seen = shared.seen.insert(key.clone(), moment);
+            let repeat = seen.is_some_and(|at| moment.duration_since(at) < WINDOW);
             let dropped = shared.drops.contains(&path) && repeat;
             if post && !dropped {
                 *shared.executed.entry(key).or_default() += 1;
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`contender`]: other ways to bring a policy to a fleet.
 //! - [`judge`]: what broke.
 //! - [`policy`]: the trial of a change of policy.
+//! - [`drains`]: the trial of hosts that leave while watches on the list are silent.
 //! - [`start`]: the trial of a start of all proxies together.
 //! - [`report`]: tables and plots.
 #![forbid(unsafe_code)]
@@ -18,6 +19,7 @@
 pub mod contender;
 pub mod course;
 pub mod datagrams;
+pub mod drains;
 pub mod hosts;
 pub mod judge;
 pub mod link;
--- a/crates/trial/src/policy.rs
+++ b/crates/trial/src/policy.rs
@@ -293,7 +293,8 @@
             let file = folder.write(&format!("{named}.toml"), &text, false)?;
             let mut arguments = programs.proxy.1.clone();
             arguments.extend(["run".to_owned(), file.display().to_string()]);
-            let plan = Plan { program: programs.proxy.0.clone(), arguments, keep: vec!["badgerramp::begun"] };
+            let keep = vec!["badgerramp::begun"];
+            let plan = Plan { program: programs.proxy.0.clone(), arguments, keep, variables: Vec::new() };
             starts.spawn(async move { (place, Process::start(plan).await) });
         }
         let mut proxies: Vec<Option<Process>> = (0..size.proxies).map(|_| None).collect();
@@ -628,7 +629,7 @@
             }
             let mut arguments = before.clone();
             arguments.extend(["serve".to_owned(), file]);
-            let plan = Plan { program: program.clone(), arguments, keep: Vec::new() };
+            let plan = Plan { program: program.clone(), arguments, keep: Vec::new(), variables: Vec::new() };
             let mut process = Process::start(plan).await?;
             known.send_replace(Some(process.listens().await?));
             all.push(tokio::sync::Mutex::new(process));
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -27,6 +27,8 @@
     pub arguments: Vec<String>,
     /// Lines that hold one of these words are kept.
     pub keep: Vec<&'static str>,
+    /// Variables of its own.
+    pub variables: Vec<(&'static str, PathBuf)>,
 }
 
 /// A process; killed with its owner.
@@ -157,6 +159,7 @@
     for name in ["RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY", "RELAY_CONFIG"] {
         command.env_remove(name);
     }
+    command.envs(plan.variables.iter().map(|(name, value)| (name, value)));
     let mut child =
         command.kill_on_drop(true).spawn().map_err(|e| format!("{}: {e}", plan.program.display()))?;
     let pid = child.id().and_then(|id| Pid::from_raw(id as i32)).ok_or("a process without a number")?;
--- a/crates/trial/src/start/mod.rs
+++ b/crates/trial/src/start/mod.rs
@@ -313,7 +313,8 @@
             )?;
             let mut arguments = programs.1.clone();
             arguments.extend(["run".to_owned(), file.display().to_string()]);
-            let plan = Plan { program: programs.0.clone(), arguments, keep: Vec::new() };
+            let plan =
+                Plan { program: programs.0.clone(), arguments, keep: Vec::new(), variables: Vec::new() };
             // Started later, when its moment has come.
             let process = tokio::sync::Mutex::new(Process::waiting(plan, tells));
             proxies.push(Proxy { process, address: Mutex::new(None), hearing, service, peers, file });
@@ -552,7 +553,8 @@
         let file = self.folder.write(&format!("stranger-{lot:x}.toml"), &text.replace(&own, ""), false)?;
         let mut arguments = self.programs.1.clone();
         arguments.extend(["run".to_owned(), file.display().to_string()]);
-        let plan = Plan { program: self.programs.0.clone(), arguments, keep: Vec::new() };
+        let plan =
+            Plan { program: self.programs.0.clone(), arguments, keep: Vec::new(), variables: Vec::new() };
         let process = Process::start(plan).await?;
         locked(&self.strangers).push(process);
         Ok(())
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -8,11 +8,13 @@
 #![warn(missing_docs)]
 
 mod budget;
+mod stall;
 mod watch;
 
 pub use budget::{
     Budget, Source, Terms, CONNECT, FETCH, SERVICE_ANSWERS, TOLD_AFTER_SILENCE, TOLD_AFTER_WAIT,
 };
+pub use stall::Stall;
 pub use watch::{Input, Odd, Output, QuestionId, Watch};
 
 /// Microseconds.
--- a/crates/watch/src/watch.rs
+++ b/crates/watch/src/watch.rs
@@ -1,12 +1,16 @@
 //! The watch: one question at a time, a second one beside it when its answer is late, and one answer that holds.
 
 use crate::budget::{Budget, Source, FETCH};
+use crate::stall::READ;
 use crate::Micros;
 use badgerramp_subset::Poll;
 
 /// An answer that came sooner and told nothing new is followed by a pause of as long: it stays within the 200 ms in which
 /// the next question goes on with the watch, and keeps a confused service from being asked without end.
 const CALM: Micros = 50_000;
+/// A timer that comes so late was held up with the whole process: it proves nothing of the other side, whose answer may
+/// have come meanwhile.
+const HELD_UP: Micros = 100_000;
 /// Questions that are out at the same time: the watch, and the one beside it.
 const OPEN_MOST: usize = 2;
 
@@ -105,6 +109,10 @@
     next: u64,
     /// When to ask, if none is open.
     ask_at: Option<Micros>,
+    /// Nothing is doubted before: the process stood still, and what came in is read first.
+    believe_until: Micros,
+    /// The connection that is there has been idle for longer than a watch goes on: it may have fallen silent unseen.
+    idle_link: bool,
     poll: Option<Poll>,
     /// What a failure says of the next turn, where turns are taken.
     failed: bool,
@@ -114,7 +122,17 @@
     /// One that knows the list of this version. `poll` gives the turns, where an operator has many proxies ask one
     /// service.
     pub fn new(budget: Budget, index: Option<u64>, poll: Option<Poll>) -> Self {
-        Watch { budget, index, open: Vec::new(), next: 0, ask_at: None, poll, failed: false }
+        Watch {
+            budget,
+            index,
+            open: Vec::new(),
+            next: 0,
+            ask_at: None,
+            believe_until: 0,
+            idle_link: false,
+            poll,
+            failed: false,
+        }
     }
 
     /// The version of the list that is there.
@@ -162,16 +180,26 @@
                 self.failed = false;
                 self.ask_at = Some(now + self.poll.as_mut().map_or(0, Poll::first));
             }
+            // An agent costs nothing to ask, so that it is asked beside at once.
+            Input::Timer
+                if self.budget.source == Source::Service
+                    && self.due().is_some_and(|due| due + HELD_UP < now) =>
+            {
+                self.believe_until = now + READ;
+            }
             Input::Timer => self.doubt(now, idle, out),
         }
         if self.ask_at.is_some_and(|at| at <= now) {
-            self.ask(now, idle, false, out);
+            let fresh = std::mem::take(&mut self.idle_link);
+            self.ask(now, idle, fresh, out);
         }
     }
 
     fn answered(&mut self, now: Micros, place: usize, (index, whole): (u64, bool), out: &mut Vec<Output>) {
         // It settles whatever else is out: an answer that comes later is to an older question, or tells nothing more.
         let question = self.open.remove(place);
+        // Read so late that this process must have stood still.
+        self.idle_link = now > self.patience(&question) + HELD_UP;
         self.drop_all(out);
         let odd = match question.index {
             None if !whole => Some(Odd::NoList),
@@ -240,7 +268,7 @@
             (None, Source::Agent) => self.budget.wait + self.budget.doubt,
             (None, Source::Service) => FETCH,
         };
-        question.asked + most
+        (question.asked + most).max(self.believe_until)
     }
 
     fn drop_all(&mut self, out: &mut Vec<Output>) {
--- a/crates/watch/tests/watch.rs
+++ b/crates/watch/tests/watch.rs
@@ -148,3 +148,26 @@
     assert_eq!(now, 2_600_000 + FETCH);
     assert_eq!(out, [Output::Doubted(QuestionId(2)), dropped(2), Output::Failed]);
 }
+
+/// News that came while the process stood still went with its connection, dropped by a timer that ran first.
+#[test]
+fn a_timer_that_was_held_up_lets_what_came_in_be_read_first() {
+    let mut hand = Hand::new(Source::Service, Some(41));
+    hand.late();
+    assert_eq!(hand.tell(9_000_000, Input::Timer), [], "both are late, by this process's own fault");
+    let mut other = Hand { watch: hand.watch.clone(), out: Vec::new() };
+    assert_eq!(hand.answer(9_000_500, 1, 42, false)[..2], [dropped(0), Output::Take]);
+    // Nothing had come.
+    let (now, out) = other.late();
+    assert!(now <= 9_100_000 && out.contains(&Output::Failed), "{now} {out:?}");
+}
+
+/// The answer had come before the process stood still; its connection fell silent meanwhile, with no question on it.
+#[test]
+fn an_answer_that_is_read_late_is_followed_by_a_question_on_a_fresh_connection() {
+    let mut hand = Hand::new(Source::Agent, Some(41));
+    let out = hand.answer(5_000_000, 0, 42, false);
+    assert!(matches!(out[..], [Output::Take, Output::Ask { index: Some(42), fresh: true, .. }]), "{out:?}");
+    let out = hand.answer(5_100_000, 1, 43, false);
+    assert!(matches!(out[..], [Output::Take, Output::Ask { fresh: false, .. }]), "{out:?}");
+}
