No cap under 1,024 on lists of proxies; odd statuses and lists of the service are told

`[peers]` took 16 seeds, 64 others that ask were remembered, and a policy took 1,000 files: each is 4,096 now, with room taken as they come; one seed is spoken to at a time, so that more cost nothing. Beyond the room of those remembered the ones that do not ask go first. The 64 datagrams read at a time stay: they are a turn, and none is left out. A host with an unknown status is logged with what was found; changes with an index that went back bring the question for the whole list.

Tests: 1,024 seeds and 4,097, 1,024 that ask, half a list, an index that went back, an unknown status, a list spread over lines.

--- a/crates/config/src/peers.rs
+++ b/crates/config/src/peers.rs
@@ -5,7 +5,8 @@
 use std::path::PathBuf;
 
 const KEYS: [&str; 5] = ["listen", "advertise", "seeds", "secret", "fleet"];
-const SEEDS: usize = 16;
+/// A file that names every proxy of a large fleet is allowed: only one of the seeds is spoken to at a time.
+const SEEDS: usize = 4_096;
 const FLEET: usize = 64;
 
 /// What `[peers]` says.
--- a/crates/config/tests/subset.rs
+++ b/crates/config/tests/subset.rs
@@ -62,3 +62,19 @@
         assert!(told.contains("the platform sets this"), "{told}");
     }
 }
+
+/// Sixteen were the most, of a fleet of hundreds.
+#[test]
+fn a_file_may_name_every_proxy_of_a_large_fleet_as_a_seed() {
+    let seeds = |count: usize| {
+        let all: Vec<String> =
+            (0..count).map(|n| format!("\"10.1.{}.{}:7946\"", n / 250, n % 250 + 1)).collect();
+        format!(
+            "[peers]\nlisten = \"10.0.0.1:7946\"\nsecret = \"s\"\nfleet = \"f\"\nseeds = [{}]",
+            all.join(", ")
+        )
+    };
+    let config = file(DISCOVERY, &seeds(1_024)).expect("good");
+    assert_eq!(config.peers.expect("set").seeds.len(), 1_024);
+    refused(&seeds(4_097), &["peers.seeds", "4097", "1 to 4096 addresses"]);
+}
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -27,8 +27,8 @@
 const SNAPSHOT_AFTER: u64 = 500;
 /// Most bytes of all files of a policy together.
 const POLICY_MOST: usize = 1 << 20;
-/// Most files of one.
-const FILES_MOST: usize = 1_000;
+/// Most files of one: one for each application.
+const FILES_MOST: usize = 4_096;
 
 struct Service {
     secret: Secret,
--- a/crates/peers/src/turns.rs
+++ b/crates/peers/src/turns.rs
@@ -60,8 +60,8 @@
 /// Most words in a message: more that ask need not be told apart.
 pub const WORDS_MOST: usize = 8;
 /// Most that are remembered, with those that have stopped or gone. One that was forgotten while others still tell of it
-/// would come back as a new one, and be waited for.
-const KNOWN_MOST: usize = 64;
+/// would come back as a new one, and be waited for. Room is taken as they come; beyond it those that do not ask go first.
+const KNOWN_MOST: usize = 4_096;
 
 /// The number that a proxy has drawn at its start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -439,6 +439,22 @@
         }
     }
 
+    /// Sixty-four were remembered, of fleets of hundreds.
+    #[test]
+    fn a_thousand_that_ask_are_told_apart_and_beyond_the_room_those_go_that_do_not() {
+        let mut turns = Turns::new(Id(0), false);
+        for n in 1..=1_024 {
+            turns.told(n, &[word(n, 1, 0)]);
+        }
+        assert_eq!(turns.others.len(), 1_024);
+        let room = KNOWN_MOST as u64;
+        for n in 1_025..=2 * room {
+            turns.told(n, &[Word { asks: false, ..word(n, 1, 0) }]);
+        }
+        assert_eq!(turns.others.len(), KNOWN_MOST);
+        assert!((1..=1_024).all(|n| turns.others.contains_key(&Id(n))), "who asks is kept");
+    }
+
     #[test]
     fn one_that_hears_of_enough_does_not_ask_and_one_that_hears_of_fewer_does() {
         let mut turns = Turns::new(Id(9), false);
--- a/crates/proxy/src/net/driver.rs
+++ b/crates/proxy/src/net/driver.rs
@@ -415,9 +415,17 @@
                 // Draining, and what is not known: nothing new goes there.
                 _ => State::Draining,
             };
+            let known = ["up", "draining", "removed"].contains(&endpoint.status.as_str());
             let started = endpoint.since_ms.saturating_mul(1_000);
             let Some(server) = core.number(&endpoint.name, state) else { continue };
             let Some(host) = core.hosts.get_mut(&server) else { continue };
+            if !known && (host.generation == 0 || host.state == State::Ready) {
+                tracing::warn!(
+                    "discovery: host {:?} has the status {:?}, allowed are up, draining, removed: nothing new goes there",
+                    endpoint.name,
+                    endpoint.status
+                );
+            }
             let address = endpoint.address.parse().ok().or(host.address.filter(|_| state != State::Ready));
             // Nothing can go to a host of which no address is told.
             let state = if state == State::Ready && address.is_none() { State::Draining } else { state };
--- a/crates/proxy/src/net/peers.rs
+++ b/crates/proxy/src/net/peers.rs
@@ -28,7 +28,7 @@
 const HEAD: usize = 2 + TAG + 16;
 /// Most bytes of a datagram: a longer one is cut when it is read, and so is strange.
 const MOST: usize = HEAD + MESSAGE_MOST;
-/// Datagrams that are read before anything else gets its turn.
+/// Datagrams that are read before anything else gets its turn; the rest waits for the next one, and none is left out.
 const AT_ONCE: usize = 64;
 /// An answer that is so much later than its wait does not come: [`badgerramp_peers`] decides what follows.
 const SILENCE: Duration = Duration::from_secs(2);
--- a/crates/proxy/tests/proxy.rs
+++ b/crates/proxy/tests/proxy.rs
@@ -606,3 +606,27 @@
     discovery.say(answer("503 Service Unavailable", "", ""));
     assert!(discovery.asked().contains("index=42&"));
 }
+
+/// What can't be meant is logged with what was found, and leaves the last good list in force; asking goes on.
+#[test]
+fn odd_lists_are_told_and_change_nothing() {
+    let (discovery, one, two) = (Discovery::start(), Host::serving("1"), Host::serving("2"));
+    let proxy = Proxy::start(PROGRAM, &discovery, &[up("s-1", &one), up("s-2", &two)]);
+    discovery.asked();
+    // Half an answer, framed as a whole one.
+    discovery.say(answer("200 OK", "", &list(42, false, &[entry("s-1", one.address, "removed", 0)])[..60]));
+    proxy.logged("odd list");
+    assert!(discovery.asked().contains("index=41&"));
+    // Changes up to an index that was passed long ago: the whole list is asked for.
+    discovery.tell(&list(7, false, &[entry("s-1", one.address, "removed", 0)]));
+    proxy.logged("changes up to 7, asked for those after 41");
+    assert_eq!(discovery.asked(), "GET /catalog/members HTTP/1.1");
+    assert!((0..40).any(|_| proxy.call("safe", "2000m").body == b"1"), "what is odd is not applied");
+    // A status that nobody knows takes nothing new; spread over lines, as some services write.
+    let spread =
+        list(8, true, &[entry("s-1", one.address, "paused", 0), up("s-2", &two)]).replace(',', ",\n  ");
+    discovery.tell(&spread);
+    proxy.logged("\"paused\", allowed are up, draining, removed");
+    assert!(discovery.asked().contains("index=8&"));
+    assert!((0..20).all(|_| proxy.call("safe", "2000m").body == b"2"));
+}
