A proxy with almost no processor time doubts a silent watch as well

Cause, found in review: each timer that came over 100 ms late put the doubt off by 20 ms, so that a proxy whose timers always come so late would never have doubted a silent watch. Now once for each question; the test of late timers fails without it.

--- a/crates/watch/src/watch.rs
+++ b/crates/watch/src/watch.rs
@@ -181,10 +181,7 @@
                 self.ask_at = Some(now + self.poll.as_mut().map_or(0, Poll::first));
             }
             // An agent costs nothing to ask, so that it is asked beside at once.
-            Input::Timer
-                if self.budget.source == Source::Service
-                    && self.due().is_some_and(|due| due + HELD_UP < now) =>
-            {
+            Input::Timer if self.budget.source == Source::Service && self.held_up(now) => {
                 self.believe_until = now + READ;
             }
             Input::Timer => self.doubt(now, idle, out),
@@ -262,6 +259,13 @@
         out.push(Output::Ask { question, index: self.index, wait, fresh });
     }
 
+    /// Is the timer so late that this process must have stood still? Once for each question, or a proxy with almost no
+    /// processor time would never doubt.
+    fn held_up(&self, now: Micros) -> bool {
+        let anew = self.open.last().is_some_and(|q| self.believe_until <= q.asked);
+        anew && self.due().is_some_and(|due| due + HELD_UP < now)
+    }
+
     fn patience(&self, question: &Question) -> Micros {
         let most = match (question.index, self.budget.source) {
             (Some(_), _) => question.wait + self.budget.doubt,
--- a/crates/watch/tests/watch.rs
+++ b/crates/watch/tests/watch.rs
@@ -157,9 +157,10 @@
     assert_eq!(hand.tell(9_000_000, Input::Timer), [], "both are late, by this process's own fault");
     let mut other = Hand { watch: hand.watch.clone(), out: Vec::new() };
     assert_eq!(hand.answer(9_000_500, 1, 42, false)[..2], [dropped(0), Output::Take]);
-    // Nothing had come.
-    let (now, out) = other.late();
-    assert!(now <= 9_100_000 && out.contains(&Output::Failed), "{now} {out:?}");
+    // Nothing had come; and the next timer is as late, as there is almost no processor time.
+    assert!(other.watch.due() <= Some(9_100_000));
+    let out = other.tell(12_000_000, Input::Timer);
+    assert!(out.contains(&Output::Failed), "{out:?}");
 }
 
 /// The answer had come before the process stood still; its connection fell silent meanwhile, with no question on it.
