--- a/crates/trial/src/drains/course.rs
+++ b/crates/trial/src/drains/course.rs
@@ -26,7 +26,7 @@
     Kill,
     /// A host that drains is up again within a second, as another process.
     Again,
-    /// A question that begins a watch takes the service a quarter of a second.
+    /// One question of each proxy that begins a watch takes the service a second and a half together.
     Slow,
 }
 
--- a/crates/trial/src/drains/mod.rs
+++ b/crates/trial/src/drains/mod.rs
@@ -28,6 +28,10 @@
 /// The ways of a busy machine, from a proxy's last look at its list to the host's note.
 const SLACK: Micros = 400_000;
 
+/// What a question that begins a watch takes the service; and, where it is slow, what one of each proxy takes together.
+const QUICK: Duration = Duration::from_millis(5);
+const SLOW_FOR_ALL: Duration = Duration::from_millis(1_500);
+
 /// How large a course is.
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
@@ -85,7 +89,9 @@
 pub async fn play(program: &(PathBuf, Vec<String>), size: Size, course: &Course) -> Result<Played, String> {
     let folder = Folder::new(&format!("drains-{}", course.seed))?;
     let hosts = Hosts::start(size.hosts, 0.0, &["/do"], course.seed).await?;
-    let work = course.has(Kind::Slow).map_or(Duration::from_millis(5), |_| Duration::from_millis(250));
+    let work = course
+        .has(Kind::Slow)
+        .map_or(QUICK, |_| SLOW_FOR_ALL / u32::try_from(size.proxies).unwrap_or(u32::MAX));
     let work = (!course.pushed).then_some(work);
     let mut service = Service::new(hosts.addresses.clone(), work);
     let known = service.known();
