Lab: one bound on descriptors for all trials

Need: three trials held the descriptors that they want against the system's in the same lines; found in review of the change. Now one function of the trial's package. Lints and all eight tests of trials pass.

--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -5,7 +5,7 @@
 use badgerramp_trial::contender::Way;
 use badgerramp_trial::course::{Course, Fault, Kind, KINDS};
 use badgerramp_trial::policy::{play, Played, Programs, Size};
-use badgerramp_trial::process::all_descriptors;
+use badgerramp_trial::process::want_descriptors;
 use badgerramp_trial::report;
 use clap::{Args, Subcommand};
 use std::io::Write;
@@ -114,12 +114,7 @@
     };
     // Each proxy has a listener for each replica, and two connections through one of them, both ends of which are here.
     let each = size.proxies * (size.replicas + 6) + 32 * size.replicas + 200;
-    let (wanted, allowed) = (each as u64 * terms.at_once, all_descriptors());
-    if wanted > allowed {
-        return Err(format!(
-            "{wanted} descriptors are wanted and the system allows {allowed}: fewer courses at once, or fewer proxies"
-        ));
-    }
+    want_descriptors(each as u64 * terms.at_once)?;
     let mut json = match &terms.json {
         Some(path) => Some(std::fs::File::create(path).map_err(|e| format!("{}: {e}", path.display()))?),
         None => None,
--- a/crates/lab/src/trial_drains.rs
+++ b/crates/lab/src/trial_drains.rs
@@ -3,7 +3,7 @@
 use crate::only::Only;
 use crate::play;
 use badgerramp_trial::drains::{play as play_drains, Course, Kind, Played, Size, KINDS};
-use badgerramp_trial::process::all_descriptors;
+use badgerramp_trial::process::want_descriptors;
 use clap::Args;
 use std::io::Write;
 use std::path::PathBuf;
@@ -69,12 +69,7 @@
     };
     // A log, two doors, four ends of watches, and ends of connections of clients and hosts.
     let each = size.proxies * 16 + size.hosts * (1 + size.proxies.min(64)) + 200;
-    let (wanted, allowed) = (each as u64 * terms.at_once, all_descriptors());
-    if wanted > allowed {
-        return Err(format!(
-            "{wanted} descriptors are wanted and the system allows {allowed}: fewer courses at once, or fewer proxies"
-        ));
-    }
+    want_descriptors(each as u64 * terms.at_once)?;
     let mut json = match &terms.json {
         Some(path) => Some(std::fs::File::create(path).map_err(|e| format!("{}: {e}", path.display()))?),
         None => None,
--- a/crates/lab/src/trial_start.rs
+++ b/crates/lab/src/trial_start.rs
@@ -4,7 +4,7 @@
 use crate::play;
 use badgerramp_peers::play::{self as peers, World};
 use badgerramp_peers::turns::Mechanism;
-use badgerramp_trial::process::all_descriptors;
+use badgerramp_trial::process::want_descriptors;
 use badgerramp_trial::start::cold;
 use badgerramp_trial::start::course::{Course, Kind, KINDS};
 use badgerramp_trial::start::{play as play_start, report, Played, Size, Way};
@@ -196,12 +196,7 @@
     // holds at hosts.
     let held = if terms.subset > 0 { 3 * terms.subset } else { terms.hosts };
     let each = terms.proxies * (8 + held.min(24)) + 4 * terms.hosts + 1_000;
-    let (wanted, allowed) = (each * terms.at_once, all_descriptors());
-    if wanted > allowed {
-        return Err(format!(
-            "{wanted} descriptors are wanted and the system allows {allowed}: fewer courses at once, or fewer proxies"
-        ));
-    }
+    want_descriptors(each * terms.at_once)?;
     let mut json = match &terms.json {
         Some(path) => Some(std::fs::File::create(path).map_err(|e| format!("{}: {e}", path.display()))?),
         None => None,
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -198,6 +198,20 @@
     getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX)
 }
 
+/// Lets this process have as many descriptors as the system allows, if these are so many.
+///
+/// # Errors
+/// If they are fewer.
+pub fn want_descriptors(wanted: u64) -> Result<(), String> {
+    let allowed = all_descriptors();
+    if wanted > allowed {
+        return Err(format!(
+            "{wanted} descriptors are wanted and the system allows {allowed}: fewer courses at once, or fewer proxies"
+        ));
+    }
+    Ok(())
+}
+
 /// A folder for one course; it goes with its owner, unless it is to be kept.
 pub struct Folder {
     path: PathBuf,
