A client that has left is looked for at the first byte; nothing is closed over what came

Cause, by reading and then forced on real sockets: (1) hyper 1.12 looks for the end of a busy connection only while its read buffer is empty (proto/h1/conn.rs, mid_message_detect_eof), so that a client with bytes behind its request was never seen to go, and its call was sent. (2) At a stop and at an eviction a connection was closed by what the runtime had read (front.rs, graceful_shutdown): a request that the system had by then went down with it, half a head was dropped, and one that came after the choice had LEAVE (0.1 s). (3) A connection counted as idle from the answer's hand-over, not from its last byte: a stop or another client cut it. (4) Only early answers lingered; all other closes went over unread bytes. (5) An evicted connection gave its descriptor back before its socket was closed, and with none left every idle one was evicted at once. Change: the client's socket is asked right before the first byte (exchange::Client); a connection is closed only if nothing of a request is on it, else its next answer is its last; answers count until written; every close lingers; places are free when sockets are. Ruled out: a later read by hyper (it registers no interest while its buffer holds bytes).

--- a/crates/lab/src/defects.rs
+++ b/crates/lab/src/defects.rs
@@ -292,7 +292,7 @@
         what: "a connection is closed on what still comes in after an early answer",
         play: "sockets",
         edits: &[
-            (CLIENTS, "while self.early.get() && left > 0 {", "while self.early.get() && left > LINGER_MOST {"),
+            (CLIENTS, "while left > 0 {", "while left > LINGER_MOST {"),
         ],
     },
     Defect {
--- a/crates/lab/src/sockets/memory.rs
+++ b/crates/lab/src/sockets/memory.rs
@@ -370,6 +370,18 @@
         self.read.borrow().next().is_none_or(|at| at > now)
     }
 
+    fn take(&self, buf: &mut [u8]) -> io::Result<usize> {
+        if self.quiet() {
+            return Err(io::ErrorKind::WouldBlock.into());
+        }
+        // Something is due, so that nobody is to be woken.
+        let mut buf = ReadBuf::new(buf);
+        match self.poll_read(&mut Context::from_waker(std::task::Waker::noop()), &mut buf) {
+            Poll::Ready(read) => read.map(|()| buf.filled().len()),
+            Poll::Pending => Err(io::ErrorKind::WouldBlock.into()),
+        }
+    }
+
     fn peer(&self) -> Option<IpAddr> {
         Some(IpAddr::from([127, 0, 0, 1]))
     }
--- a/crates/proxy/src/net/clients.rs
+++ b/crates/proxy/src/net/clients.rs
@@ -2,6 +2,7 @@
 //! connection is noted here, as the HTTP library tells of a request only when its whole head is in.
 
 use super::clock::Clock;
+use super::exchange::Client;
 use super::socket::{Socket, Stream};
 use super::Descriptor;
 use badgerramp_decisions::Micros;
@@ -21,8 +22,11 @@
 const SILENT: Micros = 100_000;
 /// A connection that has not asked by then is closed in any case, and so is a request that is not in.
 pub const UNASKED: Micros = 2_300_000;
-/// ... and one that nothing has passed on for this long.
+/// ... and one that nothing has passed on for this long, or whose client does not take its answer.
 const IDLE_MOST: Micros = 60_000_000;
+/// Most bytes that are read ahead of the HTTP library, and of such as are worthless, to see whether their client has gone.
+const AHEAD_MOST: usize = 32 * 1024;
+const WORTHLESS_MOST: usize = 1 << 20;
 
 /// What a connection is about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,6 +37,10 @@
     Head,
     /// A request is open: its body is coming in, or its answer is awaited.
     Open,
+    /// The answer is given and not yet written whole.
+    Answering,
+    /// No request is read any more.
+    Ended,
 }
 
 /// One connection.
@@ -50,9 +58,15 @@
     /// Bytes that have come behind the head, and how many belong to the request.
     behind: Cell<u64>,
     length: Cell<u64>,
+    /// What came in behind the open request and was taken from the system before the HTTP library asked for it.
+    ahead: RefCell<Vec<u8>>,
     leave: Notify,
-    /// It was answered, and closes, while its request may still be coming in.
-    early: Cell<bool>,
+    /// It is to go.
+    leaving: Cell<bool>,
+    /// Its place is wanted.
+    evicted: Cell<bool>,
+    /// The next answer on it is its last.
+    last: Cell<bool>,
 }
 
 /// Most bytes that are read of what comes in after the last answer.
@@ -106,7 +120,7 @@
 
     /// The answer is given.
     pub fn answered(&self) {
-        self.phase.set(Phase::Idle);
+        self.phase.set(Phase::Answering);
         self.since.set(self.clock.now());
         self.scan.set(Scan::Before);
         self.behind.set(0);
@@ -123,16 +137,53 @@
         self.behind.get() > self.length.get()
     }
 
-    /// The last answer is given before all of its request is in.
-    pub fn answered_early(&self) {
-        self.early.set(true);
+    /// The answer is written whole.
+    fn written(&self) {
+        if self.phase.get() == Phase::Answering {
+            // What has come meanwhile belongs to the next request.
+            self.phase.set(if self.scan.get() == Scan::Before { Phase::Idle } else { Phase::Head });
+            self.since.set(self.clock.now());
+        }
+    }
+
+    /// The next answer is to close the connection.
+    pub fn set_last(&self) {
+        self.last.set(true);
+    }
+
+    /// Does the next answer close the connection?
+    pub fn is_last(&self) -> bool {
+        self.last.get()
+    }
+
+    /// Is nothing of a request here, neither read nor still with the system? Only then may it be closed between requests.
+    pub fn rests(&self) -> bool {
+        self.phase.get() == Phase::Idle && self.ahead.borrow().is_empty() && self.stream.quiet()
+    }
+
+    /// Is an answer owed, or a request on its way in that still has time to come?
+    pub fn owes(&self) -> bool {
+        match self.phase.get() {
+            Phase::Open | Phase::Answering => true,
+            Phase::Head => self.since.get() + UNASKED > self.clock.now(),
+            Phase::Idle => !self.rests(),
+            Phase::Ended => false,
+        }
     }
 
-    /// Reads what still comes in after such an answer, until the client has closed: a close with bytes unread breaks the
-    /// connection, and may take the answer with it before the client has read it (RFC 9112, 9.6).
+    /// Is its place wanted, so that nobody waits for its client to close it?
+    pub fn is_evicted(&self) -> bool {
+        self.evicted.get()
+    }
+
+    /// Writes no more, and reads what still comes in until the client has closed as well: a close with bytes unread breaks
+    /// the connection, and may take the answer with it before the client has read it (RFC 9112, 9.6). None of it is
+    /// looked at: what is read after this end can't be answered.
     pub async fn linger(&self) {
+        self.phase.set(Phase::Ended);
+        self.stream.shutdown();
         let (mut bytes, mut left) = ([0; 1024], LINGER_MOST);
-        while self.early.get() && left > 0 {
+        while left > 0 {
             let mut buf = ReadBuf::new(&mut bytes);
             let read = poll_fn(|cx| self.stream.poll_read(cx, &mut buf)).await;
             if read.is_err() || buf.filled().is_empty() {
@@ -157,42 +208,89 @@
         self.behind.set(self.behind.get() + rest.len() as u64);
     }
 
-    /// May it go, as another wants its place? Not if its request is on the way. One that has its answer may go at
-    /// once, if none is idle longer: a crowd that asks once and stays would else keep out all who come.
+    /// May it go, as another wants its place? Not if its request is on the way or its answer is. One that has its answer
+    /// may go at once, if none is idle longer: a crowd that asks once and stays would else keep out all who come.
     fn spare(&self, now: Micros) -> bool {
         let least = if self.asked.get() { 0 } else { SILENT };
-        self.phase.get() == Phase::Idle && self.since.get() + least <= now && self.stream.quiet()
+        let idle = || self.since.get() + least <= now && self.rests();
+        !self.leaving.get() && (self.phase.get() == Phase::Ended || idle())
     }
 
     fn overdue(&self, now: Micros) -> bool {
         let most = match self.phase.get() {
             Phase::Idle if self.asked.get() => IDLE_MOST,
+            Phase::Answering => IDLE_MOST,
             Phase::Idle | Phase::Head => UNASKED,
-            Phase::Open => return false,
+            Phase::Open | Phase::Ended => return false,
         };
-        self.since.get() + most <= now && self.stream.quiet()
+        !self.leaving.get() && self.since.get() + most <= now && self.stream.quiet()
     }
 
+    /// Has it go at its task's next turn. Its place is free when it has gone, not before: else there would be more sockets
+    /// than are counted.
     fn close(&self) {
-        // Its place is free from now on; its task ends at its next turn.
-        self.descriptor.take();
+        self.leaving.set(true);
         self.leave.notify_one();
     }
 }
 
+impl Client for Seat {
+    fn connected(&self) -> bool {
+        let (mut bytes, mut taken) = ([0; 4096], 0);
+        // What comes behind a request whose length is known is worthless, as its answer closes the connection.
+        let worthless = self.length.get() < u64::MAX;
+        while taken
+            < if worthless { WORTHLESS_MOST } else { AHEAD_MOST.saturating_sub(self.ahead.borrow().len()) }
+        {
+            match self.stream.take(&mut bytes) {
+                Ok(0) => return false,
+                Ok(count) => {
+                    taken += count;
+                    self.read(&bytes[..count]);
+                    if !worthless {
+                        self.ahead.borrow_mut().extend_from_slice(&bytes[..count]);
+                    }
+                }
+                Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => return true,
+                Err(fault) if fault.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return false,
+            }
+        }
+        true
+    }
+}
+
 /// All connections.
 #[derive(Default)]
 pub struct Clients {
     seats: RefCell<BTreeMap<u64, Rc<Seat>>>,
     next: Cell<u64>,
+    /// Those that were evicted and have not gone yet.
+    evicted: Cell<usize>,
     left: Notify,
 }
 
 impl Clients {
+    /// All that are there, also those that are to go.
     pub fn count(&self) -> usize {
         self.seats.borrow().len()
     }
 
+    /// Those that have been made to go and have not gone yet.
+    pub fn evicted(&self) -> usize {
+        self.evicted.get()
+    }
+
+    /// Is an answer owed to any, or does one wait for its client's close? Requests that are still coming in count if
+    /// `heads` says so.
+    pub fn busy(&self, heads: bool) -> bool {
+        let busy = |seat: &Rc<Seat>| match seat.phase.get() {
+            Phase::Open | Phase::Answering | Phase::Ended => true,
+            Phase::Head | Phase::Idle => heads && seat.owes(),
+        };
+        self.seats.borrow().values().any(busy)
+    }
+
     /// Resolves when one has gone.
     pub async fn left(&self) {
         self.left.notified().await;
@@ -213,8 +311,11 @@
             scan: Cell::new(Scan::Before),
             behind: Cell::new(0),
             length: Cell::new(u64::MAX),
+            ahead: RefCell::default(),
             leave: Notify::new(),
-            early: Cell::new(false),
+            leaving: Cell::new(false),
+            evicted: Cell::new(false),
+            last: Cell::new(false),
         });
         self.seats.borrow_mut().insert(number, Rc::clone(&seat));
         seat
@@ -223,15 +324,26 @@
     /// A connection has ended.
     pub fn leave(&self, seat: &Seat) {
         self.seats.borrow_mut().remove(&seat.number);
+        self.evicted.set(self.evicted.get() - usize::from(seat.is_evicted()));
+        seat.descriptor.take();
         self.left.notify_one();
     }
 
-    /// Closes the connection that has been idle longest, to make room. False if none may go.
+    /// Has the connection go that has been idle longest, to make room. False if none may go.
     pub fn evict(&self, now: Micros) -> bool {
-        let mut seats = self.seats.borrow_mut();
+        let seats = self.seats.borrow();
         let longest = seats.values().filter(|s| s.spare(now)).min_by_key(|s| s.since.get());
-        let Some(number) = longest.map(|s| s.number) else { return false };
-        seats.remove(&number).inspect(|seat| seat.close()).is_some()
+        longest.inspect(|seat| {
+            seat.evicted.set(true);
+            self.evicted.set(self.evicted.get() + 1);
+            seat.close();
+        });
+        longest.is_some()
+    }
+
+    /// One that was to make room has had something come in: another has to go.
+    pub fn stays(&self, seat: &Seat) {
+        self.evicted.set(self.evicted.get() - usize::from(seat.evicted.replace(false)));
     }
 
     /// Closes those that are overdue.
@@ -258,6 +370,14 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let mut ahead = self.seat.ahead.borrow_mut();
+        if !ahead.is_empty() {
+            let count = ahead.len().min(buf.remaining());
+            buf.put_slice(&ahead[..count]);
+            ahead.drain(..count);
+            return Poll::Ready(Ok(()));
+        }
+        drop(ahead);
         let before = buf.filled().len();
         let read = Pin::new(&mut self.socket).poll_read(cx, buf);
         self.seat.read(&buf.filled()[before..]);
@@ -270,7 +390,9 @@
         Pin::new(&mut self.socket).poll_write(cx, buf)
     }
 
+    // The library comes here when it has nothing left to write.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.seat.written();
         Pin::new(&mut self.socket).poll_flush(cx)
     }
 
--- a/crates/proxy/src/net/driver.rs
+++ b/crates/proxy/src/net/driver.rs
@@ -2,7 +2,7 @@
 //! timers, the calls and the maps between names and numbers. It never picks, retries or sheds by itself.
 
 use super::clock::Clock;
-use super::exchange::{Ended, Reply, Request, Target};
+use super::exchange::{Client, Ended, Reply, Request, Target};
 use super::hosts::{self, Hosts};
 use crate::log::CALLS;
 use badgerramp_decisions::settings::{self, Facts};
@@ -23,8 +23,8 @@
 use tracing::debug;
 
 /// What the module is told of a request.
-#[derive(Debug)]
 pub struct Intake {
+    pub client: Rc<dyn Client>,
     pub class: ClassId,
     pub tenant: Option<String>,
     pub deadline: Micros,
@@ -134,8 +134,8 @@
     out: bool,
 }
 
-#[derive(Debug)]
 struct Call {
+    client: Rc<dyn Client>,
     request: Rc<Request>,
     class: ClassId,
     deadline: Micros,
@@ -332,6 +332,7 @@
         debug!(target: CALLS, call = call.0, request = id, class = intake.class.0, "taken");
         let deadline = intake.deadline;
         let entry = Call {
+            client: intake.client,
             request: Rc::new(request),
             class: intake.class,
             deadline,
@@ -367,9 +368,15 @@
     }
 
     /// May the first byte of this attempt be written now? Asked after the connection is there: the call may
-    /// have ended meanwhile, its time may be up, its host may drain or be another process; and what is believed of the
-    /// host may be old, if the process stood still.
+    /// have ended meanwhile, its time may be up, its client may have gone, its host may drain or be another process; and
+    /// what is believed of the host may be old, if the process stood still.
     pub fn may_start(&self, call: CallId, attempt: u32, generation: u64) -> bool {
+        let client = self.core.borrow().calls.get(&call).map(|c| Rc::clone(&c.client));
+        if client.is_some_and(|client| !client.connected()) {
+            // Whatever the HTTP library has seen of that: with bytes behind the request in its buffer it looks no more.
+            self.gone(call);
+            return false;
+        }
         let mut core = self.core.borrow_mut();
         if core.stall.behind(self.clock.now()).is_some() {
             return false;
@@ -837,6 +844,15 @@
     use hyper::http::{HeaderMap, Method, Uri};
     use std::time::{SystemTime, UNIX_EPOCH};
 
+    /// A client that waits for whatever comes.
+    struct Waits;
+
+    impl Client for Waits {
+        fn connected(&self) -> bool {
+            true
+        }
+    }
+
     fn driver() -> Driver {
         driver_with(None)
     }
@@ -869,9 +885,9 @@
         let deadline = driver.clock.now() + 30_000;
         let (sender, receiver) = oneshot::channel();
         let call = CallId(99);
-        let (request, class) = (Rc::new(request()), ClassId(0));
-        let forgotten =
-            Call { request, class, deadline, answer: Some(sender), attempts: Vec::new(), last: None };
+        let (request, class, client) = (Rc::new(request()), ClassId(0), Rc::new(Waits));
+        let (answer, attempts) = (Some(sender), Vec::new());
+        let forgotten = Call { client, request, class, deadline, answer, attempts, last: None };
         driver.core.borrow_mut().calls.insert(call, forgotten);
         driver.core.borrow_mut().open += 1;
         driver.core.borrow_mut().timers.insert((deadline, Due::Backstop(call)));
@@ -960,6 +976,7 @@
     async fn calls_are_bounded_and_a_client_that_leaves_makes_room() {
         let driver = driver();
         let intake = || Intake {
+            client: Rc::new(Waits),
             class: ClassId(0),
             tenant: None,
             deadline: driver.clock.now() + 60_000_000,
--- a/crates/proxy/src/net/exchange.rs
+++ b/crates/proxy/src/net/exchange.rs
@@ -20,6 +20,12 @@
     pub manner: Rc<Manner>,
 }
 
+/// Who waits for the answer to a request.
+pub trait Client {
+    /// Is it still connected? This asks the system itself, as the news that it has closed may not have been read.
+    fn connected(&self) -> bool;
+}
+
 /// How attempts are made and their answers read; set by class or route.
 #[derive(Clone, Debug)]
 pub struct Manner {
--- a/crates/proxy/src/net/front.rs
+++ b/crates/proxy/src/net/front.rs
@@ -3,7 +3,7 @@
 use super::admit::{hop_by_hop, Admitted, Rules, Turned};
 use super::clients::{Clients, Noted, Seat, UNASKED};
 use super::driver::{Answer, Driver, Intake};
-use super::exchange::{Reply, Request};
+use super::exchange::{Client, Reply, Request};
 use super::gate::Gate;
 use super::hosts::{self, Hosts};
 use super::socket::{Listener, Stream};
@@ -15,7 +15,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::service::{service_fn, HttpService};
 use hyper::{Method, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
@@ -36,8 +36,13 @@
 const STOP_ACCEPT: Duration = Duration::from_millis(450);
 /// ... and without an open call for this long, what is still connected has nothing to come.
 const QUIET: Duration = Duration::from_millis(100);
-/// How long a connection that is to go may take over what it still has to write.
+/// From a stop on, requests that are still coming in are waited for so long: no client counts on an answer to one that
+/// comes later (the protocol's figure).
+const STOP_HEADS: Duration = Duration::from_millis(700);
+/// How often a connection that is to go is looked at, if something of a request is on it.
 const LEAVE: Duration = Duration::from_millis(100);
+/// How long a client may take over closing a connection that has been closed on this side.
+const LINGER: Duration = Duration::from_millis(500);
 /// Pause of accepting when the system has no descriptor left, or all places are taken.
 const SHORT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -79,9 +84,12 @@
                     None => std::future::pending().await,
                 }
             };
-            // With no place left, clients wait in the listener's queue: those refused leave soon.
-            let places = self.most + self.beyond;
-            let room = self.clients.count() < places || self.clients.evict(self.driver.clock().now());
+            // With no place left, clients wait in the listener's queue: those refused leave soon, and so does one that is
+            // evicted.
+            let room = self.clients.count() < self.most + self.beyond;
+            if !room && self.clients.evicted() == 0 {
+                self.clients.evict(self.driver.clock().now());
+            }
             tokio::select! {
                 // A crowd of clients must not keep the stop from being heard, nor a stop clients from being taken.
                 biased;
@@ -104,9 +112,10 @@
         // A connection with half a request on it does not end by itself, and must not hold the stop up until
         // the kill.
         let mut since = Instant::now();
+        let heads = since + STOP_HEADS.saturating_sub(STOP_ACCEPT);
         while self.clients.count() > 0 && since.elapsed() < QUIET {
             tokio::time::sleep(QUIET / 10).await;
-            if self.driver.open_calls() > 0 {
+            if self.clients.busy(Instant::now() < heads) {
                 since = Instant::now();
             }
         }
@@ -116,15 +125,20 @@
     async fn short_of_sockets(&self, fault: &io::Error) {
         tracing::warn!("a client's connection could not be taken: {fault}");
         let aborted = [io::ErrorKind::ConnectionAborted, io::ErrorKind::ConnectionReset];
-        let evicts = || self.hosts.evict() || self.clients.evict(self.driver.clock().now());
-        if !aborted.contains(&fault.kind()) && !evicts() {
-            tokio::time::sleep(SHORT_PAUSE).await;
+        if aborted.contains(&fault.kind()) || self.hosts.evict() {
+            return;
+        }
+        if self.clients.evicted() == 0 {
+            self.clients.evict(self.driver.clock().now());
         }
+        // It has its descriptor until its task has ended it; to ask at once would have all others evicted as well.
+        let _ = tokio::time::timeout(SHORT_PAUSE, self.clients.left()).await;
     }
 
     fn accepted(self: &Rc<Self>, stream: Rc<dyn Stream>, closing: watch::Receiver<bool>) {
         let clock = self.driver.clock();
-        let full = self.clients.count() >= self.most && !self.clients.evict(clock.now());
+        let staying = self.clients.count() - self.clients.evicted();
+        let full = staying >= self.most && !self.clients.evict(clock.now());
         let descriptor = self.descriptors.take().or_else(|| {
             self.hosts.evict();
             self.descriptors.take()
@@ -135,7 +149,7 @@
         tokio::task::spawn_local(Rc::clone(self).connection(seat, closing, crowded));
     }
 
-    async fn connection(self: Rc<Self>, seat: Rc<Seat>, mut closing: watch::Receiver<bool>, crowded: bool) {
+    async fn connection(self: Rc<Self>, seat: Rc<Seat>, closing: watch::Receiver<bool>, crowded: bool) {
         let service = service_fn(|request| {
             let (front, seat) = (Rc::clone(&self), Rc::clone(&seat));
             async move {
@@ -147,12 +161,9 @@
                     if crowded { front.refused(0) } else { front.request(request, &seat, since).await };
                 debug!(target: CLIENTS, seat = seat.number(), status = response.status().as_u16(), "answered");
                 // What came before the answer belongs to no request that a client of ours would send.
-                if crowded || seat.surplus() {
+                if crowded || seat.is_last() || seat.surplus() {
                     close(&mut response);
                 }
-                if response.headers().contains_key(header::CONNECTION) {
-                    seat.answered_early();
-                }
                 seat.answered();
                 Ok::<_, Infallible>(response)
             }
@@ -163,35 +174,68 @@
             .max_buf_size(HEAD_MOST)
             .keep_alive(!crowded && !*closing.borrow())
             .serve_connection(TokioIo::new(Noted::new(&seat)), service);
+        self.until_closed(connection, &seat, closing).await;
+        // One that must go at once only drops what has come.
+        let most = if seat.is_evicted() { Duration::ZERO } else { LINGER };
+        tokio::select! {
+            _ = tokio::time::timeout(most, seat.linger()) => {}
+            () = seat.leaves() => {}
+        }
+        debug!(target: CLIENTS, seat = seat.number(), "left");
+        self.clients.leave(&seat);
+    }
+
+    /// Drives a connection to its end. It is closed between requests only if nothing of a request is on it, neither read
+    /// nor still with the system; else its next answer is its last.
+    async fn until_closed<S>(
+        &self,
+        connection: http1::Connection<TokioIo<Noted>, S>,
+        seat: &Seat,
+        mut closing: watch::Receiver<bool>,
+    ) where
+        S: HttpService<Incoming, ResBody = Full<Bytes>, Error = Infallible>,
+    {
         let mut connection = pin!(connection);
-        let mut told = *closing.borrow();
+        let (mut told, mut look) = (*closing.borrow(), None::<Instant>);
         loop {
+            let late = async {
+                match look {
+                    Some(look) => tokio::time::sleep_until(look).await,
+                    None => std::future::pending().await,
+                }
+            };
             tokio::select! {
                 biased;
                 // How a client's connection ends concerns nobody: its calls are dropped with it.
-                _ = connection.as_mut() => break,
+                _ = connection.as_mut() => return,
                 () = seat.leaves() => {
                     debug!(target: CLIENTS, seat = seat.number(), "is to leave");
-                    // The last answer may still be on its way out.
-                    connection.as_mut().graceful_shutdown();
-                    let _ = tokio::time::timeout(LEAVE, connection.as_mut()).await;
-                    break;
+                    if !seat.rests() {
+                        self.clients.stays(seat);
+                    }
+                    look = Some(Instant::now() + LEAVE);
                 }
-                _ = closing.changed(), if !told => {
-                    told = true;
-                    connection.as_mut().graceful_shutdown();
+                // What came in the moment in which it was to leave is answered first.
+                () = late => {
+                    if !seat.owes() {
+                        return;
+                    }
+                    look = Some(Instant::now() + LEAVE);
+                    continue;
                 }
+                _ = closing.changed(), if !told => told = true,
+            }
+            seat.set_last();
+            if seat.rests() {
+                connection.as_mut().graceful_shutdown();
             }
         }
-        let _ = tokio::time::timeout(LEAVE, seat.linger()).await;
-        debug!(target: CLIENTS, seat = seat.number(), "left");
-        self.clients.leave(&seat);
     }
 
     async fn request(
         &self,
         request: hyper::Request<Incoming>,
-        seat: &Seat,
+        seat: &Rc<Seat>,
         since: Micros,
     ) -> Response<Full<Bytes>> {
         let clock = self.driver.clock();
@@ -265,7 +309,8 @@
                 now = clock.now();
             }
         }
-        let intake = Intake { class, tenant, deadline: now + time, resent, terms };
+        let client: Rc<dyn Client> = Rc::<Seat>::clone(seat);
+        let intake = Intake { client, class, tenant, deadline: now + time, resent, terms };
         let (method, uri, mut headers) = (parts.method, parts.uri, parts.headers);
         if !self.plain_http {
             // Plain HTTP has had it done where its routes were looked up.
--- a/crates/proxy/src/net/socket.rs
+++ b/crates/proxy/src/net/socket.rs
@@ -4,7 +4,7 @@
 
 use socket2::SockRef;
 use std::future::Future;
-use std::io;
+use std::io::{self, Read};
 use std::mem::MaybeUninit;
 use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
@@ -29,6 +29,10 @@
     /// only what its last look at the readiness of all sockets has told.
     fn quiet(&self) -> bool;
 
+    /// Takes some of what has come in, asking the system itself as [`Stream::quiet`] does: nothing taken is the end, and
+    /// [`io::ErrorKind::WouldBlock`] means that nothing has come.
+    fn take(&self, buf: &mut [u8]) -> io::Result<usize>;
+
     /// The other side's address.
     fn peer(&self) -> Option<IpAddr>;
 }
@@ -101,6 +105,10 @@
         matches!(SockRef::from(self).peek(&mut byte), Err(fault) if fault.kind() == io::ErrorKind::WouldBlock)
     }
 
+    fn take(&self, buf: &mut [u8]) -> io::Result<usize> {
+        (&*SockRef::from(self)).read(buf)
+    }
+
     fn peer(&self) -> Option<IpAddr> {
         self.peer_addr().ok().map(|a| a.ip())
     }
--- a/crates/testkit/src/program.rs
+++ b/crates/testkit/src/program.rs
@@ -125,7 +125,8 @@
         self.signal("-TERM");
     }
 
-    fn signal(&self, signal: &str) {
+    /// Sends it this signal, as `kill` names it.
+    pub fn signal(&self, signal: &str) {
         let done = Command::new("kill").arg(signal).arg(self.child.id().to_string()).status();
         assert!(done.expect("kill").success());
     }
