After a failed question the next one leaves time for an answer within 6 s, whatever failed

Need: a change counts as told 6 s after the service had it and could be reached, after a refused, reset or given-up question too. Cause, read and shown by a property: the decisions' pause doubles without regard to it (balance.rs, members: ask_every / 32 << 3, up to half as much again), a whole list's question had 3.5 s with no other beside it, a question that failed beside a doubted one dropped that too, and the second question was dropped after 2.5 s though a late connection and an answer in turn take 4 s. Change: crates/watch owns the pauses (pause.rs), derived in Budget: two pauses, a connection and an answer fit 6 s and half of the grace; the decisions' wish changes nothing in the program. Questions for the whole list are doubted like any other (a special case less), a doubted one stays open until it is the oldest of three. RETRY_MOST, which peers use, is derived too: 2 s in place of 60. Tests: a property over drawn outages (refused, silent, refused once more at the return), 4,000 courses: with pauses of up to 5 s it fails (seen: 2.6 s late), now it holds, with at most four questions a second of outage. Three tests of the watch by hand said the old rule (no second question for a list; the decisions say when; the first is dropped): they now say the new one as strictly.

--- a/crates/proxy/src/net/discovery.rs
+++ b/crates/proxy/src/net/discovery.rs
@@ -1,10 +1,12 @@
-//! The list of hosts: carries out what [`badgerramp_watch`] says. When asking fails, the decisions say when to ask again;
-//! calls never wait for it.
+//! The list of hosts: carries out what [`badgerramp_watch`] says, which also says when to ask again after a failure; calls
+//! never wait for it.
 
 use super::driver::{Driver, List};
 use super::socket::{Network, Socket};
 use badgerramp_decisions::{ListKind, Micros};
-use badgerramp_watch::{Budget, Input, Odd, Output, QuestionId, Source, Watch, CONNECT};
+use badgerramp_watch::{
+    Budget, Input, Odd, Output, QuestionId, Source, Watch, CONNECT, SERVICE_ANSWERS, TOLD_AFTER_SILENCE,
+};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -21,8 +23,9 @@
 /// Most bytes of a list: over twenty thousand hosts. Memory is taken as they come.
 const LIST_MOST: usize = 4 << 20;
 
-/// Longest that the service may send its callers away for, in seconds.
-const RETRY_MOST: f64 = 60.0;
+/// Longest that the service may send its callers away for, in seconds: what it says to a refused one postpones nothing of
+/// what counts as told, so that a connection and an answer must still fit.
+const RETRY_MOST: f64 = ((TOLD_AFTER_SILENCE - CONNECT - SERVICE_ANSWERS) / 1_000_000) as f64;
 
 /// A connection to the service.
 pub(super) struct Link {
--- a/crates/proxy/src/program.rs
+++ b/crates/proxy/src/program.rs
@@ -212,7 +212,7 @@
         match (address, among) {
             (Some(_), Some(among)) => peers::run(driver_of_watch, network, moves, among, left).await,
             (Some(_), None) => {
-                let asking = (budget, Watch::new(budget, index, poll));
+                let asking = (budget, Watch::new(budget, index, poll, setup.seed));
                 discovery::run(driver_of_watch, network, moves, asking, idle_after).await;
             }
             (None, _) => std::future::pending().await,
--- a/crates/watch/src/budget.rs
+++ b/crates/watch/src/budget.rs
@@ -50,25 +50,37 @@
     pub wait: Micros,
     /// An answer that is so much later than its wait is doubted: another question goes out beside it.
     pub doubt: Micros,
-    /// Between questions that fail where nobody else says when.
-    pub pause: Micros,
+    /// The least and the most of a pause after a question that failed.
+    pub pause: (Micros, Micros),
 }
 
 impl Budget {
     /// Half of the grace is left for the last step, from the list to what is being written; the other half bounds the
     /// doubt. At a service the wait is what remains after a fresh connection that hangs and an answer that takes as long
-    /// as the service bears: `wait + doubt + CONNECT + SERVICE_ANSWERS <= TOLD_AFTER_SILENCE + grace / 2`. At an agent,
-    /// where the return of the service counts as told at once, wait and doubt together stay within the grace.
+    /// as the service bears: `wait + doubt + CONNECT + SERVICE_ANSWERS <= TOLD_AFTER_SILENCE + grace / 2`. What follows a
+    /// question that failed has the same time, as a change counts as told so long after the service could be reached
+    /// again: two pauses, as a service that comes back to many callers may refuse once more, a connection that hangs, and
+    /// an answer. At an agent, where the return of the service counts as told at once, wait and doubt together stay
+    /// within the grace.
     pub fn of(terms: Terms) -> Self {
         let doubt = (terms.grace / 2).clamp(DOUBT.0, DOUBT.1);
-        let (derived, doubt) = match terms.source {
-            Source::Agent => ((terms.grace / 2).clamp(AGENT_WAIT.0, AGENT_WAIT.1), doubt / 2),
+        match terms.source {
+            Source::Agent => {
+                let (derived, doubt) = ((terms.grace / 2).clamp(AGENT_WAIT.0, AGENT_WAIT.1), doubt / 2);
+                Budget {
+                    source: Source::Agent,
+                    wait: terms.wait.unwrap_or(derived),
+                    doubt,
+                    pause: (doubt, doubt),
+                }
+            }
             Source::Service => {
-                let told = TOLD_AFTER_SILENCE + terms.grace / 2;
-                (told.saturating_sub(doubt + CONNECT + SERVICE_ANSWERS).min(TOLD_AFTER_SILENCE / 3), doubt)
+                let spare = TOLD_AFTER_SILENCE + terms.grace / 2 - CONNECT - SERVICE_ANSWERS;
+                let derived = spare.saturating_sub(doubt).min(TOLD_AFTER_SILENCE / 3);
+                let pause = (doubt.min(spare / 2), spare / 2);
+                Budget { source: Source::Service, wait: terms.wait.unwrap_or(derived), doubt, pause }
             }
-        };
-        Budget { source: terms.source, wait: terms.wait.unwrap_or(derived), doubt, pause: doubt }
+        }
     }
 
     /// When a change that a watch misses counts as told at the earliest, after the watch's question went out and silence
@@ -98,6 +110,9 @@
             let silence = (service.wait as f64 * into_wait) as Micros;
             prop_assert!(service.heard() <= service.told(silence) + grace / 2, "{service:?}");
             prop_assert!(service.wait >= 1_500_000, "{service:?}");
+            let refused_twice = 2 * service.pause.1 + CONNECT + SERVICE_ANSWERS;
+            prop_assert!(refused_twice <= TOLD_AFTER_SILENCE + grace / 2, "{service:?}");
+            prop_assert!(service.pause.0 <= service.pause.1, "{service:?}");
             let agent = Budget::of(Terms { source: Source::Agent, grace, wait: None });
             prop_assert!(agent.wait + agent.doubt < grace, "{agent:?}");
         }
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -8,6 +8,7 @@
 #![warn(missing_docs)]
 
 mod budget;
+mod pause;
 mod stall;
 mod watch;
 
--- a/crates/watch/src/watch.rs
+++ b/crates/watch/src/watch.rs
@@ -1,6 +1,7 @@
 //! The watch: one question at a time, a second one beside it when its answer is late, and one answer that holds.
 
-use crate::budget::{Budget, Source, FETCH};
+use crate::budget::{Budget, Source};
+use crate::pause::Pause;
 use crate::stall::READ;
 use crate::Micros;
 use badgerramp_subset::Poll;
@@ -107,21 +108,21 @@
     /// The oldest first.
     open: Vec<Question>,
     next: u64,
-    /// When to ask, if none is open.
+    /// When to ask, if nothing else is heard before. Of what is open then all is doubted.
     ask_at: Option<Micros>,
     /// Nothing is doubted before: the process stood still, and what came in is read first.
     believe_until: Micros,
     /// The connection that is there has been idle for longer than a watch goes on: it may have fallen silent unseen.
     idle_link: bool,
     poll: Option<Poll>,
-    /// What a failure says of the next turn, where turns are taken.
-    failed: bool,
+    /// The pauses after questions that failed, where no turns are taken.
+    pause: Pause,
 }
 
 impl Watch {
     /// One that knows the list of this version. `poll` gives the turns, where an operator has many proxies ask one
-    /// service.
-    pub fn new(budget: Budget, index: Option<u64>, poll: Option<Poll>) -> Self {
+    /// service. `seed` differs from proxy to proxy, so that those whose questions fail together don't ask together again.
+    pub fn new(budget: Budget, index: Option<u64>, poll: Option<Poll>, seed: u64) -> Self {
         Watch {
             budget,
             index,
@@ -131,7 +132,7 @@
             believe_until: 0,
             idle_link: false,
             poll,
-            failed: false,
+            pause: Pause::new(budget.pause, seed),
         }
     }
 
@@ -156,9 +157,7 @@
     pub fn handle(&mut self, now: Micros, input: Input, idle: bool, out: &mut Vec<Output>) {
         match input {
             Input::Begin if self.open.is_empty() && self.ask_at.is_none() => {
-                let failed = std::mem::replace(&mut self.failed, false);
-                let turn = self.poll.as_mut().map_or(0, |p| if failed { p.failed() } else { p.first() });
-                self.ask_at = Some(now + turn);
+                self.ask_at = Some(now + self.poll.as_mut().map_or(0, Poll::first));
             }
             Input::Begin => {}
             Input::Answered { question, index, whole } => {
@@ -169,15 +168,16 @@
             Input::Failed { question } => {
                 let before = self.open.len();
                 self.open.retain(|q| q.id != question);
-                // Of the rest a doubted one proves nothing.
-                if self.open.len() < before && self.open.iter().all(|q| q.doubted) {
+                // Of the rest a doubted one proves nothing; it may still be answered.
+                let doubted = self.open.iter().all(|q| q.doubted);
+                if self.open.len() < before && doubted && self.ask_at.is_none() {
                     self.fail(now, out);
                 }
             }
             Input::Moved => {
                 self.drop_all(out);
                 self.index = None;
-                self.failed = false;
+                self.pause.over();
                 self.ask_at = Some(now + self.poll.as_mut().map_or(0, Poll::first));
             }
             // An agent costs nothing to ask, so that it is asked beside at once.
@@ -215,6 +215,7 @@
             }
             Some(Odd::AnotherLife { .. }) | None => out.push(Output::Take),
         }
+        self.pause.over();
         let news = self.index.replace(index) != Some(index);
         let calm = !news && now.saturating_sub(question.asked) < CALM;
         let told = self.poll.as_mut().map_or(0, |poll| {
@@ -235,19 +236,16 @@
         };
         self.open.iter_mut().for_each(|q| q.doubted = true);
         out.push(Output::Doubted(newest.id));
-        // Whoever waits for the whole list has waited for as long as the service bears: one more would crowd it.
-        let list = newest.index.is_none() && self.budget.source == Source::Service;
-        if self.open.len() < OPEN_MOST && !list {
-            self.ask(now, idle, true, out);
-        } else if self.budget.source == Source::Agent {
-            // What it has counts as told the moment it answers again.
+        if self.open.len() == OPEN_MOST {
+            // The newer one stays: its connection may have come up late, and its answer waits in turn.
             let oldest = self.open.remove(0);
             out.push(Output::Drop(oldest.id));
-            self.ask(now, idle, true, out);
-        } else {
-            self.drop_all(out);
-            self.fail(now, out);
+            if self.budget.source == Source::Service {
+                return self.fail(now, out);
+            }
         }
+        // What an agent has counts as told the moment it answers again.
+        self.ask(now, idle, true, out);
     }
 
     fn ask(&mut self, now: Micros, idle: bool, fresh: bool, out: &mut Vec<Output>) {
@@ -267,12 +265,9 @@
     }
 
     fn patience(&self, question: &Question) -> Micros {
-        let most = match (question.index, self.budget.source) {
-            (Some(_), _) => question.wait + self.budget.doubt,
-            (None, Source::Agent) => self.budget.wait + self.budget.doubt,
-            (None, Source::Service) => FETCH,
-        };
-        (question.asked + most).max(self.believe_until)
+        // A question for the whole list is answered in its turn, and has as long: its connection may be silent as well.
+        let wait = question.index.map_or(self.budget.wait, |_| question.wait);
+        (question.asked + wait + self.budget.doubt).max(self.believe_until)
     }
 
     fn drop_all(&mut self, out: &mut Vec<Output>) {
@@ -281,10 +276,11 @@
     }
 
     fn fail(&mut self, now: Micros, out: &mut Vec<Output>) {
-        self.drop_all(out);
-        self.failed = true;
         out.push(Output::Failed);
-        // Nobody else says when to ask an agent.
-        self.ask_at = (self.budget.source == Source::Agent).then_some(now + self.budget.pause);
+        let pause = match &mut self.poll {
+            Some(poll) => poll.failed(),
+            None => self.pause.next(),
+        };
+        self.ask_at = Some(now + pause);
     }
 }
--- a/crates/watch/tests/courses.rs
+++ b/crates/watch/tests/courses.rs
@@ -1,5 +1,6 @@
 //! Drawn courses in virtual time: watches fall silent, connections hang, answers come late or are reset, the service
-//! starts anew. No change is heard later than it counts as told and the grace; questions stay within their bound.
+//! is down for a while and refuses once more at its return. No change is heard later than it counts as told and the grace;
+//! questions stay within their bound.
 
 use badgerramp_watch::{
     Budget, Input, Micros, Output, QuestionId, Source, Terms, Watch, CONNECT, SERVICE_ANSWERS,
@@ -19,10 +20,33 @@
     turn: Micros,
     /// When its watch fell silent.
     silent: Option<Micros>,
+    /// When it fails, if nothing answers it before.
+    fails: Option<Micros>,
+}
+
+/// How questions fare while the service is down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Down {
+    /// They are refused or reset at once.
+    Refuses,
+    /// Nothing comes back, and no connection comes up.
+    Silent,
+}
+
+/// The service is down.
+#[derive(Clone, Copy, Debug)]
+struct Outage {
+    from: Micros,
+    until: Micros,
+    down: Down,
+    /// It refuses the first question after its return, as too many come.
+    refuses_once: bool,
 }
 
 #[derive(Clone, Debug)]
 struct Course {
+    seed: u64,
+    outages: Vec<Outage>,
     grace: Micros,
     wait: Option<Micros>,
     /// When hosts are announced as leaving.
@@ -46,12 +70,14 @@
 
 fn play(course: &Course, until: Micros) -> Outcome {
     let terms = Terms { source: Source::Service, grace: course.grace, wait: course.wait };
-    let mut watch = Watch::new(Budget::of(terms), Some(0), None);
+    let mut watch = Watch::new(Budget::of(terms), Some(0), None, course.seed);
     let mut out = Vec::new();
     watch.handle(0, Input::Begin, false, &mut out);
     let mut ways: BTreeMap<QuestionId, Way> = BTreeMap::new();
     let mut lags = course.lags.iter().cycle();
     let (mut outcome, mut now, mut begin) = (Outcome::default(), 0, None);
+    let mut cut = false;
+    let mut refused: Vec<bool> = course.outages.iter().map(|outage| !outage.refuses_once).collect();
     // Told, and not heard yet: when each change counts as told.
     let mut told: BTreeMap<u64, Micros> = BTreeMap::new();
     loop {
@@ -59,17 +85,35 @@
             match output {
                 Output::Ask { question, index, wait, fresh } => {
                     let &(connect, answer) = lags.next().expect("a cycle");
+                    // After a failure there is no connection to go on with.
+                    let fresh = fresh || std::mem::take(&mut cut);
                     let part = |share: f64, most: Micros| (share * most as f64) as Micros;
                     let there = now + if fresh { part(connect, CONNECT) } else { 0 };
                     let turn = if fresh { part(answer, SERVICE_ANSWERS) } else { 0 };
-                    ways.insert(question, Way { asked: now, index, wait, there, turn, silent: None });
+                    let mut way = Way { asked: now, index, wait, there, turn, silent: None, fails: None };
+                    for (outage, refused) in course.outages.iter().zip(&mut refused) {
+                        if (outage.from..outage.until).contains(&now) {
+                            match outage.down {
+                                Down::Refuses => way.fails = Some(now + 1_000),
+                                // A connection that is there stays silent; another one is given up.
+                                Down::Silent if fresh => way.fails = Some(now + CONNECT),
+                                Down::Silent => way.silent = Some(now),
+                            }
+                        } else if now >= outage.until && !std::mem::replace(refused, true) {
+                            way.fails = Some(now + 1_000);
+                        }
+                    }
+                    ways.insert(question, way);
                     outcome.questions += 1;
                 }
                 Output::Drop(question) => {
                     ways.remove(&question);
                 }
-                // Between an eighth and three quarters of a second, as the decisions have it.
-                Output::Failed => begin = Some(now + 300_000),
+                Output::Failed => {
+                    // The decisions wish for it as well, which changes nothing.
+                    begin = Some(now + 1);
+                    cut = true;
+                }
                 _ => {}
             }
         }
@@ -79,12 +123,17 @@
             let news = course.changes.iter().enumerate().find(|(n, _)| *n as u64 >= way.index.unwrap_or(0));
             let ready = news.map_or(Micros::MAX, |(_, &at)| at.max(way.there) + way.turn);
             let at = ready.min(way.there + way.wait);
-            way.silent.is_none_or(|silent| at <= silent).then_some(at)
+            let in_time =
+                way.silent.is_none_or(|silent| at <= silent) && way.fails.is_none_or(|fails| at < fails);
+            in_time.then_some(at)
         };
+        let fails = ways.iter().filter_map(|(q, way)| Some((way.fails?.max(now), *q))).min();
         let next_answer = ways.iter().filter_map(|(q, way)| Some((answer(way)?.max(now), *q))).min();
         let later = |times: &[Micros]| times.iter().copied().find(|&t| t > now);
         let moments = [
             next_answer.map(|a| a.0),
+            fails.map(|f| f.0),
+            course.outages.iter().map(|o| o.from).find(|&t| t > now),
             watch.due(),
             begin,
             later(&course.silences),
@@ -95,9 +144,17 @@
         now = now.max(next);
         for (n, &at) in course.changes.iter().enumerate().filter(|(_, &at)| at == now) {
             // With a silent watch open it counts as told later, whether or not it arrives.
+            // One that goes down before the news is out could not be reached for it.
+            let down = course.outages.iter().find(|o| o.from < at + 6_000_000 && at < o.until);
             let silent = ways.values().filter_map(|w| Some((w.silent?, w.asked + w.wait))).min();
             let counts =
                 silent.map_or(Micros::MAX, |(silent, end)| (silent + 6_000_000).max(end + 2_000_000));
+            // Whatever failed: so long after the service had it and could be reached.
+            let counts = match down {
+                Some(outage) => outage.until + 6_000_000,
+                None if !course.outages.is_empty() => at + 6_000_000,
+                None => counts,
+            };
             if (n as u64) >= watch.index().unwrap_or(0) {
                 told.insert(n as u64 + 1, counts.max(at));
             }
@@ -105,7 +162,20 @@
         if course.silences.contains(&now) {
             ways.values_mut().filter(|w| w.there <= now).for_each(|w| w.silent = w.silent.or(Some(now)));
         }
-        let input = if course.resets.contains(&now) && ways.values().any(|w| w.there < now) {
+        for outage in course.outages.iter().filter(|o| o.from == now) {
+            // What is open then is reset, or falls silent.
+            for way in ways.values_mut() {
+                match outage.down {
+                    Down::Refuses => way.fails = Some(now),
+                    Down::Silent => way.silent = way.silent.or(Some(now)),
+                }
+            }
+        }
+        let failed = ways.iter().find(|(_, way)| way.fails.is_some_and(|at| at <= now)).map(|(q, _)| *q);
+        let input = if let Some(question) = failed {
+            ways.remove(&question);
+            Input::Failed { question }
+        } else if course.resets.contains(&now) && ways.values().any(|w| w.there < now) {
             let (&question, _) = ways.iter().find(|(_, w)| w.there < now).expect("just seen");
             ways.remove(&question);
             Input::Failed { question }
@@ -137,6 +207,8 @@
     // Silence a second time before the first is mended would be another fault: they are far apart.
     (300_000u64..2_000_000, times(4), 1_000u64..9_000_000, times(3), lags).prop_map(
         |(grace, changes, silence, resets, lags)| Course {
+            seed: silence,
+            outages: Vec::new(),
             grace,
             wait: None,
             changes: changes.into_iter().collect(),
@@ -147,6 +219,21 @@
     )
 }
 
+/// The service is down twice, for up to a quarter of a minute.
+fn outages() -> impl Strategy<Value = Vec<Outage>> {
+    let one = (1_000_000u64..9_000_000, 100_000u64..15_000_000, any::<bool>(), any::<bool>());
+    prop::collection::vec(one, 1..3).prop_map(|drawn| {
+        let mut at = 0;
+        let outage = |(after, long, silent, refuses_once)| {
+            let from = at + after;
+            at = from + long + 15_000_000;
+            let down = if silent { Down::Silent } else { Down::Refuses };
+            Outage { from, until: from + long, down, refuses_once }
+        };
+        drawn.into_iter().map(outage).collect()
+    })
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 4_000, ..ProptestConfig::default() })]
 
@@ -158,6 +245,18 @@
         prop_assert!(outcome.latest <= course.grace, "{outcome:?}");
     }
 
+    /// Whatever failed before: refused, reset, given up as silent, again and again, and once more at the return.
+    #[test]
+    fn after_a_failure_no_change_is_heard_later_than_told_and_the_grace(course in course(), outages in outages()) {
+        let course = Course { silences: Vec::new(), resets: Vec::new(), outages, ..course };
+        let outcome = play(&course, 90_000_000);
+        prop_assert!(outcome.latest <= course.grace, "{outcome:?}");
+        // While it is down each proxy asks about once a second: no storm meets the service at its return.
+        let down: Micros = course.outages.iter().map(|o| o.until - o.from).sum();
+        let bound = 2 * 90_000_000 / 1_500_000 + 4 * down / 1_000_000 + 8 * course.outages.len() as u64;
+        prop_assert!(outcome.questions <= bound + 2 * course.changes.len() as u64, "{outcome:?} of {bound}");
+    }
+
     #[test]
     fn questions_stay_within_their_bound(course in course()) {
         let outcome = play(&course, 60_000_000);
@@ -172,6 +271,8 @@
 #[test]
 fn a_watch_of_ten_seconds_hears_too_late() {
     let course = Course {
+        seed: 1,
+        outages: Vec::new(),
         grace: 1_000_000,
         wait: Some(10_000_000),
         changes: vec![1_700_000],
--- a/crates/watch/tests/watch.rs
+++ b/crates/watch/tests/watch.rs
@@ -1,6 +1,9 @@
 //! The watch by hand: which question goes out when, and which answer holds.
 
-use badgerramp_watch::{Budget, Input, Micros, Odd, Output, QuestionId, Source, Terms, Watch, FETCH};
+use badgerramp_watch::{
+    Budget, Input, Micros, Odd, Output, QuestionId, Source, Terms, Watch, CONNECT, SERVICE_ANSWERS,
+    TOLD_AFTER_SILENCE,
+};
 
 const GRACE: Micros = 1_000_000;
 
@@ -11,7 +14,7 @@
 
 impl Hand {
     fn new(source: Source, index: Option<u64>) -> Hand {
-        let watch = Watch::new(Budget::of(Terms { source, grace: GRACE, wait: None }), index, None);
+        let watch = Watch::new(Budget::of(Terms { source, grace: GRACE, wait: None }), index, None, 7);
         let mut hand = Hand { watch, out: Vec::new() };
         hand.tell(0, Input::Begin);
         hand
@@ -85,11 +88,18 @@
     let mut hand = Hand::new(Source::Service, Some(41));
     hand.late();
     let mut other = Hand { watch: hand.watch.clone(), out: Vec::new() };
-    assert_eq!(hand.fail(2_600_000, 1), [dropped(0), Output::Failed], "the first is doubted");
-    assert_eq!((hand.watch.due(), hand.open().len()), (None, 0), "the decisions say when");
-    assert_eq!(hand.tell(2_900_000, Input::Begin), [ask(2, Some(41), 2_000_000, false)]);
+    assert_eq!(hand.fail(2_600_000, 1), [Output::Failed], "the first is doubted");
+    assert_eq!(hand.open(), [0], "and may still be answered");
+    assert_eq!(hand.tell(2_600_001, Input::Begin), [], "a wish of the decisions changes nothing");
+    let (at, again) = hand.late();
+    assert!((2_600_000 + 250_000..=2_600_000 + 500_000).contains(&at), "{at}");
+    assert_eq!(again, [ask(2, Some(41), 2_000_000, false)]);
+    assert_eq!(hand.answer(at + 1, 0, 42, false)[..2], [dropped(2), Output::Take]);
     let doubted = Output::Doubted(QuestionId(1));
-    assert_eq!(other.late(), (5_000_000, vec![doubted, dropped(0), dropped(1), Output::Failed]));
+    assert_eq!(other.late(), (5_000_000, vec![doubted, dropped(0), Output::Failed]));
+    assert_eq!(other.open(), [1], "it has as long as a late connection and an answer in turn take");
+    assert_eq!(other.late().1, [ask(2, Some(41), 2_000_000, false)]);
+    assert_eq!(other.answer(6_500_000, 1, 42, false)[..2], [dropped(2), Output::Take]);
     // The first fails, which is no news of the second.
     let mut third = Hand::new(Source::Service, Some(41));
     third.late();
@@ -126,8 +136,9 @@
     assert_eq!(hand.answer(10, 0, 7, false), [back, ask(1, None, 2_000_000, false)]);
     // Changes are no answer to a question for the whole list.
     assert_eq!(hand.answer(20, 1, 7, false), [Output::Odd(Odd::NoList), Output::Failed]);
-    assert_eq!(hand.tell(30, Input::Begin), [ask(2, None, 2_000_000, false)]);
-    assert_eq!(hand.answer(40, 2, 7, true)[..1], [Output::Take]);
+    let (at, again) = hand.late();
+    assert_eq!(again, [ask(2, None, 2_000_000, false)]);
+    assert_eq!(hand.answer(at + 10, 2, 7, true)[..1], [Output::Take]);
     assert_eq!(hand.watch.index(), Some(7));
     let mut hand = Hand::new(Source::Service, Some(41));
     let life = Output::Odd(Odd::AnotherLife { from: 41, to: 7 });
@@ -143,10 +154,44 @@
     let moved = hand.tell(2_600_000, Input::Moved);
     assert_eq!(moved, [dropped(0), dropped(1), ask(2, None, 2_000_000, false)]);
     assert_eq!(hand.answer(2_700_000, 1, 42, false), []);
-    // A question for the whole list has the service's own time, and no other beside it.
-    let (now, out) = hand.late();
-    assert_eq!(now, 2_600_000 + FETCH);
-    assert_eq!(out, [Output::Doubted(QuestionId(2)), dropped(2), Output::Failed]);
+    // Its connection may be silent as well: one for the whole list is doubted like any other.
+    let beside = vec![Output::Doubted(QuestionId(2)), ask(3, None, 2_000_000, true)];
+    assert_eq!(hand.late(), (5_100_000, beside));
+    let out = vec![Output::Doubted(QuestionId(3)), dropped(2), Output::Failed];
+    assert_eq!(hand.late(), (7_600_000, out));
+}
+
+/// The decisions' own pause doubled up to several seconds, beside which nothing was left of the time in which a change
+/// counts as told.
+#[test]
+fn however_often_it_fails_a_pause_leaves_time_for_an_answer() {
+    let mut hand = Hand::new(Source::Service, Some(41));
+    let (mut question, mut now, mut pauses) = (0, 10, Vec::new());
+    for _ in 0..40 {
+        assert_eq!(hand.fail(now, question), [Output::Failed]);
+        let (at, again) = hand.late();
+        question += 1;
+        assert_eq!(again, [ask(question, Some(41), 2_000_000, false)]);
+        pauses.push(at - now);
+        now = at + 1;
+    }
+    let most = (TOLD_AFTER_SILENCE + GRACE / 2 - CONNECT - SERVICE_ANSWERS) / 2;
+    assert!(pauses.iter().all(|p| (250_000..=most).contains(p)), "{pauses:?}");
+    assert!(pauses[3..].iter().any(|p| *p > most / 2 + most / 4), "they grow, and spread: {pauses:?}");
+    let other = Watch::new(
+        Budget::of(Terms { source: Source::Service, grace: GRACE, wait: None }),
+        Some(41),
+        None,
+        8,
+    );
+    let mut other = Hand { watch: other, out: Vec::new() };
+    other.tell(0, Input::Begin);
+    other.fail(10, 0);
+    assert_ne!(other.late().0 - 10, pauses[0], "two proxies do not come back together");
+    // An answer ends the row.
+    hand.answer(now, question, 42, false);
+    hand.fail(now + 1, question + 1);
+    assert!(hand.late().0 - now - 1 <= 500_000);
 }
 
 /// News that came while the process stood still went with its connection, dropped by a timer that ran first.
