Cold servers: lots by what is served, and nothing but lots while a warm one is listed

Bound: lots of all proxies in a span are a Poisson draw around 1.2 x a cold server's part of what is served, far under N. Also a test: idle clients that fill all descriptors while the list service is down keep nothing from its return (holds before, too).

--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -49,6 +49,10 @@
 const RETRY_SAVED: f64 = 20.0;
 /// Chance of a cold server to be drawn for a call, over its present share of the fleet's capacity.
 const COLD_DUTY: f64 = 1.2;
+/// Share of calls served that this chance goes by at the least: clients that try four times, at an offered
+/// load of 1.4, then ask a cold server for no more than the least multiple that one is built to bear
+/// (1.2 x 1.4 x 4 x 0.2 < 2).
+const COLD_GOODPUT: f64 = 0.2;
 /// Held calls looked at beyond the first, at an event: it bounds the CPU that a long hold costs.
 const LOOK_PAST: usize = 16;
 /// Share of the longest wait for a try that is taken for the same patience.
@@ -202,6 +206,8 @@
     crowd: Crowd,
     wakes: Timetable,
     paces: Vec<Pace>,
+    /// Share of the calls of late that were served.
+    goodput: f64,
     retries: f64,
     timer_at: Micros,
     ask_at: Micros,
@@ -225,6 +231,7 @@
             groups: BTreeMap::new(),
             crowd: Crowd::default(),
             wakes: Timetable::default(),
+            goodput: 1.0,
             retries: RETRY_SAVED,
             timer_at: Micros::MAX,
             ask_at: Micros::MAX,
@@ -484,6 +491,7 @@
     /// After an attempt's end: the call's end, another attempt, or nothing while a copy is out.
     fn proceed(&mut self, now: Micros, id: CallId, outcome: Outcome, closed: bool, actions: &mut Actions) {
         if closed || outcome == Outcome::Served {
+            self.goodput += (1.0 - self.goodput) * SMOOTHING;
             self.end(id);
             self.cancel_others(id, None, actions);
         } else if self.calls.get(&id).is_some_and(|c| !c.ended && !c.held && !c.rests && c.out() == 0) {
@@ -661,6 +669,7 @@
     fn give_up(&mut self, id: CallId, retry_after: Micros, actions: &mut Actions) {
         let class_id = self.calls[&id].class_id;
         self.paces.iter_mut().skip(class_id).take(1).for_each(|p| p.turned_back += 1);
+        self.goodput -= self.goodput * SMOOTHING;
         if self.calls[&id].may_be_refused() {
             let retry_after = retry_after.min(self.settings.limits.max_retry_after);
             actions.push(Action::Refuse { call: id, retry_after });
@@ -747,9 +756,10 @@
             return Route::Send { server, trial: false };
         }
         let Some(domain) = self.domain(now, id) else { return Route::Hold };
-        // Cold ones only if there is no other.
-        let (up, room) = match self.fleet.count(Among::Up) {
-            0 => (Among::Cold, Among::Cold),
+        // Cold ones only if no other is listed. That the others fail or are full for now is no reason: all
+        // proxies find so together, and what the whole fleet bears would go to the few that bear least.
+        let (up, room) = match self.fleet.count(Among::Cold) {
+            cold if cold == listed => (Among::Cold, Among::Cold),
             _ => (Among::Up, Among::Room),
         };
         let fresh = self.any_untried(&self.calls[&id], up, &domain);
@@ -902,7 +912,10 @@
     }
 
     /// All balancers hear of a cold server together, and each finds it idle. It gets calls by lot,
-    /// with the chance of its present share of the capacity. Repeats draw none: they come in storms.
+    /// with the chance of its present share of the capacity. Repeats draw none: they come in storms. Where
+    /// they are not marked the share of calls that are served bounds it: all together serve no more than all
+    /// servers can do, so that the lots of all balancers stay within a cold server's part of that, however
+    /// often clients ask (`tests/cold.rs`).
     fn cold_draw(&mut self, now: Micros, id: CallId) -> Option<usize> {
         let call = self.calls.get_mut(&id).filter(|c| c.lot && c.attempts.is_empty())?;
         call.lot = false;
@@ -912,7 +925,7 @@
         let (lot, rules) = (self.unit(), self.settings.rules);
         let cold = self.fleet.cold_size(now, &rules);
         let all = self.fleet.size() - self.fleet.cold_full_size() + cold;
-        if lot * all >= cold * COLD_DUTY {
+        if lot * all >= cold * COLD_DUTY * self.goodput.max(COLD_GOODPUT) {
             return None;
         }
         let Balancer { fleet, random, .. } = self;
--- a/crates/proxy/tests/proxy.rs
+++ b/crates/proxy/tests/proxy.rs
@@ -575,6 +575,33 @@
     assert!(proxy.child.try_wait().expect("a child").is_none(), "it still runs");
 }
 
+/// Clients that stay and say nothing while the list service is down must not hold what is needed at its return: the way to
+/// it, and then the way to the hosts.
+#[test]
+fn idle_clients_that_fill_the_descriptors_while_discovery_is_down_keep_nothing_from_its_return() {
+    let (discovery, host) = (Discovery::start(), Host::serving("ok"));
+    let listen = "127.0.0.1:0".parse().expect("an address");
+    // The system gives no more than the configuration says.
+    let mut proxy = Proxy::within(PROGRAM, &config(listen, discovery.address, 128, &[]), Some(128));
+    discovery.asked();
+    let mut idle: Vec<Client> = Vec::new();
+    for _ in 0..4 {
+        idle.extend((0..150).map(|_| proxy.client()));
+        // It ends each question.
+        discovery.say(String::new());
+        discovery.asked();
+    }
+    discovery.tell(&list(42, true, &[up("s-1", &host)]));
+    assert!(discovery.asked().contains("index=42&"), "the list is in");
+    // Some of those that stay are ahead in the queue.
+    let asked = Instant::now();
+    while proxy.call("safe", "2000m").status() != 200 {
+        assert!(asked.elapsed() < LONG);
+    }
+    assert!(proxy.child.try_wait().expect("a child").is_none(), "it still runs");
+    drop(idle);
+}
+
 #[test]
 fn bad_configuration_is_one_line_and_a_failure() {
     let address = nobody();
