Where hosts send what belongs to no request, connections rest 10 ms between requests

Cause: a second copy of an answer that reaches the system only after the next request is written is read as that request's answer (hosts.rs, checkout: what has come is looked for before the write alone; the README named it as a leak). Change: bytes that nobody asked for are told from an end (LinkState::Noisy); for 30 s after such a sight a connection is used again only 10 ms after its last answer, else another. Fleets that send none, and their throughput, are not touched. Test: crossings.rs, a host that sends the copy right behind the next request; with no rest the second call is answered with the first one's body (seen), time stands still in it. Settings whose discovery is neither ask nor push refuse the start, naming both; a test.

--- a/crates/decisions/src/settings.rs
+++ b/crates/decisions/src/settings.rs
@@ -1,5 +1,6 @@
 //! The reader of the settings object, shared by the adapter (its first message) and the program (its
-//! configuration). Unknown keys are ignored, absent ones get harmless values.
+//! configuration). Unknown keys are ignored, absent ones get harmless values: what is not granted is taken to be
+//! forbidden, an effect that is not known to be run once, and lists to be pushed.
 
 use crate::api::*;
 use serde::Deserialize;
@@ -194,6 +195,10 @@
         let (aim, deadline) = (class.objective_us, class.deadline_us);
         classes.push(Class { aim, deadline, worth: class.worth, late_value: class.late_value, repeat });
     }
+    // Taken for the wrong one, the list would be asked for too often by all, or too late.
+    if !["", "ask", "push"].contains(&facts.discovery.as_str()) {
+        return Err(format!("discovery: found {:?}, allowed are \"ask\" and \"push\"", facts.discovery));
+    }
     let limits = &facts.limits;
     let rules = &facts.invariants;
     let (mix, charges, harmless) = (&facts.result_mix, &facts.charges, Settings::default());
--- a/crates/lab/src/defects.rs
+++ b/crates/lab/src/defects.rs
@@ -219,8 +219,8 @@
         what: "a connection is used again whatever has come in on it",
         play: "sockets",
         edits: &[
-            (HOSTS, "if !current || !link.settled().await {", "if !current {"),
-            (HOSTS, "&& link.generation == target.generation && link.alive().await {", "&& link.generation == target.generation {"),
+            (HOSTS, "if !current || settled != LinkState::Ready {", "if !current {"),
+            (HOSTS, "&& link.generation == target.generation && self.ready(&mut link).await {", "&& link.generation == target.generation {"),
         ],
     },
     Defect {
--- a/crates/proxy/src/net/hosts.rs
+++ b/crates/proxy/src/net/hosts.rs
@@ -39,6 +39,12 @@
 /// tenth of a call or more.
 const BREAKS_MOST: f64 = 0.1;
 
+/// Where hosts have sent what belongs to no request, a connection rests for so long after an answer before it is used again:
+/// a second copy of that answer comes some milliseconds late, and would be read as the answer to the next request.
+const REST: Micros = 10_000;
+/// For how long hosts are taken to do so again.
+const NOISY: Micros = 30_000_000;
+
 /// The system's word for no descriptor left: in all, and for this process.
 const ENFILE: i32 = 23;
 const EMFILE: i32 = 24;
@@ -92,14 +98,29 @@
     /// Is it open and ready for a request, with nothing on it that belongs to an earlier one? What has come in, an
     /// end or a second copy of an answer, is looked for in the kernel: the runtime may not know of it yet, and
     /// would have it read as the answer to the next request.
-    async fn alive(&mut self) -> bool {
-        self.settled().await && self.stream.quiet()
+    async fn state(&mut self) -> LinkState {
+        match self.settled().await {
+            LinkState::Ready if self.stream.quiet() => LinkState::Ready,
+            // It is of no further use, whatever has come.
+            LinkState::Ready if self.stream.take(&mut [0]).is_ok_and(|count| count > 0) => LinkState::Noisy,
+            LinkState::Ready => LinkState::Ended,
+            other => other,
+        }
     }
 
-    /// Is it ready for a request, as far as the runtime knows?
-    async fn settled(&mut self) -> bool {
-        let ended = poll_fn(|cx| Poll::Ready(Pin::new(&mut self.connection).poll(cx).is_ready())).await;
-        !ended && self.sender.is_ready()
+    /// The same, as far as the runtime knows.
+    async fn settled(&mut self) -> LinkState {
+        match poll_fn(|cx| Poll::Ready(Pin::new(&mut self.connection).poll(cx))).await {
+            Poll::Pending if self.sender.is_ready() => LinkState::Ready,
+            // The library ends a connection on which something comes that nobody asked for; an error of the system has
+            // its source.
+            Poll::Ready(Err(fault))
+                if std::error::Error::source(&fault).is_none() && !fault.is_incomplete_message() =>
+            {
+                LinkState::Noisy
+            }
+            _ => LinkState::Ended,
+        }
     }
 
     /// One exchange, driven from here.
@@ -137,6 +158,17 @@
     }
 }
 
+/// What may be done with a connection on which no request is open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LinkState {
+    /// The next request may be written.
+    Ready,
+    /// It has ended.
+    Ended,
+    /// Something has come on it that belongs to no request.
+    Noisy,
+}
+
 /// Why an exchange brought no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fault {
@@ -242,6 +274,8 @@
     /// The generation of each host to which something may go.
     current: RefCell<BTreeMap<ServerId, u64>>,
     staleness: RefCell<Staleness>,
+    /// Until when connections rest between requests.
+    noisy_until: Cell<Micros>,
     network: Rc<dyn Network>,
     room: Rc<Room>,
     descriptors: Rc<Descriptors>,
@@ -263,6 +297,7 @@
             idle: RefCell::default(),
             current: RefCell::default(),
             staleness: RefCell::default(),
+            noisy_until: Cell::new(0),
             network,
             room,
             descriptors,
@@ -318,18 +353,38 @@
         self.idle_most.min(self.staleness.borrow().limit())
     }
 
-    /// The idle connection used last, if it is still open.
+    /// The idle connection used last, if it is still open; of those that rest, none.
     async fn checkout(&self, target: &Target) -> Option<Link> {
         let most = self.idle_most();
         loop {
-            let mut link = self.idle.borrow_mut().get_mut(&target.server)?.pop()?;
-            let fresh = link.idle_since + most > self.clock.now();
-            if fresh && link.generation == target.generation && link.alive().await {
+            let now = self.clock.now();
+            let rest = if now < self.noisy_until.get() { REST } else { 0 };
+            let mut link = {
+                let mut idle = self.idle.borrow_mut();
+                let links = idle.get_mut(&target.server)?;
+                let place = links.iter().rposition(|link| link.idle_since + rest <= now)?;
+                links.remove(place)
+            };
+            let fresh = link.idle_since + most > now;
+            if fresh && link.generation == target.generation && self.ready(&mut link).await {
                 return Some(link);
             }
         }
     }
 
+    /// May the next request be written on this connection? Notes if a host has sent what nobody asked for.
+    async fn ready(&self, link: &mut Link) -> bool {
+        let state = link.state().await;
+        self.note(state);
+        state == LinkState::Ready
+    }
+
+    fn note(&self, state: LinkState) {
+        if state == LinkState::Noisy {
+            self.noisy_until.set(self.clock.now() + NOISY);
+        }
+    }
+
     async fn connect(&self, target: &Target, most: Micros) -> Result<Link, Outcome> {
         let descriptor = match self.descriptors.take() {
             Some(descriptor) => descriptor,
@@ -353,7 +408,7 @@
         let (idle_since, generation) = (0, target.generation);
         let mut link =
             Link { sender, connection, stream, handed_over, idle_since, generation, _descriptor: descriptor };
-        if link.alive().await {
+        if self.ready(&mut link).await {
             Ok(link)
         } else {
             Err(Outcome::NoConnection)
@@ -363,7 +418,9 @@
     async fn keep(&self, server: ServerId, mut link: Link) {
         let current = self.current.borrow().get(&server) == Some(&link.generation);
         // The kernel is asked before its next use, when there is more to know.
-        if !current || !link.settled().await {
+        let settled = link.settled().await;
+        self.note(settled);
+        if !current || settled != LinkState::Ready {
             return;
         }
         link.idle_since = self.clock.now();
--- a/crates/proxy/tests/crossings.rs
+++ b/crates/proxy/tests/crossings.rs
@@ -15,6 +15,7 @@
 use std::io::{self, BufReader, Read};
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpStream};
 use std::rc::{Rc, Weak};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{mpsc, Arc, Condvar, Mutex};
 use std::task::{ready, Context, Poll, Waker};
 use std::thread;
@@ -192,13 +193,17 @@
 impl Inside {
     /// One with so many descriptors, at this host.
     async fn start(descriptors: usize, host: &Host) -> Inside {
+        Inside::start_at(descriptors, host.address).await
+    }
+
+    async fn start_at(descriptors: usize, host: SocketAddr) -> Inside {
         let facts = serde_json::from_str(SETTINGS).expect("JSON");
         let facts = settings::read(&facts).expect("settings");
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("its address");
         let discovery = Discovery::start();
         let known: List =
-            serde_json::from_str(&list(41, true, &[entry("s-1", host.address, "up", 0)])).expect("a list");
+            serde_json::from_str(&list(41, true, &[entry("s-1", host, "up", 0)])).expect("a list");
         let setup = Setup {
             listen: address,
             seed: 7,
@@ -433,6 +438,71 @@
     }
 }
 
+/// A second copy of an answer comes some milliseconds late, right behind the next request on its connection, and was read
+/// as the answer to that. Once a host has been seen to send what belongs to no request, its connections rest in between.
+#[test]
+fn a_second_answer_that_comes_behind_the_next_request_is_not_read_as_its_answer() {
+    beside(async || {
+        // Time stands still but where the test moves it on.
+        tokio::time::pause();
+        let host = Copies::start();
+        let program = Inside::start_at(1_024, host.address).await;
+        let mut client = program.client();
+        for n in 0..6 {
+            // The first copy comes at once, and shows what hosts do here.
+            let (used, told) = waiting(client, |c| c.call("unsafe", "3000m")).await;
+            client = used;
+            let body = format!("answer {n}");
+            assert_eq!((told.status(), String::from_utf8_lossy(&told.body).as_ref()), (200, body.as_str()));
+        }
+        // Rested connections are used again.
+        assert_eq!(host.connections(), 6, "one for each, as none has rested");
+        tokio::time::advance(Duration::from_millis(20)).await;
+        let (_, told) = waiting(client, |c| c.call("unsafe", "3000m")).await;
+        assert_eq!((told.status(), host.connections()), (200, 6));
+    });
+}
+
+/// A host that answers its first request twice at once, and later ones a second time when the next request comes on the
+/// same connection soon after.
+struct Copies {
+    address: SocketAddr,
+    opened: Arc<AtomicUsize>,
+}
+
+impl Copies {
+    fn start() -> Copies {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("its address");
+        let (opened, asked) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+        let count = Arc::clone(&opened);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                count.fetch_add(1, Ordering::SeqCst);
+                let asked = Arc::clone(&asked);
+                thread::spawn(move || {
+                    let mut stream = BufReader::new(stream);
+                    let mut before = String::new();
+                    while read(&mut stream).is_some() {
+                        let n = asked.fetch_add(1, Ordering::SeqCst);
+                        let own = answer("200 OK", "", &format!("answer {n}"));
+                        // By the seventh the time in which copies come is over.
+                        let copies = if n < 6 { before.clone() } else { String::new() };
+                        let text = copies + &own + if n == 0 { &own } else { "" };
+                        let _ = io::Write::write_all(stream.get_mut(), text.as_bytes());
+                        before = own;
+                    }
+                });
+            }
+        });
+        Copies { address, opened }
+    }
+
+    fn connections(&self) -> usize {
+        self.opened.load(Ordering::SeqCst)
+    }
+}
+
 /// How a client goes.
 #[derive(Clone, Copy, Debug)]
 enum Leaves {
--- a/crates/proxy/tests/proxy.rs
+++ b/crates/proxy/tests/proxy.rs
@@ -606,7 +606,10 @@
 fn bad_configuration_is_one_line_and_a_failure() {
     let address = nobody();
     let good = config(address, address, 1_024, &[]);
-    for text in ["", "{", "{}", &good.replace("8c1f", "seed"), &good.replace("\"cold_from\"", "\"warm\"")] {
+    let odd = good.replace(r#""discovery":"ask""#, r#""discovery":"asked""#);
+    for text in
+        ["", "{", "{}", &good.replace("8c1f", "seed"), &good.replace("\"cold_from\"", "\"warm\""), &odd]
+    {
         let (mut child, path) = spawn(PROGRAM, text, None);
         let mut message = String::new();
         child.stderr.take().expect("piped").read_to_string(&mut message).expect("text");
