Trial of drains: a proxy is told to end, clients leave; both are judged from histories

Need: lost, doubled, late after a drain and sent after the client has gone from one judge over several processes of the program. Change: two further faults of the trial, restart (SIGTERM while hosts drain, clients go on for 0.3 s, then a new start; only those who find nobody there are excused) and leave (a third of the clients, half of these with bytes behind their request); the judge counts requests at hosts more than 0.1 s after their client left.

--- a/crates/lab/src/trial_drains.rs
+++ b/crates/lab/src/trial_drains.rs
@@ -99,10 +99,12 @@
     let held = all.iter().filter(|p| p.held()).count();
     let sum = |of: fn(&Played) -> usize| all.iter().map(of).sum::<usize>();
     println!(
-        "{held} of {} held; {} calls, {} late at a host that leaves, {} lost, {} run twice, {} questions",
+        "{held} of {} held; {} calls, {} late at a host that leaves, {} for clients that had left, {} lost, {} run twice, \
+         {} questions",
         all.len(),
         sum(|p| p.calls),
         sum(|p| p.verdict.late),
+        sum(|p| p.verdict.gone),
         sum(|p| p.lost),
         sum(|p| p.twice),
         sum(|p| p.verdict.questions),
@@ -124,7 +126,11 @@
         verdict.questions,
     );
     if !played.held() {
-        println!("  {} late, {} lost, {} run twice", verdict.late, played.lost, played.twice);
+        let (late, gone) = (verdict.late, verdict.gone);
+        println!(
+            "  {late} late, {gone} for clients that had left, {} lost, {} run twice",
+            played.lost, played.twice
+        );
         verdict.first.iter().chain(&played.crashed).for_each(|line| println!("  {line}"));
         let Drains { proxies, hosts, rate, .. } = terms;
         let only = Only::option(terms.only, Kind::name);
--- a/crates/lab/tests/trial.rs
+++ b/crates/lab/tests/trial.rs
@@ -117,6 +117,20 @@
     assert!(played.iter().any(|p| p["course"]["pushed"] == false), "and some are asked for");
 }
 
+/// A proxy that is told to end answers all that it has taken, and what a client has asked that left is sent to nobody.
+#[test]
+fn a_proxy_that_ends_loses_nothing_and_clients_that_left_have_gone() {
+    for fault in ["restart", "leave"] {
+        let json = std::env::temp_dir().join(format!("badgerramp-{fault}-{}.json", std::process::id()));
+        let output =
+            drains(&format!("--proxies 4 --courses 3 --at-once 3 --only {fault} --json {}", json.display()));
+        assert!(output.status.success(), "{}", told(&output));
+        for course in played(&json) {
+            assert!(course["verdict"]["arrivals"].as_u64() > Some(100), "{course}");
+        }
+    }
+}
+
 #[test]
 fn a_fault_that_no_trial_of_drains_knows_is_bad_usage() {
     let output = drains("--only meteor");
--- a/crates/trial/src/clients.rs
+++ b/crates/trial/src/clients.rs
@@ -93,16 +93,31 @@
     std::mem::take(&mut *tries)
 }
 
+/// What a call looks like.
+fn request(path: &str, key: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: x\r\nX-Timeout: {}m\r\nX-Request-ID: {key}\r\nIdempotency-Key: {key}\r\n\
+         Content-Length: 2\r\n\r\nok",
+        TIME.as_millis()
+    )
+}
+
+/// Calls and leaves without waiting for the answer, some with more bytes behind the request.
+pub(crate) async fn ask_and_leave(address: SocketAddr, path: &str, key: &str, more: bool) {
+    let Ok(mut stream) = TcpStream::connect(address).await else { return };
+    // Whether the proxy takes it is all the same.
+    let _ = send(&mut stream, request(path, key).as_bytes()).await;
+    if more {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        let _ = send(&mut stream, b"POST /do HTTP/1.1\r\n").await;
+    }
+}
+
 /// Calls once; with what the proxy says of coming back.
 pub(crate) async fn once(address: SocketAddr, path: &str, key: &str) -> (Ended, Option<Duration>) {
     let call = async {
         let Ok(mut stream) = TcpStream::connect(address).await else { return (Ended::Nobody, None) };
-        let request = format!(
-            "POST {path} HTTP/1.1\r\nHost: x\r\nX-Timeout: {}m\r\nX-Request-ID: {key}\r\nIdempotency-Key: {key}\r\n\
-             Content-Length: 2\r\n\r\nok",
-            TIME.as_millis()
-        );
-        if send(&mut stream, request.as_bytes()).await.is_err() {
+        if send(&mut stream, request(path, key).as_bytes()).await.is_err() {
             return (Ended::Cut, None);
         }
         match message(&mut stream, &mut Vec::new()).await {
--- a/crates/trial/src/drains/course.rs
+++ b/crates/trial/src/drains/course.rs
@@ -28,10 +28,14 @@
     Again,
     /// One question of each proxy that begins a watch takes the service a second and a half together.
     Slow,
+    /// A proxy is told to end (SIGTERM) while hosts drain; clients go on for 0.3 s. Then it is started again.
+    Restart,
+    /// A third of the clients leave right after they asked, half of these with more bytes behind their request.
+    Leave,
 }
 
 /// All kinds.
-pub const KINDS: [Kind; 9] = [
+pub const KINDS: [Kind; 11] = [
     Kind::Reset,
     Kind::Late,
     Kind::SilentAgain,
@@ -41,6 +45,8 @@
     Kind::Kill,
     Kind::Again,
     Kind::Slow,
+    Kind::Restart,
+    Kind::Leave,
 ];
 
 impl Kind {
--- a/crates/trial/src/drains/judge.rs
+++ b/crates/trial/src/drains/judge.rs
@@ -10,6 +10,8 @@
 /// written down here anew so that the program's own are held against them).
 const AFTER_SILENCE: Micros = 6_000_000;
 const AFTER_WAIT: Micros = 2_000_000;
+/// A client that has left has gone: nothing is sent for it that begins so much later.
+const AFTER_GONE: Micros = 100_000;
 
 /// The histories of a course.
 pub struct Histories<'a> {
@@ -25,6 +27,8 @@
     pub pushed: bool,
     /// Times in which the service was down.
     pub down: &'a [(Micros, Micros)],
+    /// When clients left that did not wait for their answers, by request.
+    pub left: &'a HashMap<String, Micros>,
 }
 
 /// What came of a course.
@@ -41,6 +45,8 @@
     pub last_ms: u64,
     /// Questions to the service.
     pub questions: usize,
+    /// Requests that came to hosts though their clients had left long before.
+    pub gone: usize,
 }
 
 impl Histories<'_> {
@@ -87,6 +93,15 @@
         verdict.questions = self.notes.iter().filter(asked).count();
         let mut known: HashMap<(usize, u64), Micros> = HashMap::new();
         for arrival in self.arrivals {
+            let left = self.left.get(&arrival.request).copied().unwrap_or(Micros::MAX);
+            if arrival.at > left.saturating_add(AFTER_GONE + slack) {
+                verdict.gone += 1;
+                let Arrival { request, host, at } = arrival;
+                let after = (at - left) / 1_000;
+                verdict.first.get_or_insert(format!(
+                    "request {request} came to host {host} {after} ms after its client left"
+                ));
+            }
             let proxy = arrival.request.strip_prefix('p').and_then(|r| r.split('-').next()?.parse().ok());
             let Some(proxy) = proxy else { continue };
             // When the drain that holds was told, and made.
@@ -133,10 +148,28 @@
     fn judged(notes: &[Note], pushed: bool, down: &[(Micros, Micros)], at: Micros) -> usize {
         let log = [(0, 0, Status::Up(0)), (2 * S, 0, Status::Draining)];
         let arrivals = [Arrival { at, host: 0, request: "p0-1".to_owned() }];
-        let histories = Histories { notes, log: &log, arrivals: &arrivals, grace: S, pushed, down };
+        let left = HashMap::new();
+        let histories =
+            Histories { notes, log: &log, arrivals: &arrivals, grace: S, pushed, down, left: &left };
         histories.judge(0).late
     }
 
+    #[test]
+    fn a_client_that_left_is_gone_a_tenth_of_a_second_later() {
+        let left = HashMap::from([("p0-1".to_owned(), S)]);
+        let judged = |request: &str, at| {
+            let arrivals = [Arrival { at, host: 0, request: request.to_owned() }];
+            let (notes, log, down) = (&[], &[], &[]);
+            Histories { notes, log, arrivals: &arrivals, grace: S, pushed: false, down, left: &left }
+                .judge(0)
+                .gone
+        };
+        assert_eq!(
+            [judged("p0-1", S + 100_000), judged("p0-1", S + 100_001), judged("p0-2", 9 * S)],
+            [0, 1, 0]
+        );
+    }
+
     #[test]
     fn what_counts_as_told_goes_by_what_was_written_by_silence_and_by_the_agent() {
         let wrote = [note(3 * S, What::Wrote { connection: 1, version: 2 })];
--- a/crates/trial/src/drains/mod.rs
+++ b/crates/trial/src/drains/mod.rs
@@ -8,7 +8,7 @@
 pub use course::{Course, Kind, KINDS};
 pub use judge::Verdict;
 
-use crate::clients::{once, Ended};
+use crate::clients::{ask_and_leave, once, Ended};
 use crate::hosts::Hosts;
 use crate::now;
 use crate::process::{Folder, Plan, Process};
@@ -19,9 +19,10 @@
 use rustix::process::Signal;
 use serde::Serialize;
 use service::{Service, Status};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::{Arc, RwLock};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::sleep;
 
@@ -32,6 +33,9 @@
 const QUICK: Duration = Duration::from_millis(5);
 const SLOW_FOR_ALL: Duration = Duration::from_millis(1_500);
 
+/// New connections go on coming for so long after a proxy was told to end (the protocol's most is 0.4 s).
+const CLIENTS_GO_ON: Duration = Duration::from_millis(300);
+
 /// How large a course is.
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
@@ -63,7 +67,11 @@
 impl Played {
     /// Did all hold?
     pub fn held(&self) -> bool {
-        self.verdict.late == 0 && self.lost == 0 && self.twice == 0 && self.crashed.is_empty()
+        self.verdict.late == 0
+            && self.verdict.gone == 0
+            && self.lost == 0
+            && self.twice == 0
+            && self.crashed.is_empty()
     }
 }
 
@@ -112,7 +120,8 @@
         at.push(proxy.listens().await?);
     }
     let addresses = Arc::new(RwLock::new(at));
-    let clients = tokio::spawn(call(Arc::clone(&addresses), size.rate, course.clone()));
+    let left = Arc::new(Mutex::new(HashMap::new()));
+    let clients = tokio::spawn(call(Arc::clone(&addresses), size.rate, course.clone(), Arc::clone(&left)));
     let down = faults(course, &folder, &mut service, &mut proxies, (&doors, &addresses)).await?;
     let tries = clients.await.map_err(|e| e.to_string())?;
     let (notes, log) = service.history();
@@ -125,11 +134,15 @@
         grace,
         pushed: course.pushed,
         down: &down,
+        left: &left.lock().unwrap_or_else(PoisonError::into_inner).clone(),
     };
-    // A proxy that stood still or was killed has lost what it held.
+    // A proxy that stood still or was killed has lost what it held. One that was told to end has not, but takes no more.
     let excused = [course.has(Kind::Stop), course.has(Kind::Kill)];
-    let lost = tries.iter().filter(|(proxy, ended)| {
-        matches!(ended, Ended::Cut | Ended::Silence | Ended::Nobody) && !excused.contains(&Some(*proxy))
+    let ends = course.has(Kind::Restart);
+    let lost = tries.iter().filter(|(proxy, ended)| match ended {
+        Ended::Cut | Ended::Silence => !excused.contains(&Some(*proxy)),
+        Ended::Nobody => !excused.contains(&Some(*proxy)) && ends != Some(*proxy),
+        Ended::Status(_) => false,
     });
     let crashed = proxies.iter_mut().filter_map(Process::ended).collect();
     Ok(Played {
@@ -178,7 +191,13 @@
                 let (at, host) = course.drains[0];
                 due.push((at + ms(draws.gen_range(50..1_000)), Step::Up(host)));
             }
-            Kind::Slow => {}
+            Kind::Restart => {
+                let from = first + ms(draws.gen_range(0..1_500));
+                due.push((from, Step::Signal(whom, Signal::TERM)));
+                due.push((from + CLIENTS_GO_ON, Step::Away(whom)));
+                due.push((from + CLIENTS_GO_ON + ms(2_000), Step::Again(whom)));
+            }
+            Kind::Slow | Kind::Leave => {}
         }
     }
     due.sort_by_key(|d| d.0);
@@ -216,8 +235,17 @@
                 }
             }
             Step::Signal(proxy, signal) => proxies[proxy].signal(signal),
-            Step::Kill(proxy) => {
-                proxies[proxy].kill().await;
+            Step::Away(proxy) => {
+                if let Ok(mut all) = addresses.write() {
+                    all[proxy].set_port(0);
+                }
+            }
+            Step::Kill(proxy) | Step::Again(proxy) => {
+                if matches!(step, Step::Kill(_)) {
+                    proxies[proxy].kill().await;
+                } else {
+                    proxies[proxy].terminate().await?;
+                }
                 proxies[proxy].again()?;
                 let address = proxies[proxy].listens().await?;
                 if let Ok(mut all) = addresses.write() {
@@ -243,10 +271,19 @@
     Move,
     Signal(usize, Signal),
     Kill(usize),
+    /// Clients come to it no more.
+    Away(usize),
+    /// It is waited for until it has ended, and started again.
+    Again(usize),
 }
 
-/// Calls each proxy in turn, until a little before the end of the course.
-async fn call(addresses: Arc<RwLock<Vec<SocketAddr>>>, rate: f64, course: Course) -> Vec<(usize, Ended)> {
+/// Calls each proxy in turn, until a little before the end of the course. Who leaves, and when, comes into `left`.
+async fn call(
+    addresses: Arc<RwLock<Vec<SocketAddr>>>,
+    rate: f64,
+    course: Course,
+    left: Arc<Mutex<HashMap<String, Micros>>>,
+) -> Vec<(usize, Ended)> {
     let mut beat = tokio::time::interval(Duration::from_secs_f64(1.0 / rate));
     let (mut open, mut tries) = (tokio::task::JoinSet::new(), Vec::new());
     let end = sleep(course.length.saturating_sub(Duration::from_millis(1_600)));
@@ -262,6 +299,17 @@
         }) else {
             break;
         };
+        if address.port() == 0 {
+            continue;
+        }
+        if course.has(Kind::Leave).is_some() && number % 3 == 0 {
+            let (left, key) = (Arc::clone(&left), format!("p{proxy}-{number}"));
+            tokio::spawn(async move {
+                ask_and_leave(address, "/do", &key, number % 2 == 0).await;
+                left.lock().unwrap_or_else(PoisonError::into_inner).insert(key, now());
+            });
+            continue;
+        }
         open.spawn(async move { (proxy, once(address, "/do", &format!("p{proxy}-{number}")).await.0) });
         while let Some(done) = open.try_join_next() {
             tries.extend(done.ok());
