Test: what a host does between the last look and the first byte is no answer and proves nothing

Need: each crossing on a connection to a host is forced once. A host says half a line, noise, or closes right after its idle connection was found quiet: the request is written behind that and may have run.

--- a/crates/proxy/tests/crossings.rs
+++ b/crates/proxy/tests/crossings.rs
@@ -5,7 +5,7 @@
 use badgerramp::net::admit::{Platform, Rules};
 use badgerramp::net::clock::Clock;
 use badgerramp::net::driver::List;
-use badgerramp::net::socket::{Connecting, Listener, Network, Stream, Tcp};
+use badgerramp::net::socket::{Connecting, Listener, Network, Stream};
 use badgerramp::program::{serve_in, Members, Setup, Surroundings};
 use badgerramp_decisions::settings;
 use badgerramp_testkit::*;
@@ -37,6 +37,9 @@
     Shutdown,
 }
 
+/// From here on connections to the host are counted.
+const TO_HOSTS: usize = 1_000;
+
 /// What is to come at which step of which connection, counted from 0.
 type Crossing = (Step, usize, Box<dyn FnOnce(&TcpStream)>);
 
@@ -51,6 +54,9 @@
     accepted: RefCell<Vec<Weak<tokio::net::TcpStream>>>,
     /// Connections that were closed with bytes unread.
     unread: Cell<usize>,
+    /// The host, and how many connections to it were opened.
+    host: Cell<Option<SocketAddr>>,
+    opened: Cell<usize>,
     /// Connections to this host are held until that is told.
     held: Cell<Option<SocketAddr>>,
     connecting: Notify,
@@ -176,7 +182,10 @@
                 hooks.connecting.notify_one();
                 hooks.released.notified().await;
             }
-            Tcp.connect(address).await
+            let stream = tokio::net::TcpStream::connect(address).await?;
+            let number = TO_HOSTS
+                + hooks.opened.replace(hooks.opened.get() + usize::from(hooks.host.get() == Some(address)));
+            Ok(Rc::new(Hooked { stream: Rc::new(stream), number, hooks }) as Rc<dyn Stream>)
         })
     }
 }
@@ -225,6 +234,7 @@
             plain_http: false,
         };
         let hooks = Rc::new(Hooks::default());
+        hooks.host.set(Some(host));
         let around = Surroundings {
             network: Rc::new(Ways(Rc::clone(&hooks))),
             listener: Rc::new(Door(listener, Rc::clone(&hooks))),
@@ -438,6 +448,81 @@
     }
 }
 
+/// Between the look at an idle connection and the request's first byte the host says something, or closes. The request is
+/// written behind that, so that it may have run: a safe one goes again, an unsafe one has failed.
+#[test]
+fn what_a_host_does_right_before_the_first_byte_is_no_answer_and_proves_nothing() {
+    // Half a line may be the beginning of an answer: it is waited for.
+    for (says, safe) in [("HTTP/1.1 40", 503), ("noise\r\n\r\n", 200), ("", 200)] {
+        for class in ["safe", "unsafe"] {
+            beside(async || {
+                let host = Interrupts::start(says);
+                let program = Inside::start_at(1_024, host.address).await;
+                let (client, first) = waiting(program.client(), |c| c.call("unsafe", "3000m")).await;
+                assert_eq!(first.status(), 200);
+                let now = host.now;
+                program.hooks.at(Step::Quiet, TO_HOSTS, move |stream| {
+                    now.send(()).expect("the host waits");
+                    while stream.peek(&mut [0]).is_err() {
+                        thread::yield_now();
+                    }
+                });
+                let (_, second) = waiting(client, move |c| c.call(class, "3000m")).await;
+                assert!(program.hooks.crossed());
+                assert_eq!(
+                    second.status(),
+                    if class == "safe" { safe } else { 502 },
+                    "{class} after {says:?}"
+                );
+                // It is on its way to nobody, or ran at most once more.
+                let most = if class == "safe" { 3 } else { 2 };
+                assert!(host.asked.load(Ordering::SeqCst) <= most, "{class} after {says:?}");
+            });
+        }
+    }
+}
+
+/// A host whose first connection, once it has answered a request, says something or closes when it is told.
+struct Interrupts {
+    address: SocketAddr,
+    now: mpsc::Sender<()>,
+    asked: Arc<AtomicUsize>,
+}
+
+impl Interrupts {
+    fn start(says: &'static str) -> Interrupts {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("its address");
+        let (now, told) = mpsc::channel::<()>();
+        let asked = Arc::new(AtomicUsize::new(0));
+        let count = Arc::clone(&asked);
+        thread::spawn(move || {
+            let mut told = Some(told);
+            for stream in listener.incoming().flatten() {
+                let (told, count) = (told.take(), Arc::clone(&count));
+                thread::spawn(move || {
+                    let mut stream = BufReader::new(stream);
+                    while read(&mut stream).is_some() {
+                        count.fetch_add(1, Ordering::SeqCst);
+                        let _ = io::Write::write_all(stream.get_mut(), answer("200 OK", "", "ok").as_bytes());
+                        if told.as_ref().is_some_and(|told| told.recv().is_ok()) {
+                            if says.is_empty() {
+                                return;
+                            }
+                            let _ = io::Write::write_all(stream.get_mut(), says.as_bytes());
+                            // Whatever comes on it now is counted, not answered.
+                            while read(&mut stream).is_some() {
+                                count.fetch_add(1, Ordering::SeqCst);
+                            }
+                        }
+                    }
+                });
+            }
+        });
+        Interrupts { address, now, asked }
+    }
+}
+
 /// A second copy of an answer comes some milliseconds late, right behind the next request on its connection, and was read
 /// as the answer to that. Once a host has been seen to send what belongs to no request, its connections rest in between.
 #[test]
