--- a/crates/proxy/tests/crossings.rs
+++ b/crates/proxy/tests/crossings.rs
@@ -737,3 +737,30 @@
         );
     }
 }
+
+/// Signals that come together, before the first word of the list service: what was taken is answered, and the end is none
+/// but a good one. The process stands still as they come, so that it finds them side by side.
+#[test]
+fn signals_that_cross_lose_nothing() {
+    for signals in [["-TERM", "-TERM"], ["-HUP", "-TERM"], ["-TERM", "-HUP"]] {
+        let (discovery, other, host) = (Discovery::start(), Discovery::start(), Gated::start());
+        let listen = "127.0.0.1:0".parse().expect("an address");
+        let known = [entry("s-1", host.address, "up", 0)];
+        let mut proxy = Proxy::with(PROGRAM, &config(listen, discovery.address, 1_024, &known));
+        let (mut taken, mut comes) = (proxy.client(), proxy.client());
+        taken.write(&request("unsafe", "3000m", "taken"));
+        assert_eq!(host.came.recv_timeout(LONG).as_deref(), Ok("taken"));
+        proxy.signal("-STOP");
+        // The file that SIGHUP reads names another list service.
+        proxy.reload(&config(proxy.address, other.address, 1_024, &[]));
+        signals.iter().for_each(|signal| proxy.signal(signal));
+        comes.write(&request("unsafe", "3000m", "comes"));
+        host.open();
+        proxy.signal("-CONT");
+        for client in [&mut taken, &mut comes] {
+            assert_eq!(client.answer().map(|a| a.status()), Some(200), "{signals:?}");
+            assert!(client.answer().is_none(), "and its connection is closed");
+        }
+        assert!(proxy.ended(), "it exits 0: {signals:?}");
+    }
+}
