--- a/crates/proxy/src/net/clients.rs
+++ b/crates/proxy/src/net/clients.rs
@@ -161,11 +161,13 @@
         self.phase.get() == Phase::Idle && self.ahead.borrow().is_empty() && self.stream.quiet()
     }
 
-    /// Is an answer owed, or a request on its way in that still has time to come?
+    /// Is an answer owed, or still being taken, or a request on its way in that still has time to come?
     pub fn owes(&self) -> bool {
+        let within = |most| self.since.get() + most > self.clock.now();
         match self.phase.get() {
-            Phase::Open | Phase::Answering => true,
-            Phase::Head => self.since.get() + UNASKED > self.clock.now(),
+            Phase::Open => true,
+            Phase::Answering => within(IDLE_MOST),
+            Phase::Head => within(UNASKED),
             Phase::Idle => !self.rests(),
             Phase::Ended => false,
         }
@@ -285,7 +287,8 @@
     /// `heads` says so.
     pub fn busy(&self, heads: bool) -> bool {
         let busy = |seat: &Rc<Seat>| match seat.phase.get() {
-            Phase::Open | Phase::Answering | Phase::Ended => true,
+            Phase::Ended => true,
+            Phase::Open | Phase::Answering => seat.owes(),
             Phase::Head | Phase::Idle => heads && seat.owes(),
         };
         self.seats.borrow().values().any(busy)
--- a/crates/proxy/tests/crossings.rs
+++ b/crates/proxy/tests/crossings.rs
@@ -411,6 +411,27 @@
     });
 }
 
+/// One that never takes its answer holds a stop up for a minute, not for ever.
+#[test]
+fn an_answer_that_nobody_takes_does_not_hold_a_stop_up_for_ever() {
+    beside(async || {
+        let host = Host::serving("ok");
+        let mut program = Inside::start(64, &host).await;
+        program.hooks.takes.set(Some(10));
+        let mut slow = program.client();
+        slow.send("safe", "3000m");
+        while program.hooks.wakers.borrow().is_empty() {
+            tokio::time::sleep(SHORT / 30).await;
+        }
+        // From here on time runs as fast as nothing is to be done.
+        tokio::time::pause();
+        let asked = tokio::time::Instant::now();
+        program.stop();
+        assert_eq!(program.ended.await.expect("an end"), Ok(()));
+        assert!((50..70).contains(&asked.elapsed().as_secs()), "{:?}", asked.elapsed());
+    });
+}
+
 /// A close over unread bytes is a reset, which may take the answer before it with it: also where the client, and not the
 /// request, had more to say.
 #[test]
