A server that starts anew while its load is asked for gets no call for it

Cause, by reading: decide() sends to whichever of the servers asked told of least in hand, and a cold one has nothing in hand; it may have started anew between question and answer (balance.rs). Test: sparse.rs, fails without the change (seen).

--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -872,6 +872,8 @@
         let Some(call) = self.calls.get_mut(&id) else { return };
         let (asked, since) = (std::mem::take(&mut call.asks), call.asks_at);
         let (rules, most, domain) = (self.settings.rules, self.crowd_limit(id), self.domain(now, id));
+        // One that has started anew meanwhile is cold: it gets lots, and no more.
+        let cold_only = self.fleet.count(Among::Cold) == self.fleet.listed();
         let mut places = Vec::new();
         for server in asked {
             let Some(place) = self.fleet.place(server) else { continue };
@@ -884,7 +886,8 @@
             self.pressure += ((held * load / most).min(1.0) - self.pressure) * SMOOTHING;
             // What all balancers hold there counts against the budget of all: else each adds its one call.
             let room = !server.full(now, &rules) && (load <= most || server.in_hand < 1.0);
-            if room && server.usable(now) && domain.as_ref().is_some_and(|d| d.holds(place)) {
+            let warm = cold_only || server.warmth(now, &rules) >= 1.0;
+            if warm && room && server.usable(now) && domain.as_ref().is_some_and(|d| d.holds(place)) {
                 places.push(place);
             }
         }
--- a/crates/decisions/tests/sparse.rs
+++ b/crates/decisions/tests/sparse.rs
@@ -50,6 +50,21 @@
     }
 }
 
+/// Between question and answer a server starts anew: the call that asked the warm one is no lot for the cold one, which
+/// answers that it has nothing in hand.
+#[test]
+fn a_server_that_starts_anew_while_it_is_asked_gets_no_call_for_it() {
+    let rules = Rules { cold_share: 0.5, ..many(true).rules };
+    let mut proxy = Proxy::new(Settings { rules, ..many(true) }, 6);
+    let (call, actions) = proxy.call();
+    let asked = probes(&actions);
+    let anew = Entry { started: proxy.now, ..ready(asked[0].0) };
+    proxy.list(ListKind::Delta, vec![anew]);
+    proxy.now += MS;
+    tell(&mut proxy, asked[0], Some(0.0));
+    assert_eq!(sent(&tell(&mut proxy, asked[1], Some(3.0))), [(call, asked[1])]);
+}
+
 #[test]
 fn nothing_is_asked_where_servers_outnumber_balancers_or_tell_nothing() {
     let few = Settings { balancers: 3, ..many(true) };
