--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -265,6 +265,8 @@
     pub weights: WeightSource,
     /// What a call is worth beyond its tenant's share, against one within.
     pub over_share_worth: f64,
+    /// Clients say which calls are repeats of theirs.
+    pub marks_retry: bool,
 }
 
 impl Default for Settings {
@@ -299,6 +301,7 @@
             reports: Reports::default(),
             weights: WeightSource::default(),
             over_share_worth: 1.0,
+            marks_retry: false,
         }
     }
 }
--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -916,9 +916,9 @@
 
     /// All balancers hear of a cold server together, and each finds it idle. It gets calls by lot,
     /// with the chance of its present share of the capacity. Repeats draw none: they come in storms. Where
-    /// they are not marked the share of calls that are served bounds it: all together serve no more than all
-    /// servers can do, so that the lots of all balancers stay within a cold server's part of that, however
-    /// often clients ask (`tests/cold.rs`).
+    /// they are not marked, or balancers are many, the share of calls that are served bounds it: all together
+    /// serve no more than all servers can do, so that the lots of all balancers stay within a cold server's
+    /// part of that, however often clients ask (`tests/cold.rs`).
     fn cold_draw(&mut self, now: Micros, id: CallId) -> Option<usize> {
         let call = self.calls.get_mut(&id).filter(|c| c.lot && c.attempts.is_empty())?;
         call.lot = false;
@@ -928,7 +928,10 @@
         let (lot, rules) = (self.unit(), self.settings.rules);
         let cold = self.fleet.cold_size(now, &rules);
         let all = self.fleet.size() - self.fleet.cold_full_size() + cold;
-        if lot * all >= cold * COLD_DUTY * self.goodput.max(COLD_GOODPUT) {
+        // First tries alone draw lots where repeats are marked: a few balancers' stay within bounds by that.
+        let first_alone = self.settings.marks_retry && !self.sparse();
+        let goodput = if first_alone { 1.0 } else { self.goodput.max(COLD_GOODPUT) };
+        if lot * all >= cold * COLD_DUTY * goodput {
             return None;
         }
         let Balancer { fleet, random, .. } = self;
--- a/crates/decisions/src/settings.rs
+++ b/crates/decisions/src/settings.rs
@@ -29,6 +29,14 @@
     #[serde(default)]
     weight_source: String,
     over_share_worth: Option<f64>,
+    #[serde(default)]
+    client_habits: HabitFacts,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct HabitFacts {
+    marks_retry: bool,
 }
 
 #[derive(Deserialize, Default)]
@@ -252,6 +260,7 @@
         reports: Reports { how, in_hand: facts.report.columns.iter().any(|c| c == "active") },
         weights,
         over_share_worth: facts.over_share_worth.unwrap_or(harmless.over_share_worth),
+        marks_retry: facts.client_habits.marks_retry,
     };
     let classes = facts.classes.into_iter().map(|c| c.name).collect();
     let transport = Transport {
--- a/crates/decisions/tests/cold.rs
+++ b/crates/decisions/tests/cold.rs
@@ -124,6 +124,7 @@
             rules: deployment.rules,
             reports: Reports { how: Reporting::Inline, in_hand: true },
             weights: WeightSource::Off,
+            marks_retry: deployment.marked,
             ..Settings::default()
         };
         let machine = |n: usize| Machine {
