Watch: a question that a crowded service has queued is not asked a second time

Each question that the service did not refuse at once was doubted 2.25 s later, while it stood in the queue (up to 3 s); the second question beside it was refused, and the first ended in the same moment. n12 lost four places in the queue so (3.787, 6.851, 14.855, 18.107 s) and had no list after 24 s. Of 32 proxies ten had the list at once, one (n12) never, the others after 5 to 24 s. Ruled out: a list that was there and not acted on (n0, with index 8 since 15.8 s, sends to the same host, which is listed as up again); a service that is down (others are answered in the same seconds).

At fault: Watch::patience, which counts the wait of a watch and not the queue before it. Now a question that follows a refusal has the 3 s of the service's queue and a short wait (the doubt), until an answer comes. A failure that is no refusal changes nothing.

The drawn courses of the watch now tell refusals as such, and hold as before.

--- a/crates/proxy/src/net/discovery.rs
+++ b/crates/proxy/src/net/discovery.rs
@@ -123,7 +123,11 @@
             }
             Err(fault) => {
                 tracing::warn!("discovery: {}", fault.why);
-                self.tell(Input::Failed { question }, None);
+                let input = match fault.refused {
+                    true => Input::Refused { question },
+                    false => Input::Failed { question },
+                };
+                self.tell(input, None);
             }
         }
     }
@@ -196,13 +200,15 @@
 pub(super) struct Unanswered {
     /// In words.
     pub why: String,
+    /// The service is there and turned the question away.
+    pub refused: bool,
     /// When the service wants to be asked again.
     pub retry_after: Option<Duration>,
 }
 
 impl From<String> for Unanswered {
     fn from(why: String) -> Self {
-        Unanswered { why, retry_after: None }
+        Unanswered { why, refused: false, retry_after: None }
     }
 }
 
@@ -228,7 +234,8 @@
     if answer.status() != StatusCode::OK {
         let said = answer.headers().get(RETRY_AFTER).and_then(|v| v.to_str().ok()?.parse::<f64>().ok());
         let retry_after = said.and_then(|s| Duration::try_from_secs_f64(s.min(RETRY_MOST)).ok());
-        return Err(Unanswered { why: format!("answered {}", answer.status()), retry_after });
+        let refused = answer.status() == StatusCode::SERVICE_UNAVAILABLE;
+        return Err(Unanswered { why: format!("answered {}", answer.status()), refused, retry_after });
     }
     let body = Limited::new(answer.into_body(), LIST_MOST).collect().await.map_err(|e| e.to_string())?;
     serde_json::from_slice(&body.to_bytes()).map_err(|e| format!("odd list: {e}").into())
--- a/crates/watch/src/watch.rs
+++ b/crates/watch/src/watch.rs
@@ -1,6 +1,6 @@
 //! The watch: one question at a time, a second one beside it when its answer is late, and one answer that holds.
 
-use crate::budget::{Budget, Source};
+use crate::budget::{Budget, Source, SERVICE_ANSWERS};
 use crate::pause::Pause;
 use crate::stall::READ;
 use crate::Micros;
@@ -33,11 +33,16 @@
         /// The whole list, or what changed.
         whole: bool,
     },
-    /// A question failed: no connection, a reset, a refusal, an answer that can't be read.
+    /// A question failed: no connection, a reset, an answer that can't be read.
     Failed {
         /// Which.
         question: QuestionId,
     },
+    /// The source refused a question: it is there, and has more callers than it can answer in time.
+    Refused {
+        /// Which.
+        question: QuestionId,
+    },
     /// The source is another one now.
     Moved,
     /// [`Watch::due`] is over.
@@ -97,6 +102,8 @@
     asked: Micros,
     index: Option<u64>,
     wait: Micros,
+    /// How long it may stand in the source's queue before the wait begins.
+    queue: Micros,
     doubted: bool,
 }
 
@@ -114,6 +121,9 @@
     believe_until: Micros,
     /// The connection that is there has been idle for longer than a watch goes on: it may have fallen silent unseen.
     idle_link: bool,
+    /// The last question was refused: the next one is to stand in the source's queue, and a second one beside it would
+    /// take its place there.
+    crowded: bool,
     poll: Option<Poll>,
     /// The pauses after questions that failed, where no turns are taken.
     pause: Pause,
@@ -131,6 +141,7 @@
             ask_at: None,
             believe_until: 0,
             idle_link: false,
+            crowded: false,
             poll,
             pause: Pause::new(budget.pause, seed),
         }
@@ -165,18 +176,15 @@
                     self.answered(now, place, (index, whole), out);
                 }
             }
-            Input::Failed { question } => {
-                let before = self.open.len();
-                self.open.retain(|q| q.id != question);
-                // Of the rest a doubted one proves nothing; it may still be answered.
-                let doubted = self.open.iter().all(|q| q.doubted);
-                if self.open.len() < before && doubted && self.ask_at.is_none() {
-                    self.fail(now, out);
-                }
+            Input::Failed { question } => self.failed(now, question, out),
+            Input::Refused { question } => {
+                self.crowded |= self.open.iter().any(|q| q.id == question);
+                self.failed(now, question, out);
             }
             Input::Moved => {
                 self.drop_all(out);
                 self.index = None;
+                self.crowded = false;
                 self.pause.over();
                 self.ask_at = Some(now + self.poll.as_mut().map_or(0, Poll::first));
             }
@@ -192,6 +200,16 @@
         }
     }
 
+    /// A question came to nothing. Of the others one that is doubted proves nothing; it may still be answered.
+    fn failed(&mut self, now: Micros, question: QuestionId, out: &mut Vec<Output>) {
+        let before = self.open.len();
+        self.open.retain(|q| q.id != question);
+        let doubted = self.open.iter().all(|q| q.doubted);
+        if self.open.len() < before && doubted && self.ask_at.is_none() {
+            self.fail(now, out);
+        }
+    }
+
     fn answered(&mut self, now: Micros, place: usize, (index, whole): (u64, bool), out: &mut Vec<Output>) {
         // It settles whatever else is out: an answer that comes later is to an older question, or tells nothing more.
         let question = self.open.remove(place);
@@ -216,6 +234,7 @@
             Some(Odd::AnotherLife { .. }) | None => out.push(Output::Take),
         }
         self.pause.over();
+        self.crowded = false;
         let news = self.index.replace(index) != Some(index);
         let calm = !news && now.saturating_sub(question.asked) < CALM;
         let told = self.poll.as_mut().map_or(0, |poll| {
@@ -250,10 +269,14 @@
 
     fn ask(&mut self, now: Micros, idle: bool, fresh: bool, out: &mut Vec<Output>) {
         self.ask_at = None;
-        let wait = self.poll.as_mut().map_or(self.budget.wait, |p| p.wait(idle));
+        let (wait, queue) = match &mut self.poll {
+            Some(poll) => (poll.wait(idle), 0),
+            None if self.crowded => (self.budget.doubt, SERVICE_ANSWERS),
+            None => (self.budget.wait, 0),
+        };
         let question = QuestionId(self.next);
         self.next += 1;
-        self.open.push(Question { id: question, asked: now, index: self.index, wait, doubted: false });
+        self.open.push(Question { id: question, asked: now, index: self.index, wait, queue, doubted: false });
         out.push(Output::Ask { question, index: self.index, wait, fresh });
     }
 
@@ -267,7 +290,7 @@
     fn patience(&self, question: &Question) -> Micros {
         // A question for the whole list is answered in its turn, and has as long: its connection may be silent as well.
         let wait = question.index.map_or(self.budget.wait, |_| question.wait);
-        (question.asked + wait + self.budget.doubt).max(self.believe_until)
+        (question.asked + question.queue + wait + self.budget.doubt).max(self.believe_until)
     }
 
     fn drop_all(&mut self, out: &mut Vec<Output>) {
--- a/crates/watch/tests/courses.rs
+++ b/crates/watch/tests/courses.rs
@@ -22,6 +22,8 @@
     silent: Option<Micros>,
     /// When it fails, if nothing answers it before.
     fails: Option<Micros>,
+    /// It fails by a refusal of the service.
+    refused: bool,
 }
 
 /// How questions fare while the service is down.
@@ -90,17 +92,26 @@
                     let part = |share: f64, most: Micros| (share * most as f64) as Micros;
                     let there = now + if fresh { part(connect, CONNECT) } else { 0 };
                     let turn = if fresh { part(answer, SERVICE_ANSWERS) } else { 0 };
-                    let mut way = Way { asked: now, index, wait, there, turn, silent: None, fails: None };
+                    let mut way = Way {
+                        asked: now,
+                        index,
+                        wait,
+                        there,
+                        turn,
+                        silent: None,
+                        fails: None,
+                        refused: false,
+                    };
                     for (outage, refused) in course.outages.iter().zip(&mut refused) {
                         if (outage.from..outage.until).contains(&now) {
                             match outage.down {
-                                Down::Refuses => way.fails = Some(now + 1_000),
+                                Down::Refuses => (way.fails, way.refused) = (Some(now + 1_000), true),
                                 // A connection that is there stays silent; another one is given up.
                                 Down::Silent if fresh => way.fails = Some(now + CONNECT),
                                 Down::Silent => way.silent = Some(now),
                             }
                         } else if now >= outage.until && !std::mem::replace(refused, true) {
-                            way.fails = Some(now + 1_000);
+                            (way.fails, way.refused) = (Some(now + 1_000), true);
                         }
                     }
                     ways.insert(question, way);
@@ -173,8 +184,11 @@
         }
         let failed = ways.iter().find(|(_, way)| way.fails.is_some_and(|at| at <= now)).map(|(q, _)| *q);
         let input = if let Some(question) = failed {
-            ways.remove(&question);
-            Input::Failed { question }
+            let refused = ways.remove(&question).is_some_and(|way| way.refused);
+            match refused {
+                true => Input::Refused { question },
+                false => Input::Failed { question },
+            }
         } else if course.resets.contains(&now) && ways.values().any(|w| w.there < now) {
             let (&question, _) = ways.iter().find(|(_, w)| w.there < now).expect("just seen");
             ways.remove(&question);
--- a/crates/watch/tests/watch.rs
+++ b/crates/watch/tests/watch.rs
@@ -34,6 +34,10 @@
         self.tell(now, Input::Failed { question: QuestionId(question) })
     }
 
+    fn refuse(&mut self, now: Micros, question: u64) -> Vec<Output> {
+        self.tell(now, Input::Refused { question: QuestionId(question) })
+    }
+
     /// Lets the time come that it waits for.
     fn late(&mut self) -> (Micros, Vec<Output>) {
         let due = self.watch.due().expect("it waits for something");
@@ -107,6 +111,38 @@
     assert_eq!(third.open(), [1]);
 }
 
+/// A crowded service refuses at once or queues a question for up to three seconds. A second question beside a queued one
+/// was refused, and the queued one ended with it: the proxy came to the end of the queue again and again.
+#[test]
+fn a_question_that_follows_a_refusal_has_the_time_of_the_services_queue() {
+    const DOUBT: Micros = 500_000;
+    let mut hand = Hand::new(Source::Service, Some(41));
+    assert_eq!(hand.refuse(10_000, 0), [Output::Failed]);
+    let (asked, again) = hand.late();
+    assert_eq!(again, [ask(1, Some(41), DOUBT, false)], "the wait is short, as the queue comes before it");
+    let mut other = Hand { watch: hand.watch.clone(), out: Vec::new() };
+    // One that stays away is doubted after the queue and the wait.
+    let beside = vec![Output::Doubted(QuestionId(1)), ask(2, Some(41), DOUBT, true)];
+    assert_eq!(hand.late(), (asked + SERVICE_ANSWERS + 2 * DOUBT, beside));
+    // An answer ends that: the watch goes on as ever.
+    let next = ask(2, Some(42), 2_000_000, false);
+    assert_eq!(other.answer(asked + SERVICE_ANSWERS, 1, 42, false), [Output::Take, next]);
+    assert_eq!(other.late().0, asked + SERVICE_ANSWERS + 2_500_000);
+    // So does another service.
+    hand.refuse(asked + 6_000_000, 2);
+    assert_eq!(hand.tell(asked + 6_000_001, Input::Moved).last(), Some(&ask(3, None, 2_000_000, false)));
+}
+
+/// A connection that is reset says nothing of a queue.
+#[test]
+fn a_question_that_failed_without_a_refusal_is_doubted_as_soon_as_ever() {
+    let mut hand = Hand::new(Source::Service, Some(41));
+    assert_eq!(hand.fail(10_000, 0), [Output::Failed]);
+    let (asked, again) = hand.late();
+    assert_eq!(again, [ask(1, Some(41), 2_000_000, false)]);
+    assert_eq!(hand.late().0, asked + 2_500_000);
+}
+
 /// An agent costs nothing to ask, and what it has counts as told the moment it answers again.
 #[test]
 fn an_agent_that_is_silent_is_asked_again_and_again() {
