Stop: a connection that was opened and not yet asked on is answered, as is a queued one

Cause: at SIGTERM every idle connection was closed at once, also one that had just been accepted and on which nothing had been asked. The first request of its client came to a closed connection and was lost. The proxy's log has seat=86 connected at 36.285540 and left at 36.286004, with no request on it; no host heard of the call.

Beside it: the listener went with connections in its queue that had come since the runtime's last look at its sockets. They are accepted first.

Tests: both crossings are forced in tests/crossings.rs; each failed without its part of the mend and passes with it.

--- a/crates/proxy/src/net/clients.rs
+++ b/crates/proxy/src/net/clients.rs
@@ -161,6 +161,11 @@
         self.phase.get() == Phase::Idle && self.ahead.borrow().is_empty() && self.stream.quiet()
     }
 
+    /// Has it never been asked on? Its client has just connected, and its first request may be on its way.
+    pub fn is_unasked(&self) -> bool {
+        self.phase.get() == Phase::Idle && !self.asked.get()
+    }
+
     /// Is an answer owed, or still being taken, or a request on its way in that still has time to come?
     pub fn owes(&self) -> bool {
         let within = |most| self.since.get() + most > self.clock.now();
@@ -283,13 +288,13 @@
         self.evicted.get()
     }
 
-    /// Is an answer owed to any, or does one wait for its client's close? Requests that are still coming in count if
-    /// `heads` says so.
+    /// Is an answer owed to any, or does one wait for its client's close? Requests that are still coming in, and first
+    /// ones that may come, count if `heads` says so.
     pub fn busy(&self, heads: bool) -> bool {
         let busy = |seat: &Rc<Seat>| match seat.phase.get() {
             Phase::Ended => true,
             Phase::Open | Phase::Answering => seat.owes(),
-            Phase::Head | Phase::Idle => heads && seat.owes(),
+            Phase::Head | Phase::Idle => heads && (seat.owes() || seat.is_unasked()),
         };
         self.seats.borrow().values().any(busy)
     }
--- a/crates/proxy/src/net/front.rs
+++ b/crates/proxy/src/net/front.rs
@@ -25,6 +25,7 @@
 use std::io;
 use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -46,6 +47,9 @@
 /// Pause of accepting when the system has no descriptor left, or all places are taken.
 const SHORT_PAUSE: Duration = Duration::from_millis(10);
 
+/// Once the program stops: until when requests that are still coming in are waited for.
+type Closing = Option<Instant>;
+
 pub struct Front {
     pub driver: Driver,
     pub hosts: Rc<Hosts>,
@@ -74,7 +78,7 @@
 impl Front {
     /// Serves clients until `stop` resolves, then finishes what is taken.
     pub async fn serve(self: Rc<Self>, listener: Rc<dyn Listener>, stop: impl Future<Output = ()>) {
-        let (closing, closed) = watch::channel(false);
+        let (closing, closed) = watch::channel(None);
         let mut stop = pin!(stop);
         let mut end: Option<Instant> = None;
         loop {
@@ -94,10 +98,11 @@
                 // A crowd of clients must not keep the stop from being heard, nor a stop clients from being taken.
                 biased;
                 () = &mut stop, if end.is_none() => {
-                    // From now on each answer closes its connection, and idle ones close at once, while new
-                    // ones are still taken: clients move over before the listener goes.
-                    end = Some(Instant::now() + STOP_ACCEPT);
-                    let _ = closing.send(true);
+                    // From now on each answer closes its connection, and idle ones close at once, but for those on
+                    // which nothing was asked yet. New ones are still taken: clients move over before the listener goes.
+                    let now = Instant::now();
+                    end = Some(now + STOP_ACCEPT);
+                    let _ = closing.send(Some(now + STOP_HEADS));
                 }
                 accepted = poll_fn(|cx| listener.poll_accept(cx)), if room => match accepted {
                     Ok(stream) => self.accepted(stream, closed.clone()),
@@ -108,11 +113,12 @@
                 () = late => break,
             }
         }
+        self.accept_queued(&*listener, &closed).await;
         drop(listener);
         // A connection with half a request on it does not end by itself, and must not hold the stop up until
         // the kill.
         let mut since = Instant::now();
-        let heads = since + STOP_HEADS.saturating_sub(STOP_ACCEPT);
+        let heads = closed.borrow().unwrap_or(since);
         while self.clients.count() > 0 && since.elapsed() < QUIET {
             tokio::time::sleep(QUIET / 10).await;
             if self.clients.busy(Instant::now() < heads) {
@@ -121,6 +127,17 @@
         }
     }
 
+    /// Takes what waits in the listener's queue: the system would reset it as the listener goes. The runtime knows of it
+    /// only after its next look at all sockets.
+    async fn accept_queued(self: &Rc<Self>, listener: &dyn Listener, closed: &watch::Receiver<Closing>) {
+        tokio::task::yield_now().await;
+        while self.clients.count() < self.most + self.beyond {
+            let accepted = poll_fn(|cx| Poll::Ready(listener.poll_accept(cx))).await;
+            let Poll::Ready(Ok(stream)) = accepted else { return };
+            self.accepted(stream, closed.clone());
+        }
+    }
+
     /// Running out of descriptors must not end the program: idle connections go first.
     async fn short_of_sockets(&self, fault: &io::Error) {
         tracing::warn!("a client's connection could not be taken: {fault}");
@@ -135,7 +152,7 @@
         let _ = tokio::time::timeout(SHORT_PAUSE, self.clients.left()).await;
     }
 
-    fn accepted(self: &Rc<Self>, stream: Rc<dyn Stream>, closing: watch::Receiver<bool>) {
+    fn accepted(self: &Rc<Self>, stream: Rc<dyn Stream>, closing: watch::Receiver<Closing>) {
         let clock = self.driver.clock();
         let staying = self.clients.count() - self.clients.evicted();
         let full = staying >= self.most && !self.clients.evict(clock.now());
@@ -149,7 +166,7 @@
         tokio::task::spawn_local(Rc::clone(self).connection(seat, closing, crowded));
     }
 
-    async fn connection(self: Rc<Self>, seat: Rc<Seat>, closing: watch::Receiver<bool>, crowded: bool) {
+    async fn connection(self: Rc<Self>, seat: Rc<Seat>, closing: watch::Receiver<Closing>, crowded: bool) {
         let service = service_fn(|request| {
             let (front, seat) = (Rc::clone(&self), Rc::clone(&seat));
             async move {
@@ -172,7 +189,7 @@
             // Overdue heads are looked for here, for all connections at once.
             .header_read_timeout(None)
             .max_buf_size(HEAD_MOST)
-            .keep_alive(!crowded && !*closing.borrow())
+            .keep_alive(!crowded && closing.borrow().is_none())
             .serve_connection(TokioIo::new(Noted::new(&seat)), service);
         self.until_closed(connection, &seat, closing).await;
         // One that must go at once only drops what has come.
@@ -191,12 +208,13 @@
         &self,
         connection: http1::Connection<TokioIo<Noted>, S>,
         seat: &Seat,
-        mut closing: watch::Receiver<bool>,
+        mut closing: watch::Receiver<Closing>,
     ) where
         S: HttpService<Incoming, ResBody = Full<Bytes>, Error = Infallible>,
     {
         let mut connection = pin!(connection);
-        let (mut told, mut look) = (*closing.borrow(), None::<Instant>);
+        let mut look = *closing.borrow();
+        let mut told = look.is_some();
         loop {
             let late = async {
                 match look {
@@ -223,7 +241,15 @@
                     look = Some(Instant::now() + LEAVE);
                     continue;
                 }
-                _ = closing.changed(), if !told => told = true,
+                _ = closing.changed(), if !told => {
+                    told = true;
+                    look = look.or(*closing.borrow());
+                    // Its client has just connected, and is about to ask.
+                    if seat.is_unasked() {
+                        seat.set_last();
+                        continue;
+                    }
+                }
             }
             seat.set_last();
             if seat.rests() {
--- a/crates/proxy/tests/crossings.rs
+++ b/crates/proxy/tests/crossings.rs
@@ -19,7 +19,7 @@
 use std::sync::{mpsc, Arc, Condvar, Mutex};
 use std::task::{ready, Context, Poll, Waker};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::ReadBuf;
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, Notify};
@@ -57,6 +57,8 @@
     /// The host, and how many connections to it were opened.
     host: Cell<Option<SocketAddr>>,
     opened: Cell<usize>,
+    /// What comes right after the listener, asked from this time on, had nothing.
+    none_queued: RefCell<Option<(Instant, Box<dyn FnOnce()>)>>,
     /// Connections to this host are held until that is told.
     held: Cell<Option<SocketAddr>>,
     connecting: Notify,
@@ -82,6 +84,13 @@
         }
     }
 
+    fn found_no_connection(&self) {
+        let due = self.none_queued.borrow_mut().take_if(|(from, _)| *from <= Instant::now());
+        if let Some((_, what)) = due {
+            what();
+        }
+    }
+
     /// Waits until the program has read all that has come on a connection.
     async fn read(&self, connection: usize) {
         let unread = || match self.accepted.borrow().get(connection).and_then(Weak::upgrade) {
@@ -163,7 +172,11 @@
 
 impl Listener for Door {
     fn poll_accept(&self, cx: &mut Context<'_>) -> Poll<io::Result<Rc<dyn Stream>>> {
-        let (stream, _) = ready!(self.0.poll_accept(cx))?;
+        let accept = self.0.poll_accept(cx);
+        if accept.is_pending() {
+            self.1.found_no_connection();
+        }
+        let (stream, _) = ready!(accept)?;
         let mut accepted = self.1.accepted.borrow_mut();
         let number = accepted.len();
         let stream = Rc::new(stream);
@@ -313,6 +326,61 @@
     });
 }
 
+/// A connection that has never been asked on was closed at a stop like one that had its answer; the client that had just
+/// opened it was about to ask, and its request came to a closed connection.
+#[test]
+fn a_first_request_that_comes_after_a_stop_on_a_connection_taken_before_it_is_answered() {
+    beside(async || {
+        let host = Host::serving("ok");
+        let mut program = Inside::start(1_024, &host).await;
+        let (used, first) = waiting(program.client(), |c| c.call("unsafe", "2000m")).await;
+        assert_eq!(first.status(), 200);
+        let new = program.client();
+        while program.hooks.accepted.borrow().len() < 2 {
+            tokio::time::sleep(SHORT / 300).await;
+        }
+        program.stop();
+        // That an idle connection ends shows that the stop has been heard.
+        let (_, end) = waiting(used, next).await;
+        assert!(end.is_none(), "nothing was owed on it");
+        let (_, answer) = waiting(new, |c| {
+            c.send("unsafe", "2000m");
+            c.answer()
+        })
+        .await;
+        let answer = answer.expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+        assert_eq!(program.ended.await.expect("an end"), Ok(()));
+    });
+}
+
+/// The listener went with a connection in its queue that had come since the runtime's last look at its sockets; the system
+/// reset it.
+#[test]
+fn a_connection_that_is_queued_as_the_listener_goes_is_answered() {
+    /// How long connections are accepted after a stop.
+    const ACCEPTED: Duration = Duration::from_millis(450);
+    beside(async || {
+        let host = Host::serving("ok");
+        let mut program = Inside::start(1_024, &host).await;
+        let (client, connected) = oneshot::channel();
+        let address = program.address;
+        let connects = move || {
+            let stream = TcpStream::connect(address).expect("it listens");
+            stream.set_read_timeout(Some(LONG)).expect("a time-out");
+            let mut queued = Client { stream: BufReader::new(stream) };
+            queued.send("unsafe", "2000m");
+            assert!(client.send(queued).is_ok(), "it is waited for");
+        };
+        *program.hooks.none_queued.borrow_mut() = Some((Instant::now() + ACCEPTED, Box::new(connects)));
+        program.stop();
+        let (_, answer) = waiting(connected.await.expect("a client"), next).await;
+        let answer = answer.expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+        assert_eq!(program.ended.await.expect("an end"), Ok(()));
+    });
+}
+
 /// Half of a head that had come by the stop was dropped on a connection that had been used before; what came of it then
 /// had nobody to read it.
 #[test]
