Trial of drains: each lost call is told with its times since the proxy's signal

The line of a course that broke and its JSON (`lost_calls`) name them. What counts as lost is unchanged.

--- a/crates/lab/src/trial_drains.rs
+++ b/crates/lab/src/trial_drains.rs
@@ -131,7 +131,12 @@
             "  {late} late, {gone} for clients that had left, {} lost, {} run twice",
             played.lost, played.twice
         );
-        verdict.first.iter().chain(&played.crashed).for_each(|line| println!("  {line}"));
+        verdict
+            .first
+            .iter()
+            .chain(&played.lost_calls)
+            .chain(&played.crashed)
+            .for_each(|line| println!("  {line}"));
         let Drains { proxies, hosts, rate, .. } = terms;
         let only = Only::option(terms.only, Kind::name);
         println!(
--- a/crates/proxy/tests/crossings.rs
+++ b/crates/proxy/tests/crossings.rs
@@ -43,6 +43,9 @@
 /// What is to come at which step of which connection, counted from 0.
 type Crossing = (Step, usize, Box<dyn FnOnce(&TcpStream)>);
 
+/// What is to come, and from when on, as nothing is in the listener's queue.
+type NoneQueued = (Instant, Box<dyn FnOnce()>);
+
 /// The hooks of all connections.
 #[derive(Default)]
 struct Hooks {
@@ -58,7 +61,7 @@
     host: Cell<Option<SocketAddr>>,
     opened: Cell<usize>,
     /// What comes right after the listener, asked from this time on, had nothing.
-    none_queued: RefCell<Option<(Instant, Box<dyn FnOnce()>)>>,
+    none_queued: RefCell<Option<NoneQueued>>,
     /// Connections to this host are held until that is told.
     held: Cell<Option<SocketAddr>>,
     connecting: Notify,
--- a/crates/trial/src/drains/mod.rs
+++ b/crates/trial/src/drains/mod.rs
@@ -8,7 +8,7 @@
 pub use course::{Course, Kind, KINDS};
 pub use judge::Verdict;
 
-use crate::clients::{ask_and_leave, once, Ended};
+use crate::clients::{ask_and_leave, once, Ended, Try};
 use crate::hosts::Hosts;
 use crate::now;
 use crate::process::{Folder, Plan, Process};
@@ -58,6 +58,8 @@
     pub calls: usize,
     /// See `calls`.
     pub lost: usize,
+    /// The lost calls, in words: which, how each ended, and its times since the proxy's last signal.
+    pub lost_calls: Vec<String>,
     /// Keys that hosts executed more than once.
     pub twice: usize,
     /// Proxies that ended by themselves, with the ends of their logs.
@@ -122,7 +124,8 @@
     let addresses = Arc::new(RwLock::new(at));
     let left = Arc::new(Mutex::new(HashMap::new()));
     let clients = tokio::spawn(call(Arc::clone(&addresses), size.rate, course.clone(), Arc::clone(&left)));
-    let down = faults(course, &folder, &mut service, &mut proxies, (&doors, &addresses)).await?;
+    let Done { down, signalled } =
+        faults(course, &folder, &mut service, &mut proxies, (&doors, &addresses)).await?;
     let tries = clients.await.map_err(|e| e.to_string())?;
     let (notes, log) = service.history();
     let arrivals = hosts.arrivals();
@@ -139,30 +142,52 @@
     // A proxy that stood still or was killed has lost what it held. One that was told to end has not, but takes no more.
     let excused = [course.has(Kind::Stop), course.has(Kind::Kill)];
     let ends = course.has(Kind::Restart);
-    let lost = tries.iter().filter(|(proxy, ended)| match ended {
-        Ended::Cut | Ended::Silence => !excused.contains(&Some(*proxy)),
-        Ended::Nobody => !excused.contains(&Some(*proxy)) && ends != Some(*proxy),
+    let lost = tries.iter().filter(|tried| match tried.ended {
+        Ended::Cut | Ended::Silence => !excused.contains(&Some(tried.proxy)),
+        Ended::Nobody => !excused.contains(&Some(tried.proxy)) && ends != Some(tried.proxy),
         Ended::Status(_) => false,
     });
+    let lost_calls: Vec<String> = lost.map(|tried| describe(tried, &signalled)).collect();
     let crashed = proxies.iter_mut().filter_map(Process::ended).collect();
     Ok(Played {
         course: course.clone(),
         verdict: histories.judge(SLACK),
         calls: tries.len(),
-        lost: lost.count(),
+        lost: lost_calls.len(),
+        lost_calls,
         twice: hosts.executed().values().filter(|&&n| n > 1).count(),
         crashed,
     })
 }
 
-/// Carries the course out; tells when the service was down.
+/// A lost call in words.
+fn describe(tried: &Try, signalled: &[(Micros, usize, Signal)]) -> String {
+    let Try { key, proxy, from, until, ended } = tried;
+    let last = signalled.iter().rev().find(|(at, whom, _)| whom == proxy && at <= until);
+    let Some((at, _, signal)) = last else {
+        return format!("call {key} to proxy {proxy}: {ended:?} after {} us", until - from);
+    };
+    let [began, over] = [from, until].map(|moment| moment.cast_signed() - at.cast_signed());
+    format!("call {key} to proxy {proxy}: {ended:?}, began {began} us and ended {over} us after {signal:?}")
+}
+
+/// What came of a course's steps.
+#[derive(Default)]
+struct Done {
+    /// When the service was down.
+    down: Vec<(Micros, Micros)>,
+    /// When which proxy was sent which signal.
+    signalled: Vec<(Micros, usize, Signal)>,
+}
+
+/// Carries the course out.
 async fn faults(
     course: &Course,
     folder: &Folder,
     service: &mut Service,
     proxies: &mut [Process],
     (doors, addresses): (&[(SocketAddr, String)], &RwLock<Vec<SocketAddr>>),
-) -> Result<Vec<(Micros, Micros)>, String> {
+) -> Result<Done, String> {
     let start = tokio::time::Instant::now();
     let mut draws = Pcg32::seed_from_u64(course.seed ^ 1);
     // What is to be done when, in order.
@@ -201,7 +226,7 @@
         }
     }
     due.sort_by_key(|d| d.0);
-    let mut down = Vec::new();
+    let Done { mut down, mut signalled } = Done::default();
     for (at, step) in due {
         tokio::time::sleep_until(start + at).await;
         match step {
@@ -234,7 +259,10 @@
                     proxies[proxy].signal(Signal::HUP);
                 }
             }
-            Step::Signal(proxy, signal) => proxies[proxy].signal(signal),
+            Step::Signal(proxy, signal) => {
+                signalled.push((now(), proxy, signal));
+                proxies[proxy].signal(signal);
+            }
             Step::Away(proxy) => {
                 if let Ok(mut all) = addresses.write() {
                     all[proxy].set_port(0);
@@ -255,7 +283,7 @@
         }
     }
     tokio::time::sleep_until(start + course.length).await;
-    Ok(down)
+    Ok(Done { down, signalled })
 }
 
 /// Something that is done to the system.
@@ -283,7 +311,7 @@
     rate: f64,
     course: Course,
     left: Arc<Mutex<HashMap<String, Micros>>>,
-) -> Vec<(usize, Ended)> {
+) -> Vec<Try> {
     let mut beat = tokio::time::interval(Duration::from_secs_f64(1.0 / rate));
     let (mut open, mut tries) = (tokio::task::JoinSet::new(), Vec::new());
     let end = sleep(course.length.saturating_sub(Duration::from_millis(1_600)));
@@ -310,7 +338,11 @@
             });
             continue;
         }
-        open.spawn(async move { (proxy, once(address, "/do", &format!("p{proxy}-{number}")).await.0) });
+        open.spawn(async move {
+            let (key, from) = (format!("p{proxy}-{number}"), now());
+            let (ended, _) = once(address, "/do", &key).await;
+            Try { key, proxy, from, until: now(), ended }
+        });
         while let Some(done) = open.try_join_next() {
             tries.extend(done.ok());
         }
