--- a/crates/proxy/tests/proxy.rs
+++ b/crates/proxy/tests/proxy.rs
@@ -4,7 +4,7 @@
 use std::io::{Read, Write};
 use std::sync::mpsc::channel;
 use std::sync::Mutex;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// The program under test.
 const PROGRAM: &str = env!("CARGO_BIN_EXE_badgerramp");
@@ -147,6 +147,31 @@
     assert!(full.further_requests() > 0, "the host that turns away was tried");
 }
 
+/// A host is told what is left to the client, not what the client had in the beginning.
+#[test]
+fn a_further_attempt_tells_its_host_what_is_left_to_the_client() {
+    const WORK: Duration = Duration::from_millis(300);
+    let turned_away = answer("503 Service Unavailable", "X-Not-Processed: 1\r\n", "");
+    let discovery = Discovery::start();
+    let full = Host::start(move |_| {
+        std::thread::sleep(WORK);
+        Reply::Write(turned_away.clone())
+    });
+    let good = Host::serving("ok");
+    let proxy = Proxy::start(PROGRAM, &discovery, &[up("s-1", &full), up("s-2", &good)]);
+    let mut shorter = 0;
+    for _ in 0..12 {
+        assert_eq!(proxy.call("unsafe", "2000m").status(), 200);
+        let (_, request) = good.request();
+        let left = request.header("x-timeout").and_then(|t| t.strip_suffix('u')).expect("a time");
+        let left = Duration::from_micros(left.parse().expect("microseconds"));
+        shorter += usize::from(left <= Duration::from_secs(2) - WORK);
+    }
+    let further = full.further_requests();
+    assert!(further > 0, "the host that turns away was tried");
+    assert!(shorter >= further, "{shorter} of {further} told the time that was over");
+}
+
 #[test]
 fn a_silent_host_costs_the_call_its_time_and_no_more() {
     let (discovery, host) = (Discovery::start(), Host::start(|_| Reply::Silence));
