Driver: one module for each job

net/driver.rs had grown to 991 lines: calls, attempts, timers, membership, the subset, reconfiguration and the audit in one file, with functions of up to 77 lines. Each now has a module of its own (the largest has 222 lines), long functions are split into steps, and names say what they hold (`server_ids` for `numbers`, `in_flight` for `out`, `Due::Deadline` for `Due::Backstop`). The rule for a notable change of the number of sharing proxies stood twice and stands once. No change of behaviour: log lines and their targets are as before.

cargo test -p badgerramp: 98 passed. A second run, on a machine with a load above 26, had 97 passed and 1 failed: nothing_is_sent_for_a_client_that_left_ while_it_waited_in_order. Its suite run six times at a load of about 90 fails in three of six runs with the program before this change as well, and passes ten of ten times alone.

--- /dev/null
+++ b/crates/proxy/src/net/driver/subset.rs
@@ -0,0 +1,94 @@
+//! The subset of a large fleet: which hosts the balancer is told of, and how many proxies share them.
+
+use super::{Core, Driver};
+use badgerramp_decisions::{Entry, Event, ListKind, Micros, ServerId, Settings, State};
+use badgerramp_subset::{Changes, Health, Subset};
+
+/// The subset that the balancer is told of, and the settings that it was last told.
+pub(super) struct SubsetView {
+    pub(super) subset: Subset,
+    pub(super) settings: Settings,
+}
+
+impl Driver {
+    /// Checks whether the subset still has the right size, and whether the process was stalled; the next check comes
+    /// in `next`.
+    pub fn pulse(&self, next: Micros) {
+        let mut core = self.core.borrow_mut();
+        let now = self.clock.now();
+        core.stall.beat(now, next);
+        core.resize_subset(now);
+        self.run_with(&mut core);
+    }
+
+    /// How many listed hosts the balancer is told of, and how many there are.
+    pub fn chosen(&self) -> (usize, usize) {
+        let core = self.core.borrow();
+        let all = core.hosts.values().filter(|h| h.state == State::Ready).count();
+        (core.subset.as_ref().map_or(all, |view| view.subset.standing().members), all)
+    }
+}
+
+impl Core {
+    /// A host was updated from the list: it is or is no longer a candidate for the subset.
+    pub(super) fn update_subset_candidate(&mut self, name: &str, entry: &Entry) {
+        let Some(view) = &mut self.subset else { return };
+        match entry.state {
+            State::Ready => view.subset.add(entry.server.0, name, entry.zone == view.settings.zone),
+            _ => view.subset.remove(entry.server.0),
+        }
+    }
+
+    /// The list has changed: the balancer is told what that makes of the subset.
+    pub(super) fn list_changed(&mut self, now: Micros, kind: ListKind, touched: &[u32]) {
+        let Some(view) = &mut self.subset else { return };
+        let changes = view.subset.listed(now, touched);
+        if kind == ListKind::Delta {
+            // A member may have changed and stayed one.
+            let stay = touched.iter().copied().filter(|&id| view.subset.holds(id));
+            let joined = changes.joined.iter().copied().chain(stay).collect();
+            self.announce(kind, &Changes { joined, left: changes.left });
+        } else {
+            let joined = view.subset.members().collect();
+            self.announce(kind, &Changes { joined, left: Vec::new() });
+        }
+    }
+
+    /// Grows or shrinks the subset by the health of its members.
+    pub(super) fn resize_subset(&mut self, now: Micros) {
+        let Some(view) = &mut self.subset else { return };
+        let ((listed, troubled), (calls, waiting, _)) = (self.balancer.listed(), self.balancer.totals());
+        let health = Health { usable: listed - troubled, in_flight: calls - waiting, waiting };
+        let changes = view.subset.pulse(now, health);
+        if !changes.is_empty() {
+            self.announce(ListKind::Delta, &changes);
+        }
+    }
+
+    /// Tells the balancer of changes to the subset, and of how many proxies share its members where that has changed
+    /// notably.
+    fn announce(&mut self, kind: ListKind, changes: &Changes) {
+        let gone = |&id: &u32| {
+            let entry =
+                self.hosts.get(&ServerId(id)).and_then(|h| h.entry).filter(|e| e.state != State::Ready);
+            entry.unwrap_or(Entry { server: ServerId(id), state: State::Gone, ..Entry::default() })
+        };
+        let joined = changes.joined.iter().filter_map(|id| self.hosts.get(&ServerId(*id))?.entry);
+        let entries = changes.left.iter().map(gone).chain(joined).collect();
+        if let Some(view) = &mut self.subset {
+            let (sharing, told) = (view.subset.sharing(), view.settings.balancers);
+            if differs_notably(sharing, told) {
+                view.settings.balancers = sharing;
+                let settings = Box::new(view.settings.clone());
+                self.events.push_back(Event::Reconfigure { settings, fresh: Vec::new() });
+            }
+        }
+        self.events.push_back(Event::Members { kind, entries });
+    }
+}
+
+/// Is a number of sharing proxies more than a quarter off the one that the balancer was told? Smaller changes are not
+/// worth a reconfiguration.
+pub(super) fn differs_notably(sharing: u32, told: u32) -> bool {
+    sharing.abs_diff(told) * 4 > told
+}
