--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -1,8 +1,8 @@
 //! A replica of control beside the measured program.
 
 use crate::Fault;
-use badgerramp::net::admit::{Platform, Rules};
-use badgerramp::net::gate::Gate;
+use badgerramp::net::admission_gate::AdmissionGate;
+use badgerramp::net::rules::{Platform, Rules};
 use badgerramp_channel::clock;
 use badgerramp_config_tool::fleet::{At, Control as Asked, Outcome};
 use badgerramp_control::settings::Settings;
@@ -91,7 +91,7 @@
     let mode = Mode::settled(1, Generation(1));
     let asked = holder.ask(clock::now());
     holder.answered(clock::now(), Grant { number: asked.number, mode, lease: 3_600_000_000 });
-    let gate = Gate::new(holder);
+    let gate = AdmissionGate::new(holder);
     let transport = Transport { max_open: 1, conn_idle: 1, connect_timeout: 1 };
     let (settings, classes, tenants) = (Decided::default(), Vec::new(), Vec::new());
     let facts = Facts { settings, classes, tenants, transport };
@@ -101,9 +101,9 @@
     let mut begun = 0_u32;
     let began = Instant::now();
     for _ in 0..TIMES {
-        if let Ok((rules, stamp)) = gate.open() {
+        if let Ok((rules, stamp)) = gate.admit() {
             std::hint::black_box(&rules);
-            begun += u32::from(gate.begins(stamp, &headers));
+            begun += u32::from(gate.confirm(stamp, &headers));
         }
     }
     let each = began.elapsed().as_nanos() as f64 / f64::from(TIMES);
--- /dev/null
+++ b/crates/proxy/src/class_ids.rs
@@ -0,0 +1,83 @@
+//! The ids of classes, which last over reloads and changes of policy.
+
+use badgerramp_config::Config;
+use badgerramp_decisions::{Class, ClassId, Settings};
+use std::hash::{BuildHasher, RandomState};
+
+/// The class that each id stands for: a class keeps its id over reloads, and the id of a class that has gone is reused
+/// only when no call of it is open.
+#[derive(Debug, Default, PartialEq)]
+pub struct ClassIds(Vec<Option<String>>);
+
+impl ClassIds {
+    /// The ids of the classes of a file, and those among them that stood for another class or none before.
+    pub fn assign(
+        &mut self,
+        names: &[&str],
+        in_use: impl Fn(ClassId) -> bool,
+    ) -> (Vec<ClassId>, Vec<ClassId>) {
+        for slot in &mut self.0 {
+            if slot.as_deref().is_some_and(|name| !names.contains(&name)) {
+                *slot = None;
+            }
+        }
+        let mut fresh = Vec::new();
+        let mut ids = Vec::new();
+        for &name in names {
+            let known = self.0.iter().position(|slot| slot.as_deref() == Some(name));
+            let id = known.unwrap_or_else(|| {
+                let free = (0..self.0.len()).find(|&n| self.0[n].is_none() && !in_use(ClassId(n)));
+                let id = free.unwrap_or_else(|| {
+                    self.0.push(None);
+                    self.0.len() - 1
+                });
+                self.0[id] = Some(name.to_owned());
+                fresh.push(ClassId(id));
+                id
+            });
+            ids.push(ClassId(id));
+        }
+        (ids, fresh)
+    }
+
+    /// The settings of a file with its classes under these ids.
+    pub fn settings(&self, config: &Config, ids: &[ClassId]) -> Settings {
+        let mut settings = config.settings();
+        let classes = std::mem::take(&mut settings.classes);
+        let classes: Vec<_> = ids.iter().copied().zip(classes).collect();
+        self.settings_with(settings, &classes)
+    }
+
+    /// Settings with these classes under their ids. An id without a class gets a copy of an existing class, so that it
+    /// does not affect what is computed over all classes.
+    pub fn settings_with(&self, mut settings: Settings, classes: &[(ClassId, Class)]) -> Settings {
+        let filler = classes.first().map(|(_, class)| *class).unwrap_or_default();
+        settings.classes = vec![filler; self.0.len()];
+        for &(ClassId(id), class) in classes {
+            settings.classes[id] = class;
+        }
+        settings
+    }
+}
+
+/// A seed that differs with each start.
+pub fn seed() -> u64 {
+    RandomState::new().hash_one(std::process::id())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_class_keeps_its_number_and_one_in_use_is_not_given_again() {
+        let mut class_ids = ClassIds::default();
+        let ids = |all: &[usize]| all.iter().map(|&n| ClassId(n)).collect::<Vec<_>>();
+        assert_eq!(class_ids.assign(&["a", "b"], |_| false), (ids(&[0, 1]), ids(&[0, 1])));
+        // `a` goes with calls open: its id stays unused.
+        assert_eq!(class_ids.assign(&["c", "b"], |class| class == ClassId(0)), (ids(&[2, 1]), ids(&[2])));
+        // Now they have ended.
+        assert_eq!(class_ids.assign(&["b", "d", "c"], |_| false), (ids(&[1, 0, 2]), ids(&[0])));
+        assert_eq!(class_ids.assign(&["c", "b", "d"], |_| true), (ids(&[2, 1, 0]), ids(&[])));
+    }
+}
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -1,11 +1,11 @@
 //! `[policy]`: the way to the fleet's control. Questions, answers and the rules that come of them; what may begin is
 //! decided by [`badgerramp_policy::Holder`].
 
-use crate::net::admit::{Floor, Middle, Rules, Sidecar};
+use crate::class_ids::{seed, ClassIds};
+use crate::net::admission_gate::AdmissionGate;
 use crate::net::driver::Driver;
 use crate::net::front::Front;
-use crate::net::gate::Gate;
-use crate::places::{seed, Places};
+use crate::net::rules::{FallbackRules, Rules, Sidecar, TransitionRules};
 use crate::program::Running;
 use badgerramp_channel::wire::{self, refusal, reply, request};
 use badgerramp_channel::{clock, digest, Client, Fault, Secret};
@@ -52,13 +52,13 @@
 
 /// The proxy's part in the fleet's policy.
 pub struct Fleet {
-    gate: Rc<Gate>,
+    gate: Rc<AdmissionGate>,
     identity: Identity,
     terms: PolicyTerms,
     secret: Secret,
     /// The proxy's own file.
     local: RefCell<Config>,
-    places: RefCell<Places>,
+    places: RefCell<ClassIds>,
     read: RefCell<BTreeMap<Generation, Read>>,
     /// The mode whose rules are set.
     set: Cell<Option<Mode>>,
@@ -75,7 +75,7 @@
     ///
     /// # Errors
     /// If there is no `[policy]`, or its secret is none.
-    pub fn new(local: Config, places: Places) -> Result<Rc<Self>, String> {
+    pub fn new(local: Config, places: ClassIds) -> Result<Rc<Self>, String> {
         let terms = local.policy.clone().ok_or("no [policy]")?;
         let secret = Secret::read(&terms.secret)
             .map_err(|e| format!("policy.secret: {}: {e}", terms.secret.display()))?;
@@ -99,7 +99,7 @@
         let holder =
             HolderTerms { cut_off: terms.cut_off, answer_within: micros(ANSWER), pause: micros(PAUSE) };
         let has = read.keys().copied().collect();
-        let gate = Gate::new(Holder::new(identity.clone(), holder, has));
+        let gate = AdmissionGate::new(Holder::new(identity.clone(), holder, has));
         info!("policy from control, as {identity}");
         Ok(Rc::new(Fleet {
             gate,
@@ -116,7 +116,7 @@
     }
 
     /// What may begin.
-    pub fn gate(&self) -> Rc<Gate> {
+    pub fn gate(&self) -> Rc<AdmissionGate> {
         Rc::clone(&self.gate)
     }
 
@@ -303,19 +303,21 @@
         else {
             return;
         };
-        driver.reconfigure(places.laid_out(base, &classes), fresh, most);
+        driver.reconfigure(places.settings_with(base, &classes), fresh, most);
         front.advice.set(advice);
         let floor = match &*old {
             Rules::Sidecar(sidecar) => {
                 let names = sidecar.config().policy.as_ref().map(|p| p.floor.as_slice());
-                sidecar.numbers(names.unwrap_or_default())
+                sidecar.class_ids(names.unwrap_or_default())
             }
             _ => Vec::new(),
         };
-        let floor = Rc::new(Rules::Floor(Box::new(Floor::of(Rc::clone(&old), floor))));
+        let floor = Rc::new(Rules::Fallback(Box::new(FallbackRules::new(Rc::clone(&old), floor))));
         let rules = match mode.is_middle() {
             false => Some(old),
-            true => Middle::between(old, new).map(|middle| Rc::new(Rules::Middle(Box::new(middle)))),
+            true => {
+                TransitionRules::between(old, new).map(|rules| Rc::new(Rules::Transition(Box::new(rules))))
+            }
         };
         let Some(rules) = rules else { return };
         self.gate.install(mode, rules, floor);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -2,12 +2,12 @@
 //! runs the same parts on a network of its own.
 #![forbid(unsafe_code)]
 
+mod class_ids;
 pub mod cli;
 mod fleet;
 pub mod log;
 mod look;
 pub mod net;
-mod places;
 mod platform;
 pub mod program;
 pub mod sidecar;
--- a/crates/proxy/src/net/front.rs
+++ b/crates/proxy/src/net/front.rs
@@ -1,11 +1,11 @@
 //! The client side: reads requests, hands them to the driver and writes the one final answer.
 
-use super::admit::{hop_by_hop, Admitted, Rules, Turned};
+use super::admission_gate::AdmissionGate;
 use super::clients::{Clients, Noted, Seat, UNASKED};
 use super::driver::{Answer, Driver, Intake};
 use super::exchange::{Client, Reply, Request};
-use super::gate::Gate;
 use super::hosts::{self, Hosts};
+use super::rules::{hop_by_hop, Admitted, Rejection, Rules};
 use super::socket::{Listener, Stream};
 use super::{Descriptors, Room};
 use crate::log::CLIENTS;
@@ -54,7 +54,7 @@
     /// How requests are read; replaced whole.
     pub rules: RefCell<Rc<Rules>>,
     /// Where the policy is the fleet's: what may begin, and by which rules. They stand in for `rules`.
-    pub gate: Option<Rc<Gate>>,
+    pub gate: Option<Rc<AdmissionGate>>,
     /// Answers pass with status and headers, and advice is in whole seconds, as HTTP has them.
     pub plain_http: bool,
     /// Bytes of bodies that may be held.
@@ -245,7 +245,7 @@
         }
         let (rules, stamp) = match &self.gate {
             None => (Rc::clone(&self.rules.borrow()), None),
-            Some(gate) => match gate.open() {
+            Some(gate) => match gate.admit() {
                 Ok((rules, stamp)) => {
                     // Without a body nothing can change before the call begins.
                     let plain = (!body.is_end_stream()).then(|| parts.clone());
@@ -291,9 +291,9 @@
         // Read before the lease is looked at: a process that is stopped in between finds its call's time over.
         let mut now = clock.now();
         if let Some((gate, mut stamp, plain)) = stamp {
-            while !gate.begins(stamp, &parts.headers) {
+            while !gate.confirm(stamp, &parts.headers) {
                 // The body took its time, and something else holds by now.
-                let (Ok((rules, newer)), Some(plain)) = (gate.open(), &plain) else {
+                let (Ok((rules, newer)), Some(plain)) = (gate.admit(), &plain) else {
                     return self.refused(0);
                 };
                 parts = plain.clone();
@@ -358,7 +358,7 @@
     fn health(&self) -> Response<Full<Bytes>> {
         let told = match &self.gate {
             None => return plain(StatusCode::OK, "ok"),
-            Some(gate) => gate.told(),
+            Some(gate) => gate.health(),
         };
         let (status, text) = match told {
             Ok(text) => (StatusCode::OK, text),
@@ -369,8 +369,8 @@
         response
     }
 
-    fn turned(&self, turned: Turned) -> Response<Full<Bytes>> {
-        if turned.again {
+    fn turned(&self, turned: Rejection) -> Response<Full<Bytes>> {
+        if turned.retryable {
             debug!(target: CLIENTS, why = &*turned.text, "turned away for now");
             return self.refused(0);
         }
--- a/crates/proxy/src/net/mod.rs
+++ b/crates/proxy/src/net/mod.rs
@@ -1,15 +1,15 @@
 //! The program round the decisions: sockets, clock and timers. It decides nothing.
 
-pub mod admit;
+pub mod admission_gate;
 pub mod clients;
 pub mod clock;
 pub mod discovery;
 pub mod driver;
 pub mod exchange;
 pub mod front;
-pub mod gate;
 pub mod hosts;
 pub mod peers;
+pub mod rules;
 pub mod socket;
 
 use std::cell::Cell;
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -1,7 +1,7 @@
 //! The program on the platform: RELAY_CONFIG names what holds, and an operator's file may narrow it.
 
-use crate::net::admit::{Platform, Rules};
 use crate::net::driver::List;
+use crate::net::rules::{Platform, Rules};
 use crate::program::{self, Fault, Members, Running, Setup};
 use badgerramp_config::{narrow, Use};
 use badgerramp_decisions::settings::{self, Facts};
--- a/crates/proxy/src/program.rs
+++ b/crates/proxy/src/program.rs
@@ -1,14 +1,14 @@
 //! What both uses of the program share: listener, decisions, timers, signals, exit.
 
-use crate::net::admit::Rules;
+use crate::net::admission_gate::AdmissionGate;
 use crate::net::clients::Clients;
 use crate::net::clock::Clock;
 use crate::net::discovery;
 use crate::net::driver::{Driver, Endpoint};
 use crate::net::front::Front;
-use crate::net::gate::Gate;
 use crate::net::hosts::Hosts;
 use crate::net::peers;
+use crate::net::rules::Rules;
 use crate::net::socket::{Listener, Network, Tcp};
 use crate::net::{Descriptors, Room};
 use badgerramp_config::{
@@ -82,7 +82,7 @@
     pub peers: Option<peers::Setup>,
     pub rules: Rules,
     /// Where the policy is the fleet's: what may begin, and by which rules. They stand in for `rules`.
-    pub gate: Option<Rc<Gate>>,
+    pub gate: Option<Rc<AdmissionGate>>,
     /// When a client may come back that is refused without the module's advice; 0: none is given.
     pub advice: Micros,
     /// Answers pass with status and headers.
--- a/crates/proxy/src/sidecar.rs
+++ b/crates/proxy/src/sidecar.rs
@@ -1,10 +1,10 @@
 //! The program as a sidecar that stands alone: the operator's file is all it has.
 
+use crate::class_ids::{seed, ClassIds};
 use crate::fleet::Fleet;
-use crate::net::admit::{Rules, Sidecar};
 use crate::net::driver::Endpoint;
 use crate::net::peers;
-use crate::places::{seed, Places};
+use crate::net::rules::{Rules, Sidecar};
 use crate::program::{self, Fault, Members, Running, Setup};
 use badgerramp_channel::Secret;
 use badgerramp_config::{Config, PeersTerms, Use};
@@ -82,7 +82,7 @@
 }
 
 /// All that a start by a file needs.
-fn setup(config: Config, places: &mut Places, known: &mut Known, seed: u64) -> Setup {
+fn setup(config: Config, places: &mut ClassIds, known: &mut Known, seed: u64) -> Setup {
     let names: Vec<&str> = config.classes.iter().map(|c| c.name.as_str()).collect();
     let (numbers, _) = places.assign(&names, |_| false);
     let transport = Transport {
@@ -136,7 +136,7 @@
 
 /// All that a start by a file needs, where it is not read again later.
 pub fn setup_once(config: Config, seed: u64) -> Setup {
-    setup(config, &mut Places::default(), &mut Known::default(), seed)
+    setup(config, &mut ClassIds::default(), &mut Known::default(), seed)
 }
 
 /// Runs the program.
@@ -147,7 +147,7 @@
     if config.policy.is_some() {
         return run_in_fleet(path, config);
     }
-    let (mut places, mut known) = (Places::default(), Known::default());
+    let (mut places, mut known) = (ClassIds::default(), Known::default());
     let peers = config.peers.as_ref().map(peers_of).transpose()?;
     let mut setup = setup(config, &mut places, &mut known, seed());
     setup.peers = peers;
@@ -173,7 +173,7 @@
 
 /// Runs the program where classes and routes are the fleet's, and the file says what is this proxy's own.
 fn run_in_fleet(path: PathBuf, config: Config) -> Result<(), Fault> {
-    let (mut places, mut known) = (Places::default(), Known::default());
+    let (mut places, mut known) = (ClassIds::default(), Known::default());
     let local = load(&path)?;
     let peers = config.peers.as_ref().map(peers_of).transpose()?;
     let mut setup = setup(config, &mut places, &mut known, seed());
--- a/crates/proxy/tests/crossings.rs
+++ b/crates/proxy/tests/crossings.rs
@@ -2,9 +2,9 @@
 //! crossing is forced. Where the point lies inside the program, its real sockets are held there by a hook; where the
 //! system can hold it, the program runs as a process and is stopped (SIGSTOP).
 
-use badgerramp::net::admit::{Platform, Rules};
 use badgerramp::net::clock::Clock;
 use badgerramp::net::driver::List;
+use badgerramp::net::rules::{Platform, Rules};
 use badgerramp::net::socket::{Connecting, Listener, Network, Stream};
 use badgerramp::program::{serve_in, Members, Setup, Surroundings};
 use badgerramp_decisions::settings;
