--- /dev/null
+++ b/crates/peers/src/peer/members.rs
@@ -0,0 +1,94 @@
+//! Membership by SWIM: its settings, what the library asks for, and when a fleet counts as found.
+
+use super::message::Message;
+use super::{Member, Note, Output, Peer};
+use crate::Micros;
+use foca::{Foca, NoCustomBroadcast, OwnedNotification, PeriodicParams, PostcardCodec};
+use rand_members::rngs::SmallRng;
+use std::num::{NonZeroU8, NonZeroUsize};
+use std::time::Duration;
+
+/// Bytes of a SWIM message, which travels inside one of ours.
+pub(super) const SWIM_MOST: usize = 1_100;
+
+/// How often a seed that is no member is looked for.
+pub(super) const SEEDS: Micros = 5_000_000;
+
+/// Ticks without a new member after which a fleet counts as found.
+const STEADY: u32 = 10;
+
+pub(super) type Swim = Foca<Member, PostcardCodec, SmallRng, NoCustomBroadcast>;
+
+pub(super) fn swim_terms() -> foca::Config {
+    let every = |ms, members| {
+        let num_members = NonZeroUsize::new(members).unwrap_or(NonZeroUsize::MIN);
+        Some(PeriodicParams { frequency: Duration::from_millis(ms), num_members })
+    };
+    let mut terms = foca::Config::simple();
+    terms.probe_period = Duration::from_millis(1_000);
+    terms.probe_rtt = Duration::from_millis(500);
+    // A process on a busy machine, or one that stands still for a moment, is not dead.
+    terms.suspect_to_down_after = Duration::from_secs(3);
+    // One whose clock was wrong and is set back comes back as an earlier start.
+    terms.remove_down_after = Some(Duration::from_secs(60));
+    terms.max_transmissions = NonZeroU8::new(12).unwrap_or(NonZeroU8::MIN);
+    terms.max_packet_size = NonZeroUsize::new(SWIM_MOST).unwrap_or(NonZeroUsize::MIN);
+    terms.notify_down_members = true;
+    terms.periodic_announce = every(5_000, 1);
+    terms.periodic_announce_to_down_members = every(10_000, 2);
+    terms.periodic_gossip = every(500, 3);
+    terms
+}
+
+impl Peer {
+    /// Carries out what the library wants.
+    pub(super) fn swim_done(&mut self, now: Micros, out: &mut Vec<Output>) {
+        while let Some((to, bytes)) = self.runtime.to_send() {
+            self.send(now, to.address, Message::Swim(bytes.to_vec()), out);
+        }
+        while let Some((after, timer)) = self.runtime.to_schedule() {
+            self.timers_set += 1;
+            self.timers.insert((now + after.as_micros() as Micros, self.timers_set), timer);
+        }
+        while let Some(told) = self.runtime.to_notify() {
+            match told {
+                OwnedNotification::MemberUp(_) => {
+                    self.steady = 0;
+                    if self.settled.is_none() {
+                        self.hurry(now);
+                    }
+                }
+                // Another process at the same address: the old one is not there any more.
+                OwnedNotification::MemberDown(old) | OwnedNotification::Rename(old, _)
+                    if old.id != self.own.id =>
+                {
+                    self.turns.gone(now, old.id);
+                }
+                _ => {}
+            }
+        }
+        let (alive, told) = (self.alive(), self.told_alive);
+        if alive.abs_diff(told) * 10 > told {
+            self.told_alive = alive;
+            out.push(Output::Alive(alive));
+        }
+    }
+
+    /// Is the start over, or does one begin again?
+    pub(super) fn look_at_start(&mut self, out: &mut Vec<Output>) {
+        let alive = self.alive();
+        self.steady = self.steady.saturating_add(1);
+        match &mut self.settled {
+            None if self.steady >= STEADY && self.belief.held().is_some() && self.turns.heard() => {
+                self.settled = Some(alive);
+                out.push(Output::Note(Note::Settled(alive)));
+            }
+            None => {}
+            Some(most) if 2 * alive < *most => {
+                (self.settled, self.steady) = (None, 0);
+                out.push(Output::Note(Note::Unsettled(alive)));
+            }
+            Some(most) => *most = alive.max(*most),
+        }
+    }
+}
