--- a/crates/lab/src/play/among.rs
+++ b/crates/lab/src/play/among.rs
@@ -3,7 +3,7 @@
 
 use badgerramp_peers::list::{Change, Entry as PeerEntry};
 use badgerramp_peers::peer::{Answer, Input, Member, Output, Peer, Terms};
-use badgerramp_peers::turns::Id;
+use badgerramp_peers::polling::Id;
 use badgerramp_world::{Entry, Micros, Told};
 use std::net::{Ipv4Addr, SocketAddr};
 
--- a/crates/lab/src/trial_start.rs
+++ b/crates/lab/src/trial_start.rs
@@ -3,7 +3,7 @@
 use crate::only::Only;
 use crate::play;
 use badgerramp_peers::play::{self as peers, World};
-use badgerramp_peers::turns::Mechanism;
+use badgerramp_peers::polling::Mechanism;
 use badgerramp_trial::process::want_descriptors;
 use badgerramp_trial::start::cold;
 use badgerramp_trial::start::course::{Course, Kind, KINDS};
--- a/crates/peers/src/belief.rs
+++ b/crates/peers/src/belief.rs
@@ -9,7 +9,7 @@
 //! - A life is begun at most once in [`LIFE`] by one proxy: two services that go on telling different lists can't make
 //!   the fleet swing between them.
 
-use crate::list::{Book, Change, Stamp};
+use crate::list::{Change, HostList, Stamp};
 use crate::Micros;
 
 /// For how long a service must stand by a list that misses half of the hosts: longer than the first answers of one that
@@ -29,7 +29,7 @@
     /// Which.
     pub stamp: Stamp,
     /// Its content.
-    pub book: Book,
+    pub hosts: HostList,
     /// Since when.
     pub since: Micros,
 }
@@ -70,19 +70,19 @@
         self.held.as_ref().map(|h| h.stamp)
     }
 
-    fn take(&mut self, now: Micros, stamp: Stamp, book: Book) -> Verdict {
-        let nothing = Book::default();
-        let changes = book.since(self.held.as_ref().map_or(&nothing, |h| &h.book));
-        self.held = Some(Held { stamp, book, since: now });
+    fn take(&mut self, now: Micros, stamp: Stamp, hosts: HostList) -> Verdict {
+        let nothing = HostList::default();
+        let changes = hosts.since(self.held.as_ref().map_or(&nothing, |h| &h.hosts));
+        self.held = Some(Held { stamp, hosts, since: now });
         self.doubt = None;
         Verdict::News(changes)
     }
 
     /// The service has told the whole list.
-    pub fn whole(&mut self, now: Micros, index: u64, book: Book) -> Verdict {
-        let digest = book.digest();
+    pub fn whole(&mut self, now: Micros, index: u64, hosts: HostList) -> Verdict {
+        let digest = hosts.digest();
         let Some(held) = &self.held else {
-            return self.take(now, Stamp { life: 1, index, digest }, book);
+            return self.take(now, Stamp { life: 1, index, digest }, hosts);
         };
         let stamp = held.stamp;
         if (stamp.index, stamp.digest) == (index, digest) {
@@ -91,8 +91,8 @@
         }
         // The same version with another content is another service's, or another life's.
         let older = index <= stamp.index;
-        let up = held.book.up();
-        let half = up >= HALF_OF && 2 * held.book.missing_from(&book) > up;
+        let up = held.hosts.up();
+        let half = up >= HALF_OF && 2 * held.hosts.missing_from(&hosts) > up;
         if older || half {
             let since = match self.doubt {
                 Some((i, d, since)) if (i, d) == (index, digest) => since,
@@ -112,7 +112,7 @@
         if older {
             self.life_at = Some(now);
         }
-        self.take(now, Stamp { life, index, digest }, book)
+        self.take(now, Stamp { life, index, digest }, hosts)
     }
 
     /// The service has told what changed up to this version.
@@ -126,17 +126,17 @@
             self.doubt = None;
             return Verdict::Known;
         }
-        let book = held.book.after(changes);
-        let stamp = Stamp { index, digest: book.digest(), ..held.stamp };
-        self.take(now, stamp, book)
+        let hosts = held.hosts.after(changes);
+        let stamp = Stamp { index, digest: hosts.digest(), ..held.stamp };
+        self.take(now, stamp, hosts)
     }
 
     /// A peer has told a whole list.
-    pub fn peer(&mut self, now: Micros, stamp: Stamp, book: Book) -> Verdict {
+    pub fn peer(&mut self, now: Micros, stamp: Stamp, hosts: HostList) -> Verdict {
         if self.stamp().is_some_and(|own| stamp <= own) {
             return Verdict::Known;
         }
-        self.take(now, stamp, book)
+        self.take(now, stamp, hosts)
     }
 
     /// A peer has told what leads from one list to the next.
@@ -148,11 +148,11 @@
         if held.stamp != from {
             return Verdict::Unfit;
         }
-        let book = held.book.after(changes);
-        if book.digest() != to.digest {
+        let hosts = held.hosts.after(changes);
+        if hosts.digest() != to.digest {
             return Verdict::Unfit;
         }
-        self.take(now, to, book)
+        self.take(now, to, hosts)
     }
 }
 
@@ -162,8 +162,8 @@
     use crate::list::tests::{gone, up};
     use proptest::prelude::*;
 
-    fn book(names: &[&str]) -> Book {
-        Book::new(names.iter().map(|n| up(n)))
+    fn hosts(names: &[&str]) -> HostList {
+        HostList::new(names.iter().map(|n| up(n)))
     }
 
     const ALL: [&str; 5] = ["a", "b", "c", "d", "e"];
@@ -171,43 +171,43 @@
     #[test]
     fn an_old_list_first_is_doubted_and_a_restored_service_begins_a_new_life() {
         let mut belief = Belief::default();
-        assert!(matches!(belief.whole(0, 41, book(&ALL)), Verdict::News(c) if c.len() == 5));
+        assert!(matches!(belief.whole(0, 41, hosts(&ALL)), Verdict::News(c) if c.len() == 5));
         // Back after a cut, with an old list first, then the one that is believed.
-        assert_eq!(belief.whole(10, 7, book(&ALL[..4])), Verdict::Doubted);
-        assert_eq!(belief.whole(1_000_000, 41, book(&ALL)), Verdict::Known);
+        assert_eq!(belief.whole(10, 7, hosts(&ALL[..4])), Verdict::Doubted);
+        assert_eq!(belief.whole(1_000_000, 41, hosts(&ALL)), Verdict::Known);
         // Restored for good.
-        assert_eq!(belief.whole(5_000_000, 7, book(&ALL[..4])), Verdict::Doubted);
-        assert_eq!(belief.whole(14_999_999, 8, book(&ALL[..3])), Verdict::Doubted);
-        assert!(matches!(belief.whole(15_000_000, 8, book(&ALL[..3])), Verdict::News(c) if c.len() == 2));
+        assert_eq!(belief.whole(5_000_000, 7, hosts(&ALL[..4])), Verdict::Doubted);
+        assert_eq!(belief.whole(14_999_999, 8, hosts(&ALL[..3])), Verdict::Doubted);
+        assert!(matches!(belief.whole(15_000_000, 8, hosts(&ALL[..3])), Verdict::News(c) if c.len() == 2));
         assert_eq!(belief.stamp().map(|s| (s.life, s.index)), Some((2, 8)));
         // Another service that tells something else does not make it swing.
-        assert_eq!(belief.whole(20_000_000, 5, book(&ALL)), Verdict::Doubted);
-        assert_eq!(belief.whole(40_000_000, 5, book(&ALL)), Verdict::Doubted);
-        assert!(matches!(belief.whole(80_000_000, 5, book(&ALL)), Verdict::News(_)));
+        assert_eq!(belief.whole(20_000_000, 5, hosts(&ALL)), Verdict::Doubted);
+        assert_eq!(belief.whole(40_000_000, 5, hosts(&ALL)), Verdict::Doubted);
+        assert!(matches!(belief.whole(80_000_000, 5, hosts(&ALL)), Verdict::News(_)));
     }
 
     #[test]
     fn half_a_list_and_none_are_doubted_and_words_on_single_hosts_are_not() {
         let mut belief = Belief::default();
-        belief.whole(0, 41, book(&ALL));
-        assert_eq!(belief.whole(10, 42, book(&ALL[..2])), Verdict::Doubted);
-        assert_eq!(belief.whole(20, 43, book(&[])), Verdict::Doubted);
+        belief.whole(0, 41, hosts(&ALL));
+        assert_eq!(belief.whole(10, 42, hosts(&ALL[..2])), Verdict::Doubted);
+        assert_eq!(belief.whole(20, 43, hosts(&[])), Verdict::Doubted);
         assert_eq!(belief.doubted, 2);
         assert!(matches!(belief.changes(30, 44, &[gone("a"), gone("b"), gone("c")]), Verdict::News(_)));
-        assert_eq!(belief.held().map(|h| h.book.up()), Some(2));
+        assert_eq!(belief.held().map(|h| h.hosts.up()), Some(2));
         // Three of five, and few are no half.
         let mut belief = Belief::default();
-        belief.whole(0, 41, book(&ALL));
-        assert!(matches!(belief.whole(10, 42, book(&ALL[..3])), Verdict::News(_)));
-        assert!(matches!(belief.whole(20, 43, book(&[])), Verdict::News(_)));
+        belief.whole(0, 41, hosts(&ALL));
+        assert!(matches!(belief.whole(10, 42, hosts(&ALL[..3])), Verdict::News(_)));
+        assert!(matches!(belief.whole(20, 43, hosts(&[])), Verdict::News(_)));
     }
 
     #[test]
     fn a_peer_tells_only_what_is_newer_and_fits() {
         let mut belief = Belief::default();
-        belief.whole(0, 41, book(&ALL));
+        belief.whole(0, 41, hosts(&ALL));
         let own = belief.stamp().expect("a list");
-        let next = book(&ALL[1..]);
+        let next = hosts(&ALL[1..]);
         let to = Stamp { index: 42, digest: next.digest(), ..own };
         let old = Stamp { index: 40, ..to };
         assert_eq!(belief.peer(1, old, next.clone()), Verdict::Known);
@@ -225,25 +225,25 @@
             // The lists of a life: hosts come and go with each version.
             let made = |life: u32, index: u64| {
                 let names: Vec<String> = (0..8).filter(|n| !(n + index + u64::from(life)).is_multiple_of(3)).map(|n| format!("s{n}")).collect();
-                let book = Book::new(names.iter().map(|n| up(n)));
-                (Stamp { life, index, digest: book.digest() }, book)
+                let hosts = HostList::new(names.iter().map(|n| up(n)));
+                (Stamp { life, index, digest: hosts.digest() }, hosts)
             };
             let (mut belief, mut newest) = (Belief::default(), None);
             for (at, (life, index, as_news)) in words.into_iter().enumerate() {
-                let (stamp, book) = made(life, index);
+                let (stamp, hosts) = made(life, index);
                 let verdict = match as_news && index > 0 {
                     true => {
                         let (from, old) = made(life, index - 1);
-                        belief.news(at as Micros, (from, stamp), &book.since(&old))
+                        belief.news(at as Micros, (from, stamp), &hosts.since(&old))
                     }
-                    false => belief.peer(at as Micros, stamp, book),
+                    false => belief.peer(at as Micros, stamp, hosts),
                 };
                 if verdict != Verdict::Unfit {
                     newest = newest.max(Some(stamp));
                 }
                 prop_assert_eq!(belief.stamp(), newest);
                 if let Some(held) = belief.held() {
-                    prop_assert_eq!(&made(held.stamp.life, held.stamp.index).1, &held.book);
+                    prop_assert_eq!(&made(held.stamp.life, held.stamp.index).1, &held.hosts);
                 }
             }
         }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! - [`list`]: the list, its stamp, what changed of it.
 //! - [`belief`]: which list is believed: newer ones over older, a service's own word over none, doubts.
-//! - [`turns`]: who asks the service, and when, without knowing how many proxies there are.
-//! - [`parcel`]: a list in parts that fit into datagrams.
+//! - [`polling`]: which proxies poll the service, and when, without knowing how many proxies there are.
+//! - [`packed_list`]: a compressed list in parts that fit into datagrams.
 //! - [`peer`]: one proxy among its peers; membership is the SWIM of the `foca` crate.
 //! - [`replay`]: each message is taken once.
 //! - [`play`]: many of them in virtual time, on a network that loses, doubles and delays.
@@ -15,11 +15,11 @@
 
 pub mod belief;
 pub mod list;
-pub mod parcel;
+pub mod packed_list;
 pub mod peer;
 pub mod play;
+pub mod polling;
 pub mod replay;
-pub mod turns;
 
 /// Moments and spans are in microseconds.
 pub type Micros = u64;
--- a/crates/peers/src/list.rs
+++ b/crates/peers/src/list.rs
@@ -53,14 +53,14 @@
 
 /// A whole list.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Book {
+pub struct HostList {
     entries: BTreeMap<String, Entry>,
 }
 
-impl Book {
+impl HostList {
     /// Of these entries. One that is removed is not in it.
     pub fn new(changes: impl IntoIterator<Item = Change>) -> Self {
-        Book { entries: changes.into_iter().filter_map(|c| Some((c.name, c.entry?))).collect() }
+        HostList { entries: changes.into_iter().filter_map(|c| Some((c.name, c.entry?))).collect() }
     }
 
     /// The list after these changes.
@@ -72,11 +72,11 @@
                 None => entries.remove(&change.name),
             };
         }
-        Book { entries }
+        HostList { entries }
     }
 
     /// What makes this list out of an older one.
-    pub fn since(&self, old: &Book) -> Vec<Change> {
+    pub fn since(&self, old: &HostList) -> Vec<Change> {
         let gone = old.entries.keys().filter(|name| !self.entries.contains_key(*name));
         let gone = gone.map(|name| Change { name: name.clone(), entry: None });
         let new = self.entries.iter().filter(|(name, entry)| old.entries.get(*name) != Some(entry));
@@ -100,7 +100,7 @@
     }
 
     /// Hosts that take calls here and are not even named there.
-    pub fn missing_from(&self, other: &Book) -> usize {
+    pub fn missing_from(&self, other: &HostList) -> usize {
         self.entries.iter().filter(|(name, e)| e.up() && !other.entries.contains_key(*name)).count()
     }
 
@@ -112,7 +112,7 @@
 
     /// Out of bytes.
     pub fn read(bytes: &[u8]) -> Option<Self> {
-        postcard::from_bytes(bytes).ok().map(|entries| Book { entries })
+        postcard::from_bytes(bytes).ok().map(|entries| HostList { entries })
     }
 
     /// Of its content.
@@ -138,14 +138,15 @@
 
     #[test]
     fn changes_lead_from_one_list_to_the_other() {
-        let (old, new) = (Book::new([up("a"), up("bb")]), Book::new([up("bb"), up("ccc"), gone("d")]));
+        let (old, new) =
+            (HostList::new([up("a"), up("bb")]), HostList::new([up("bb"), up("ccc"), gone("d")]));
         let changes = new.since(&old);
         assert_eq!(changes, vec![gone("a"), up("ccc")]);
         assert_eq!(old.after(&changes), new);
         assert_eq!((new.since(&new).len(), new.missing_from(&old), new.up()), (0, 1, 2));
-        assert_eq!(Book::read(&new.bytes()), Some(new.clone()));
+        assert_eq!(HostList::read(&new.bytes()), Some(new.clone()));
         assert_ne!(new.digest(), old.digest());
-        assert_eq!(Book::read(&new.bytes()[..9]), None);
+        assert_eq!(HostList::read(&new.bytes()[..9]), None);
     }
 
     #[test]
--- a/crates/peers/src/parcel.rs
+++ b/crates/peers/src/packed_list.rs
@@ -1,6 +1,6 @@
 //! A list in parts that fit into datagrams.
 
-use crate::list::{Book, Stamp};
+use crate::list::{HostList, Stamp};
 use std::rc::Rc;
 
 /// Bytes of a part.
@@ -11,18 +11,18 @@
 
 /// A list, packed.
 #[derive(Clone, Debug)]
-pub struct Parcel {
+pub struct PackedList {
     /// Which list.
     pub stamp: Stamp,
     bytes: Rc<[u8]>,
 }
 
-impl Parcel {
+impl PackedList {
     /// Packs a list. `None`: it is too large to pass on. No answer that is read of a list service (4 MiB) makes such a
     /// one.
-    pub fn pack(stamp: Stamp, book: &Book) -> Option<Self> {
+    pub fn pack(stamp: Stamp, book: &HostList) -> Option<Self> {
         let bytes = zstd::bulk::compress(&book.bytes(), 1).ok()?;
-        (bytes.len() <= PART * PARTS_MOST).then(|| Parcel { stamp, bytes: bytes.into() })
+        (bytes.len() <= PART * PARTS_MOST).then(|| PackedList { stamp, bytes: bytes.into() })
     }
 
     /// How many parts it has.
@@ -39,18 +39,22 @@
 
 /// A list that comes in parts.
 #[derive(Debug)]
-pub struct Assembly {
+pub struct PartialList {
     /// Which list.
     pub stamp: Stamp,
     parts: Vec<Option<Vec<u8>>>,
     left: usize,
 }
 
-impl Assembly {
+impl PartialList {
     /// One of so many parts; `None`: no list has so many.
     pub fn new(stamp: Stamp, parts: u16) -> Option<Self> {
         let count = usize::from(parts);
-        (1..=PARTS_MOST).contains(&count).then(|| Assembly { stamp, parts: vec![None; count], left: count })
+        (1..=PARTS_MOST).contains(&count).then(|| PartialList {
+            stamp,
+            parts: vec![None; count],
+            left: count,
+        })
     }
 
     /// Adds a part. True: it was missing.
@@ -76,12 +80,12 @@
     ///
     /// # Errors
     /// See above.
-    pub fn whole(&self) -> Option<Result<Book, ()>> {
+    pub fn whole(&self) -> Option<Result<HostList, ()>> {
         if self.left > 0 {
             return None;
         }
         let bytes: Vec<u8> = self.parts.iter().flatten().flatten().copied().collect();
-        let book = zstd::bulk::decompress(&bytes, BYTES_MOST).ok().and_then(|b| Book::read(&b));
+        let book = zstd::bulk::decompress(&bytes, BYTES_MOST).ok().and_then(|b| HostList::read(&b));
         Some(book.filter(|b| b.digest() == self.stamp.digest).ok_or(()))
     }
 }
@@ -100,12 +104,12 @@
             }
             change
         });
-        let book = Book::new(many);
+        let book = HostList::new(many);
         let stamp = Stamp { life: 1, index: 7, digest: book.digest() };
-        let parcel = Parcel::pack(stamp, &book).expect("it can be passed on");
+        let parcel = PackedList::pack(stamp, &book).expect("it can be passed on");
         let parts = parcel.parts();
         assert!(parts > 10, "{parts}");
-        let mut assembly = Assembly::new(stamp, parts).expect("so many may be");
+        let mut assembly = PartialList::new(stamp, parts).expect("so many may be");
         for number in (0..parts).rev() {
             assert!(assembly.whole().is_none());
             let bytes = parcel.part(number).expect("a part");
@@ -115,9 +119,9 @@
         assert_eq!(assembly.whole(), Some(Ok(book.clone())));
         assert!(parcel.part(parts).is_none() && assembly.missing(9).is_empty());
         // Of another list.
-        let mut other = Assembly::new(Stamp { digest: 1, ..stamp }, parts).expect("so many may be");
+        let mut other = PartialList::new(Stamp { digest: 1, ..stamp }, parts).expect("so many may be");
         (0..parts).for_each(|n| assert!(other.add(n, parts, parcel.part(n).expect("a part"))));
         assert_eq!(other.whole(), Some(Err(())));
-        assert!(Assembly::new(stamp, 0).is_none() && Assembly::new(stamp, 5_000).is_none());
+        assert!(PartialList::new(stamp, 0).is_none() && PartialList::new(stamp, 5_000).is_none());
     }
 }
--- a/crates/peers/src/peer/api.rs
+++ b/crates/peers/src/peer/api.rs
@@ -1,7 +1,7 @@
 //! What a peer is told, what it asks for, and what it reports of itself.
 
 use crate::list::{Change, Stamp};
-use crate::turns::{Id, Mechanism, Word};
+use crate::polling::{Id, Mechanism, PollerStatus};
 use crate::Micros;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -157,7 +157,7 @@
     /// The start is over.
     pub settled: bool,
     /// Those that ask, and how long ago something new was heard of each.
-    pub askers: Vec<(Word, Micros)>,
+    pub askers: Vec<(PollerStatus, Micros)>,
     /// Counts.
     pub counts: Counts,
 }
--- a/crates/peers/src/peer/members.rs
+++ b/crates/peers/src/peer/members.rs
@@ -8,17 +8,18 @@
 use std::num::{NonZeroU8, NonZeroUsize};
 use std::time::Duration;
 
-/// Bytes of a SWIM message, which travels inside one of ours.
-pub(super) const SWIM_MOST: usize = 1_100;
+/// Most bytes of a SWIM message, which is wrapped in one of ours.
+pub(super) const MAX_SWIM_MESSAGE: usize = 1_100;
 
-/// How often a seed that is no member is looked for.
-pub(super) const SEEDS: Micros = 5_000_000;
+/// How often a seed that is no member is contacted.
+pub(super) const SEED_INTERVAL: Micros = 5_000_000;
 
 /// Ticks without a new member after which a fleet counts as found.
-const STEADY: u32 = 10;
+const STEADY_TICKS: u32 = 10;
 
 pub(super) type Swim = Foca<Member, PostcardCodec, SmallRng, NoCustomBroadcast>;
 
+/// The settings of SWIM.
 pub(super) fn swim_terms() -> foca::Config {
     let every = |ms, members| {
         let num_members = NonZeroUsize::new(members).unwrap_or(NonZeroUsize::MIN);
@@ -32,7 +33,7 @@
     // One whose clock was wrong and is set back comes back as an earlier start.
     terms.remove_down_after = Some(Duration::from_secs(60));
     terms.max_transmissions = NonZeroU8::new(12).unwrap_or(NonZeroU8::MIN);
-    terms.max_packet_size = NonZeroUsize::new(SWIM_MOST).unwrap_or(NonZeroUsize::MIN);
+    terms.max_packet_size = NonZeroUsize::new(MAX_SWIM_MESSAGE).unwrap_or(NonZeroUsize::MIN);
     terms.notify_down_members = true;
     terms.periodic_announce = every(5_000, 1);
     terms.periodic_announce_to_down_members = every(10_000, 2);
@@ -41,8 +42,8 @@
 }
 
 impl Peer {
-    /// Carries out what the library wants.
-    pub(super) fn swim_done(&mut self, now: Micros, out: &mut Vec<Output>) {
+    /// Carries out what the SWIM library asks for: messages, timers and notifications of members.
+    pub(super) fn carry_out_swim(&mut self, now: Micros, out: &mut Vec<Output>) {
         while let Some((to, bytes)) = self.runtime.to_send() {
             self.send(now, to.address, Message::Swim(bytes.to_vec()), out);
         }
@@ -55,14 +56,14 @@
                 OwnedNotification::MemberUp(_) => {
                     self.steady = 0;
                     if self.settled.is_none() {
-                        self.hurry(now);
+                        self.advance_tick(now);
                     }
                 }
-                // Another process at the same address: the old one is not there any more.
+                // A renamed member is another process at the same address: the old one has gone.
                 OwnedNotification::MemberDown(old) | OwnedNotification::Rename(old, _)
                     if old.id != self.own.id =>
                 {
-                    self.turns.gone(now, old.id);
+                    self.polling.gone(now, old.id);
                 }
                 _ => {}
             }
@@ -74,12 +75,12 @@
         }
     }
 
-    /// Is the start over, or does one begin again?
-    pub(super) fn look_at_start(&mut self, out: &mut Vec<Output>) {
+    /// Decides whether the start is over, or has begun again because most proxies have gone.
+    pub(super) fn update_settled(&mut self, out: &mut Vec<Output>) {
         let alive = self.alive();
         self.steady = self.steady.saturating_add(1);
         match &mut self.settled {
-            None if self.steady >= STEADY && self.belief.held().is_some() && self.turns.heard() => {
+            None if self.steady >= STEADY_TICKS && self.belief.held().is_some() && self.polling.heard() => {
                 self.settled = Some(alive);
                 out.push(Output::Note(Note::Settled(alive)));
             }
--- a/crates/peers/src/peer/message.rs
+++ b/crates/peers/src/peer/message.rs
@@ -2,26 +2,27 @@
 
 use super::Member;
 use crate::list::{Change, Stamp};
-use crate::turns::Word;
+use crate::polling::PollerStatus;
 use serde::{Deserialize, Serialize};
 
-/// What travels.
+/// A message between peers.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) enum Message {
     /// A message of SWIM's.
     Swim(Vec<u8>),
-    /// What the sender has.
-    Status { stamp: Option<Stamp>, words: Vec<Word> },
-    /// The sender wants a list newer than `stamp`; of this one these parts, if it has some already.
+    /// The version of the sender's list, and the pollers that it knows.
+    Status { stamp: Option<Stamp>, statuses: Vec<PollerStatus> },
+    /// The sender requests a list newer than `stamp`; of the list `of`, which it has in part, only these parts.
     Want { stamp: Option<Stamp>, of: Option<Stamp>, parts: Vec<u16> },
     /// A part of a list.
     Part { stamp: Stamp, number: u16, parts: u16, bytes: Vec<u8> },
-    /// What leads from one list to the next.
+    /// The changes from one list to the next.
     News { from: Stamp, to: Stamp, changes: Vec<Change> },
 }
 
+/// A message with its sender.
 #[derive(Debug, Serialize, Deserialize)]
-pub(super) struct Letter {
+pub(super) struct Envelope {
     pub(super) from: Member,
     pub(super) message: Message,
 }
--- a/crates/peers/src/peer/mod.rs
+++ b/crates/peers/src/peer/mod.rs
@@ -26,35 +26,37 @@
 pub use send::{BURST, RATE};
 
 use crate::belief::Belief;
-use crate::list::{Book, Stamp};
-use crate::parcel::{Assembly, Parcel, PART};
-use crate::turns::{Mechanism, Turns};
+use crate::list::{HostList, Stamp};
+use crate::packed_list::{PackedList, PartialList, PART};
+use crate::polling::{Mechanism, PollScheduler};
 use crate::Micros;
 use foca::{AccumulatingRuntime, Foca, PostcardCodec, Timer};
-use members::{swim_terms, Swim, SWIM_MOST};
+use members::{swim_terms, Swim, MAX_SWIM_MESSAGE};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
-use tick::TICK_LEAST;
-use transfer::STALLED;
+use tick::MIN_TICK;
+use transfer::PART_TIMEOUT;
 
 /// Most bytes of a message, without its seal: with it and the heads of UDP and IP it fits into any Ethernet frame.
 pub const MESSAGE_MOST: usize = 1_200;
 
-/// One proxy.
+/// One proxy among its peers.
 pub struct Peer {
     own: Member,
     seeds: Vec<SocketAddr>,
     began: Micros,
     belief: Belief,
-    /// Whom the list is from.
+    /// The peer that the list came from; `None`: the service.
     source: Option<SocketAddr>,
-    parcel: Option<Parcel>,
-    assembly: Option<(Assembly, SocketAddr, Micros)>,
-    turns: Turns,
-    without: Option<Mechanism>,
-    /// The next question is for the whole list.
+    /// The list, ready to be sent in parts.
+    packed: Option<PackedList>,
+    /// A newer list that has come in part, the sender of its last part, and when that came.
+    partial: Option<(PartialList, SocketAddr, Micros)>,
+    polling: PollScheduler,
+    disabled: Option<Mechanism>,
+    /// The next request to the service is for the whole list.
     whole: bool,
     swim: Swim,
     runtime: AccumulatingRuntime<Member>,
@@ -64,9 +66,9 @@
     tick_at: Micros,
     tick: Micros,
     seeds_at: Micros,
-    /// When news of those that ask was last passed on.
+    /// When news of pollers was last passed on.
     passed_on: Micros,
-    /// Who was heard from at last, while members are few.
+    /// The last senders, for use while members are few.
     heard: VecDeque<SocketAddr>,
     tokens: f64,
     tokens_at: Micros,
@@ -91,10 +93,10 @@
             began: now,
             belief: Belief::default(),
             source: None,
-            parcel: None,
-            assembly: None,
-            turns: Turns::new(own.id, seed).without(terms.without),
-            without: terms.without,
+            packed: None,
+            partial: None,
+            polling: PollScheduler::new(own.id, seed).without(terms.without),
+            disabled: terms.without,
             whole: true,
             swim: Foca::new(own, swim_terms(), rng, PostcardCodec),
             runtime: AccumulatingRuntime::new(),
@@ -102,7 +104,7 @@
             timers_set: 0,
             random,
             tick_at: now,
-            tick: TICK_LEAST,
+            tick: MIN_TICK,
             seeds_at: now,
             passed_on: 0,
             heard: VecDeque::new(),
@@ -118,8 +120,8 @@
     /// When [`Input::Timer`] is due.
     pub fn due(&self) -> Micros {
         let swim = self.timers.first_key_value().map(|(key, _)| key.0);
-        let stalled = self.assembly.as_ref().map(|(_, _, at)| at + STALLED);
-        [swim, stalled, self.turns.due()].into_iter().flatten().fold(self.tick_at, Micros::min)
+        let stalled = self.partial.as_ref().map(|(_, _, at)| at + PART_TIMEOUT);
+        [swim, stalled, self.polling.due()].into_iter().flatten().fold(self.tick_at, Micros::min)
     }
 
     /// What this proxy knows.
@@ -128,17 +130,17 @@
         Standing {
             own: *self.swim.identity(),
             list: held.map(|h| (h.stamp, now.saturating_sub(h.since), self.source)),
-            hosts: held.map_or(0, |h| h.book.up()),
+            hosts: held.map_or(0, |h| h.hosts.up()),
             alive: self.alive(),
             settled: self.settled.is_some(),
-            askers: self.turns.known(now),
+            askers: self.polling.known(now),
             counts: Counts { doubted: self.belief.doubted, ..self.counts },
         }
     }
 
     /// The list that it believes.
-    pub fn book(&self) -> Option<(&Stamp, &Book)> {
-        self.belief.held().map(|h| (&h.stamp, &h.book))
+    pub fn host_list(&self) -> Option<(&Stamp, &HostList)> {
+        self.belief.held().map(|h| (&h.stamp, &h.hosts))
     }
 
     /// Proxies alive, as it knows, itself included.
@@ -149,28 +151,28 @@
     /// Tells what happens; what is to be done comes into `out`.
     pub fn handle(&mut self, now: Micros, input: Input<'_>, out: &mut Vec<Output>) {
         match input {
-            Input::Message(bytes) => self.message(now, bytes, out),
+            Input::Message(bytes) => self.handle_message(now, bytes, out),
             Input::Timer => {}
-            Input::Answered(answer) => self.answered(now, answer, out),
+            Input::Answered(answer) => self.handle_answer(now, answer, out),
             Input::Failed { retry_after } => {
                 self.counts.failed += 1;
                 self.whole |= self.belief.held().is_none();
-                self.turns.failed(now, retry_after);
-                self.tell(now, out);
+                self.polling.failed(now, retry_after);
+                self.send_status_to_some(now, out);
             }
             Input::Moved => {
                 self.whole = true;
-                self.turns.moved(now);
+                self.polling.moved(now);
             }
             Input::Leave => {
                 let _ = self.swim.leave_cluster(&mut self.runtime);
-                self.swim_done(now, out);
+                self.carry_out_swim(now, out);
                 return;
             }
         }
-        self.timers(now, out);
-        self.ask(now, out);
+        self.handle_timers(now, out);
+        self.poll_service(now, out);
     }
 }
 
-const _: () = assert!(PART < SWIM_MOST && SWIM_MOST < MESSAGE_MOST);
+const _: () = assert!(PART < MAX_SWIM_MESSAGE && MAX_SWIM_MESSAGE < MESSAGE_MOST);
--- a/crates/peers/src/peer/receive.rs
+++ b/crates/peers/src/peer/receive.rs
@@ -1,18 +1,19 @@
 //! Received messages.
 
-use super::message::{Letter, Message};
-use super::send::FAN;
-use super::tick::TICK_LEAST;
-use super::transfer::STALLED;
+use super::message::{Envelope, Message};
+use super::send::FANOUT;
+use super::tick::MIN_TICK;
+use super::transfer::PART_TIMEOUT;
 use super::{Member, Output, Peer};
 use crate::belief::Verdict;
 use crate::list::Stamp;
-use crate::turns::{Mechanism, Word};
+use crate::polling::{Mechanism, PollerStatus};
 use crate::Micros;
 
 impl Peer {
-    pub(super) fn message(&mut self, now: Micros, bytes: &[u8], out: &mut Vec<Output>) {
-        let Ok(Letter { from, message }) = postcard::from_bytes::<Letter>(bytes) else {
+    /// Decodes and handles a message.
+    pub(super) fn handle_message(&mut self, now: Micros, bytes: &[u8], out: &mut Vec<Output>) {
+        let Ok(Envelope { from, message }) = postcard::from_bytes::<Envelope>(bytes) else {
             self.counts.malformed += 1;
             return;
         };
@@ -20,8 +21,8 @@
             return;
         }
         self.counts.taken += 1;
-        self.turns.met(now);
-        if self.heard.len() >= 2 * FAN {
+        self.polling.met(now);
+        if self.heard.len() >= 2 * FANOUT {
             self.heard.pop_front();
         }
         if !self.heard.contains(&from.address) {
@@ -32,49 +33,54 @@
                 if self.swim.handle_data(&bytes, &mut self.runtime).is_err() {
                     self.counts.malformed += 1;
                 }
-                self.swim_done(now, out);
+                self.carry_out_swim(now, out);
+            }
+            Message::Status { stamp, statuses } => self.handle_status(now, from, (stamp, &statuses), out),
+            Message::Want { stamp, of, parts } => {
+                self.handle_list_request(now, from, (stamp, of, &parts), out)
             }
-            Message::Status { stamp, words } => self.status(now, from, (stamp, &words), out),
-            Message::Want { stamp, of, parts } => self.wanted(now, from, (stamp, of, &parts), out),
             Message::Part { stamp, number, parts, bytes } => {
-                self.take_part(now, from, (stamp, number, parts), &bytes, out);
+                self.handle_part(now, from, (stamp, number, parts), &bytes, out);
             }
             Message::News { from: old, to, changes } => {
                 let own = self.belief.stamp();
                 match self.belief.news(now, (old, to), &changes) {
-                    Verdict::News(changes) => self.believe(now, own, (Some(from.address), changes), out),
-                    Verdict::Unfit => self.want(now, from.address, out),
+                    Verdict::News(changes) => self.adopt_list(now, own, (Some(from.address), changes), out),
+                    Verdict::Unfit => self.request_list(now, from.address, out),
                     Verdict::Known | Verdict::Doubted => {}
                 }
             }
         }
     }
 
-    pub(super) fn status(
+    /// A peer has sent its status.
+    pub(super) fn handle_status(
         &mut self,
         now: Micros,
         from: Member,
-        (stamp, words): (Option<Stamp>, &[Word]),
+        (stamp, statuses): (Option<Stamp>, &[PollerStatus]),
         out: &mut Vec<Output>,
     ) {
-        if self.turns.told(now, words) {
-            self.hurry(now);
-            // More news within a moment goes with the next word of all: what is told about those that ask must never
-            // become a storm.
-            if self.passed_on + TICK_LEAST <= now && self.without != Some(Mechanism::Words) {
+        if self.polling.told(now, statuses) {
+            self.advance_tick(now);
+            // Further news within a tick goes with the next status: the statuses of pollers must never become a message
+            // storm.
+            if self.passed_on + MIN_TICK <= now && self.disabled != Some(Mechanism::Words) {
                 self.passed_on = now;
-                self.tell(now, out);
+                self.send_status_to_some(now, out);
             }
         }
         let own = self.belief.stamp();
         if stamp > own {
-            let coming =
-                self.assembly.as_ref().is_some_and(|(a, _, at)| stamp <= Some(a.stamp) && now < at + STALLED);
+            let coming = self
+                .partial
+                .as_ref()
+                .is_some_and(|(a, _, at)| stamp <= Some(a.stamp) && now < at + PART_TIMEOUT);
             if !coming {
-                self.want(now, from.address, out);
+                self.request_list(now, from.address, out);
             }
         } else if stamp < own {
-            self.give(now, from.address, out);
+            self.send_list(now, from.address, out);
         }
     }
 }
--- a/crates/peers/src/peer/send.rs
+++ b/crates/peers/src/peer/send.rs
@@ -1,7 +1,7 @@
 //! Sending: messages to other peers, within a rate limit.
 
-use super::message::{Letter, Message};
-use super::tick::TICK_LEAST;
+use super::message::{Envelope, Message};
+use super::tick::MIN_TICK;
 use super::{Output, Peer};
 use crate::Micros;
 use rand::seq::SliceRandom;
@@ -13,18 +13,20 @@
 /// See [`RATE`].
 pub const BURST: f64 = 400.0;
 
-/// Others that hear now and then what this proxy has.
-pub(super) const TELLS: usize = 2;
+/// How many peers get each periodic status.
+pub(super) const STATUS_FANOUT: usize = 2;
 
-/// Others that news go to at once.
-pub(super) const FAN: usize = 4;
+/// How many peers news go to at once.
+pub(super) const FANOUT: usize = 4;
 
 impl Peer {
-    pub(super) fn written(&self, message: Message) -> Option<Vec<u8>> {
-        postcard::to_stdvec(&Letter { from: *self.swim.identity(), message }).ok()
+    /// A message with its sender, encoded.
+    pub(super) fn encode(&self, message: Message) -> Option<Vec<u8>> {
+        postcard::to_stdvec(&Envelope { from: *self.swim.identity(), message }).ok()
     }
 
-    pub(super) fn post(
+    /// Sends an encoded message, unless the rate limit is reached.
+    pub(super) fn send_encoded(
         &mut self,
         now: Micros,
         to: SocketAddr,
@@ -45,14 +47,14 @@
     }
 
     pub(super) fn send(&mut self, now: Micros, to: SocketAddr, message: Message, out: &mut Vec<Output>) {
-        let bytes = self.written(message);
-        self.post(now, to, bytes, out);
+        let bytes = self.encode(message);
+        self.send_encoded(now, to, bytes, out);
     }
 
-    /// So many others at random, but not this one. While few members are known, seeds and whoever was heard count too.
-    pub(super) fn others(&mut self, count: usize, but: Option<SocketAddr>) -> Vec<SocketAddr> {
+    /// Some peers at random, without `but`. While few members are known, seeds and the last senders count too.
+    pub(super) fn random_peers(&mut self, count: usize, but: Option<SocketAddr>) -> Vec<SocketAddr> {
         let mut all: Vec<SocketAddr> = self.swim.iter_members().map(|m| m.id().address).collect();
-        if all.len() < 2 * FAN {
+        if all.len() < 2 * FANOUT {
             all.extend(self.seeds.iter().chain(&self.heard));
             all.sort_unstable();
             all.dedup();
@@ -61,18 +63,18 @@
         all.partial_shuffle(&mut self.random, count).0.to_vec()
     }
 
-    /// Tells some others at once what this proxy has and whom it knows to ask.
-    pub(super) fn tell(&mut self, now: Micros, out: &mut Vec<Output>) {
-        let (stamp, words) = (self.belief.stamp(), self.turns.words(now, false));
-        let bytes = self.written(Message::Status { stamp, words });
-        for to in self.others(FAN, None) {
-            self.post(now, to, bytes.clone(), out);
+    /// Sends the status of this proxy to some peers at once: its list version, and the pollers that it knows.
+    pub(super) fn send_status_to_some(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let (stamp, statuses) = (self.belief.stamp(), self.polling.statuses(now, false));
+        let bytes = self.encode(Message::Status { stamp, statuses });
+        for to in self.random_peers(FANOUT, None) {
+            self.send_encoded(now, to, bytes.clone(), out);
         }
     }
 
-    /// Something is new: the next word comes soon.
-    pub(super) fn hurry(&mut self, now: Micros) {
-        self.tick = TICK_LEAST;
-        self.tick_at = self.tick_at.min(now + TICK_LEAST);
+    /// Something is new: the next periodic status is sent soon.
+    pub(super) fn advance_tick(&mut self, now: Micros) {
+        self.tick = MIN_TICK;
+        self.tick_at = self.tick_at.min(now + MIN_TICK);
     }
 }
--- a/crates/peers/src/peer/transfer.rs
+++ b/crates/peers/src/peer/transfer.rs
@@ -4,44 +4,48 @@
 use super::{Member, Output, Peer};
 use crate::belief::Verdict;
 use crate::list::Stamp;
-use crate::parcel::{Assembly, Parcel};
+use crate::packed_list::{PackedList, PartialList};
 use crate::Micros;
 use rand::Rng;
 use std::net::SocketAddr;
 
-/// Parts of a list that are sent for one question.
-pub(super) const PARTS: usize = 48;
+/// Most parts of a list that are sent for one request.
+pub(super) const MAX_PARTS_SENT: usize = 48;
 
-/// After so long without a part what is missing is asked for again.
-pub(super) const STALLED: Micros = 80_000;
+/// After this time without a part the missing ones are requested again.
+pub(super) const PART_TIMEOUT: Micros = 80_000;
 
 impl Peer {
-    pub(super) fn part(&self, number: u16) -> Option<Message> {
-        let parcel = self.parcel.as_ref()?;
-        let bytes = parcel.part(number)?.to_vec();
-        Some(Message::Part { stamp: parcel.stamp, number, parts: parcel.parts(), bytes })
+    /// The message with a part of the own list.
+    pub(super) fn part_message(&self, number: u16) -> Option<Message> {
+        let packed = self.packed.as_ref()?;
+        let bytes = packed.part(number)?.to_vec();
+        Some(Message::Part { stamp: packed.stamp, number, parts: packed.parts(), bytes })
     }
 
-    /// Asks for a newer list.
-    pub(super) fn want(&mut self, now: Micros, from: SocketAddr, out: &mut Vec<Output>) {
-        let (of, parts) = match &self.assembly {
-            Some((assembly, ..)) => (Some(assembly.stamp), assembly.missing(PARTS)),
+    /// Requests a newer list.
+    pub(super) fn request_list(&mut self, now: Micros, from: SocketAddr, out: &mut Vec<Output>) {
+        let (of, parts) = match &self.partial {
+            Some((partial, ..)) => (Some(partial.stamp), partial.missing(MAX_PARTS_SENT)),
             None => (None, Vec::new()),
         };
         self.send(now, from, Message::Want { stamp: self.belief.stamp(), of, parts }, out);
     }
 
-    /// Sends the list, if it is one part, or word of it.
-    pub(super) fn give(&mut self, now: Micros, to: SocketAddr, out: &mut Vec<Output>) {
-        let single = self.parcel.as_ref().is_some_and(|p| p.parts() == 1);
-        let message = match self.part(0).filter(|_| single) {
+    /// Sends the list if it has one part, else its version.
+    pub(super) fn send_list(&mut self, now: Micros, to: SocketAddr, out: &mut Vec<Output>) {
+        let single = self.packed.as_ref().is_some_and(|p| p.parts() == 1);
+        let message = match self.part_message(0).filter(|_| single) {
             Some(part) => part,
-            None => Message::Status { stamp: self.belief.stamp(), words: self.turns.words(now, false) },
+            None => {
+                Message::Status { stamp: self.belief.stamp(), statuses: self.polling.statuses(now, false) }
+            }
         };
         self.send(now, to, message, out);
     }
 
-    pub(super) fn wanted(
+    /// A peer requests a newer list, or missing parts of one.
+    pub(super) fn handle_list_request(
         &mut self,
         now: Micros,
         from: Member,
@@ -50,30 +54,31 @@
     ) {
         let own = self.belief.stamp();
         if own <= stamp {
-            // Nothing newer; but perhaps it does not know who asks.
-            let words = self.turns.words(now, false);
-            if !words.is_empty() || own < stamp {
-                self.send(now, from.address, Message::Status { stamp: own, words }, out);
+            // Nothing newer; but perhaps it does not know the pollers.
+            let statuses = self.polling.statuses(now, false);
+            if !statuses.is_empty() || own < stamp {
+                self.send(now, from.address, Message::Status { stamp: own, statuses }, out);
             }
             return;
         }
-        let all = self.parcel.as_ref().map_or(0, Parcel::parts);
+        let all = self.packed.as_ref().map_or(0, PackedList::parts);
         let some: Vec<u16> = match of == own && !parts.is_empty() {
-            true => parts.iter().copied().filter(|n| *n < all).take(PARTS).collect(),
-            // Not the first ones to each: those that have some can give them to others.
+            true => parts.iter().copied().filter(|n| *n < all).take(MAX_PARTS_SENT).collect(),
+            // Starting at a random part: peers that received different parts can exchange them.
             false => {
                 let first = self.random.gen_range(0..all.max(1));
-                (0..all).map(|n| (n + first) % all).take(PARTS).collect()
+                (0..all).map(|n| (n + first) % all).take(MAX_PARTS_SENT).collect()
             }
         };
         for number in some {
-            if let Some(part) = self.part(number) {
+            if let Some(part) = self.part_message(number) {
                 self.send(now, from.address, part, out);
             }
         }
     }
 
-    pub(super) fn take_part(
+    /// A part of a list has come.
+    pub(super) fn handle_part(
         &mut self,
         now: Micros,
         from: Member,
@@ -85,26 +90,26 @@
         if Some(stamp) <= own {
             return;
         }
-        if self.assembly.as_ref().is_none_or(|(a, ..)| a.stamp < stamp) {
-            let Some(fresh) = Assembly::new(stamp, parts) else {
+        if self.partial.as_ref().is_none_or(|(a, ..)| a.stamp < stamp) {
+            let Some(fresh) = PartialList::new(stamp, parts) else {
                 self.counts.malformed += 1;
                 return;
             };
-            self.assembly = Some((fresh, from.address, now));
+            self.partial = Some((fresh, from.address, now));
         }
-        let Some((assembly, last, at)) = self.assembly.as_mut().filter(|(a, ..)| a.stamp == stamp) else {
+        let Some((partial, last, at)) = self.partial.as_mut().filter(|(a, ..)| a.stamp == stamp) else {
             return;
         };
-        if !assembly.add(number, parts, bytes) {
+        if !partial.add(number, parts, bytes) {
             return;
         }
         (*last, *at) = (from.address, now);
-        let Some(whole) = assembly.whole() else { return };
-        self.assembly = None;
+        let Some(whole) = partial.whole() else { return };
+        self.partial = None;
         match whole {
-            Ok(book) => {
-                if let Verdict::News(changes) = self.belief.peer(now, stamp, book) {
-                    self.believe(now, own, (Some(from.address), changes), out);
+            Ok(hosts) => {
+                if let Verdict::News(changes) = self.belief.peer(now, stamp, hosts) {
+                    self.adopt_list(now, own, (Some(from.address), changes), out);
                 }
             }
             Err(()) => self.counts.torn += 1,
--- a/crates/peers/src/play.rs
+++ b/crates/peers/src/play.rs
@@ -3,7 +3,7 @@
 
 use crate::list::{Change, Entry};
 use crate::peer::{Answer, Input, Member, Output, Peer, Terms};
-use crate::turns::{Id, Mechanism};
+use crate::polling::{Id, Mechanism};
 use crate::Micros;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -136,7 +136,7 @@
         let odd = [
             (behind > 0, format!("{behind} do not have the newest list")),
             (self.given_up > 0, format!("{} questions were given up", self.given_up)),
-            (!(1..=4 * crate::turns::WANTED).contains(&self.asking), format!("{} ask", self.asking)),
+            (!(1..=4 * crate::polling::WANTED).contains(&self.asking), format!("{} ask", self.asking)),
             (quiet > QUIET, format!("nobody asked for {quiet} s")),
         ];
         odd.into_iter().find(|(odd, _)| *odd).map(|(_, word)| word)
@@ -269,7 +269,7 @@
 
     fn look_at_spread(&mut self, now: Micros) {
         let living = self.proxies.iter().filter_map(|p| p.peer.as_ref());
-        let least = living.map(|p| p.book().map_or(0, |b| b.0.index)).min().unwrap_or(0);
+        let least = living.map(|p| p.host_list().map_or(0, |b| b.0.index)).min().unwrap_or(0);
         for (n, spread) in self.played.spread.iter_mut().enumerate() {
             if n as u64 + 2 <= least {
                 spread.get_or_insert(now);
@@ -447,7 +447,7 @@
     let mut played = play.played;
     played.sent_calm = play.last_second as f64 / world.proxies.max(1) as f64;
     played.index =
-        play.proxies.iter().map(|p| p.peer.as_ref().and_then(|p| p.book()).map(|b| b.0.index)).collect();
+        play.proxies.iter().map(|p| p.peer.as_ref().and_then(|p| p.host_list()).map(|b| b.0.index)).collect();
     let standing: Vec<_> =
         play.proxies.iter().filter_map(|p| p.peer.as_ref()).map(|p| p.standing(world.until)).collect();
     played.asking = standing.iter().filter(|s| s.askers.iter().any(|(w, _)| w.id == s.own.id)).count();
--- a/crates/peers/src/turns.rs
+++ b/crates/peers/src/polling.rs
@@ -1,4 +1,4 @@
-//! Who asks the list service, and when.
+//! Which proxies poll the list service, and when.
 //!
 //! [`WANTED`] proxies ask for all. Nobody appoints them: a proxy that hears of fewer draws a time and asks when it is up,
 //! unless it has heard of enough by then. The law of the draw is that of the feedback timers of TFMCC (RFC 4654, 2.5.1):
@@ -46,7 +46,7 @@
 /// The longest pause in times of an answer, where that is more: a service that takes a second for an answer gets a
 /// question from each that asks in twenty.
 const ANSWERS: u64 = 20;
-/// One that asks is forgotten when nothing new was heard of it for so long: a word a second from each takes about seven
+/// One that asks is forgotten when nothing new was heard of it for so long: an announcement a second from each takes about seven
 /// rounds to reach two thousand.
 pub const FRESH: Micros = 15_000_000;
 /// ... of one that does not hear the service: it tells of itself each second, and at once when its standing changes. To
@@ -57,8 +57,8 @@
 const SILENT: Micros = 3_000_000;
 /// After its turn was in vain a proxy leaves it to others for so long.
 const REST: Micros = 30_000_000;
-/// Most words in a message: more that ask need not be told apart.
-pub const WORDS_MOST: usize = 8;
+/// Most statuses in a message: more pollers need not be told apart.
+pub const MAX_STATUSES: usize = 8;
 /// Most that are remembered, with those that have stopped or gone. One that was forgotten while others still tell of it
 /// would come back as a new one, and be waited for. Room is taken as they come; beyond it those that do not ask go first.
 const KNOWN_MOST: usize = 4_096;
@@ -91,82 +91,83 @@
     }
 }
 
-/// What is told of one that asks.
+/// The status of one proxy that polls the list service, as peers pass it on. ("Asks" stands for "polls" in its fields,
+/// which are part of the report that a proxy prints.)
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Word {
-    /// Who.
+pub struct PollerStatus {
+    /// The proxy.
     pub id: Id,
-    /// Grows with each word of its own; 0 for none yet.
+    /// Version of the status: grows each time that the proxy itself announces it; 0 for never.
     pub count: u32,
-    /// It asks; else it has stopped.
+    /// It polls the service; else it has stopped.
     pub asks: bool,
     /// Failures since the service last answered it; [`u32::MAX`]: it has not heard it yet.
     pub failures: u32,
-    /// What an answer takes, in milliseconds, as it has learned.
+    /// The time that the service takes for an answer, in milliseconds, as learned.
     pub answer_ms: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Other {
-    word: Word,
+struct KnownPoller {
+    status: PollerStatus,
     heard: Micros,
 }
 
-impl Other {
+impl KnownPoller {
     fn fresh(&self, now: Micros) -> bool {
-        now < self.heard + if self.word.failures == 0 { FRESH } else { FRESH_TRYING }
+        now < self.heard + if self.status.failures == 0 { FRESH } else { FRESH_TRYING }
     }
 }
 
-/// What a time is drawn from.
+/// The distribution that a delay is drawn from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Lot {
+enum Delay {
     /// Within a span, by the law of RFC 4654.
     Within(Micros),
     /// See [`ALONE`].
     Alone,
 }
 
-/// Decides when this proxy asks.
+/// Decides when this proxy polls the list service.
 #[derive(Clone, Debug)]
-pub struct Turns {
+pub struct PollScheduler {
     id: Id,
     seed: bool,
     random: Pcg32,
-    others: BTreeMap<Id, Other>,
-    own: Word,
-    /// A question is out.
-    out: bool,
-    /// When it would ask.
+    others: BTreeMap<Id, KnownPoller>,
+    own: PollerStatus,
+    /// A request to the list service is pending.
+    pending: bool,
+    /// When it would send its next request.
     due: Option<Micros>,
-    /// The lot that `due` was drawn from.
-    lot: Option<Lot>,
+    /// The distribution that `due` was drawn from.
+    delay: Option<Delay>,
     /// When a peer was last heard; `None`: never.
-    met: Option<Micros>,
+    last_heard: Option<Micros>,
     /// This proxy has a list.
     listed: bool,
-    without: Option<Mechanism>,
+    disabled: Option<Mechanism>,
     rest_until: Micros,
-    /// Somebody has failed with this least pause, until then.
+    /// No request may be sent before this moment.
     not_before: Micros,
 }
 
-impl Turns {
-    /// Those of a proxy; `seed`: others are told to turn to it when they start.
+impl PollScheduler {
+    /// The scheduler of a proxy; `seed`: other proxies contact it when they start.
     pub fn new(id: Id, seed: bool) -> Self {
-        let own = Word { id, count: 0, asks: false, failures: u32::MAX, answer_ms: 0 };
-        Turns {
+        let own = PollerStatus { id, count: 0, asks: false, failures: u32::MAX, answer_ms: 0 };
+        PollScheduler {
             id,
             seed,
             random: Pcg32::seed_from_u64(id.0),
             others: BTreeMap::new(),
             own,
-            out: false,
+            pending: false,
             due: None,
-            lot: None,
-            met: None,
+            delay: None,
+            last_heard: None,
             listed: false,
-            without: None,
+            disabled: None,
             rest_until: 0,
             not_before: 0,
         }
@@ -175,7 +176,7 @@
     /// Leaves a mechanism out.
     #[must_use]
     pub fn without(mut self, without: Option<Mechanism>) -> Self {
-        self.without = without;
+        self.disabled = without;
         self
     }
 
@@ -191,11 +192,11 @@
 
     /// Is anybody known who hears the service, this proxy included?
     pub fn heard(&self) -> bool {
-        self.hears() || self.others.values().any(|o| o.word.asks && o.word.failures == 0)
+        self.hears() || self.others.values().any(|o| o.status.asks && o.status.failures == 0)
     }
 
-    /// What is told of those that ask, this proxy's own word first; `tick`: as a new one.
-    pub fn words(&mut self, now: Micros, tick: bool) -> Vec<Word> {
+    /// The statuses of pollers that a message carries, this proxy's own first; `tick`: as a new version.
+    pub fn statuses(&mut self, now: Micros, tick: bool) -> Vec<PollerStatus> {
         let tell_own = self.own.asks || self.own.count > 0;
         if tick && self.own.asks {
             self.own.count += 1;
@@ -203,36 +204,36 @@
         let own = tell_own.then_some(self.own);
         // Those that ask before those that have stopped, then those that were heard of last. Nobody tells of one of whom
         // he has heard nothing new for long: the dead would be told of for ever.
-        let mut others: Vec<&Other> = self.others.values().filter(|o| o.fresh(now)).collect();
-        others.sort_by_key(|o| std::cmp::Reverse((o.word.asks, o.heard)));
-        own.into_iter().chain(others.into_iter().map(|o| o.word)).take(WORDS_MOST).collect()
+        let mut others: Vec<&KnownPoller> = self.others.values().filter(|o| o.fresh(now)).collect();
+        others.sort_by_key(|o| std::cmp::Reverse((o.status.asks, o.heard)));
+        own.into_iter().chain(others.into_iter().map(|o| o.status)).take(MAX_STATUSES).collect()
     }
 
     /// Those known to ask, this proxy included, and since when nothing was heard of them.
-    pub fn known(&self, now: Micros) -> Vec<(Word, Micros)> {
+    pub fn known(&self, now: Micros) -> Vec<(PollerStatus, Micros)> {
         let own = self.own.asks.then_some((self.own, 0));
-        let others = self.others.values().filter(|o| o.word.asks);
-        own.into_iter().chain(others.map(|o| (o.word, now.saturating_sub(o.heard)))).collect()
+        let others = self.others.values().filter(|o| o.status.asks);
+        own.into_iter().chain(others.map(|o| (o.status, now.saturating_sub(o.heard)))).collect()
     }
 
     /// A peer tells of those that ask. True: somebody has begun to ask, hears the service now or does so no more.
-    pub fn told(&mut self, now: Micros, words: &[Word]) -> bool {
+    pub fn told(&mut self, now: Micros, statuses: &[PollerStatus]) -> bool {
         let mut news = false;
-        self.met = Some(now);
-        for &word in words.iter().take(WORDS_MOST).filter(|w| w.id != self.id) {
-            let old = self.others.get(&word.id).map(|o| o.word);
-            if old.is_some_and(|o| o.count >= word.count) {
+        self.last_heard = Some(now);
+        for &status in statuses.iter().take(MAX_STATUSES).filter(|w| w.id != self.id) {
+            let old = self.others.get(&status.id).map(|o| o.status);
+            if old.is_some_and(|o| o.count >= status.count) {
                 continue;
             }
-            let state = |w: Word| (w.asks, w.failures == 0, w.failures >= CUT_OFF);
-            news |= old.map(state) != Some(state(word)) && (word.asks || old.is_some());
-            self.others.insert(word.id, Other { word, heard: now });
+            let state = |w: PollerStatus| (w.asks, w.failures == 0, w.failures >= CUT_OFF);
+            news |= old.map(state) != Some(state(status)) && (status.asks || old.is_some());
+            self.others.insert(status.id, KnownPoller { status, heard: now });
             if self.own.answer_ms == 0 {
-                self.own.answer_ms = word.answer_ms;
+                self.own.answer_ms = status.answer_ms;
             }
         }
         while self.others.len() > KNOWN_MOST {
-            let oldest = self.others.values().min_by_key(|o| (o.word.asks, o.heard)).map(|o| o.word.id);
+            let oldest = self.others.values().min_by_key(|o| (o.status.asks, o.heard)).map(|o| o.status.id);
             oldest.map(|id| self.others.remove(&id));
         }
         self.look(now);
@@ -241,7 +242,7 @@
 
     /// A peer was heard.
     pub fn met(&mut self, now: Micros) {
-        if self.met.replace(now).is_none() {
+        if self.last_heard.replace(now).is_none() {
             self.look(now);
         }
     }
@@ -249,15 +250,15 @@
     /// A peer has gone.
     pub fn gone(&mut self, now: Micros, id: Id) {
         if let Some(other) = self.others.get_mut(&id) {
-            // Remembered, so that an old word of it that is still about does not bring it back.
-            other.word.asks = false;
+            // Remembered, so that an old status still in circulation does not bring it back.
+            other.status.asks = false;
         }
         self.look(now);
     }
 
     /// Nobody was heard, ever or for long.
     fn alone(&self, now: Micros) -> bool {
-        self.met.is_none_or(|at| at + SILENT <= now)
+        self.last_heard.is_none_or(|at| at + SILENT <= now)
     }
 
     /// Others that ask: those that hear the service, those that have not heard it yet or only just failed, and those that
@@ -267,8 +268,8 @@
         if self.alone(now) {
             return counts;
         }
-        for other in self.others.values().filter(|o| o.word.asks && o.fresh(now)) {
-            match other.word.failures {
+        for other in self.others.values().filter(|o| o.status.asks && o.fresh(now)) {
+            match other.status.failures {
                 0 => counts.0 += 1,
                 failures if failures < CUT_OFF || failures == u32::MAX => counts.1 += 1,
                 _ => counts.2 += 1,
@@ -278,28 +279,30 @@
     }
 
     /// What this proxy's time is drawn from; `None`: others ask.
-    fn wanted(&self, now: Micros) -> Option<Lot> {
+    fn wanted(&self, now: Micros) -> Option<Delay> {
         let (hearing, trying, cut_off) = self.standing(now);
         if hearing + trying >= WANTED || (hearing == 0 && trying > 0) {
             return None;
         }
         let span = match (hearing, cut_off) {
             (1.., _) => SPAN_MORE,
-            (0, 0) if self.alone(now) && !(self.seed && self.met.is_none()) => return Some(Lot::Alone),
+            (0, 0) if self.alone(now) && !(self.seed && self.last_heard.is_none()) => {
+                return Some(Delay::Alone)
+            }
             (0, 0) if self.listed => SPAN_MORE,
-            (0, 0) if self.seed && self.without != Some(Mechanism::Seeds) => SPAN_SEED,
+            (0, 0) if self.seed && self.disabled != Some(Mechanism::Seeds) => SPAN_SEED,
             (0, 0) => SPAN,
             (0, _) => SPAN_FAILED,
         };
-        Some(Lot::Within(span))
+        Some(Delay::Within(span))
     }
 
-    fn draw(&mut self, lot: Lot) -> Micros {
+    fn draw(&mut self, delay: Delay) -> Micros {
         let share: f64 = self.random.gen_range(f64::MIN_POSITIVE..=1.0);
-        match lot {
-            Lot::Within(span) if self.without == Some(Mechanism::Law) => (span as f64 * share) as Micros,
-            Lot::Within(span) => (span as f64 * (1.0 + share.ln() / PROXIES_MOST.ln()).max(0.0)) as Micros,
-            Lot::Alone => (ALONE.0 as f64 * (ALONE.1 as f64 / ALONE.0 as f64).powf(share)) as Micros,
+        match delay {
+            Delay::Within(span) if self.disabled == Some(Mechanism::Law) => (span as f64 * share) as Micros,
+            Delay::Within(span) => (span as f64 * (1.0 + share.ln() / PROXIES_MOST.ln()).max(0.0)) as Micros,
+            Delay::Alone => (ALONE.0 as f64 * (ALONE.1 as f64 / ALONE.0 as f64).powf(share)) as Micros,
         }
     }
 
@@ -310,9 +313,9 @@
         }
         match self.wanted(now) {
             None => self.due = None,
-            Some(lot) if self.due.is_none() || Some(lot) != self.lot => {
-                self.lot = Some(lot);
-                let wait = self.draw(lot);
+            Some(delay) if self.due.is_none() || Some(delay) != self.delay => {
+                self.delay = Some(delay);
+                let wait = self.draw(delay);
                 self.due = Some((now + wait).max(self.rest_until).max(self.not_before));
             }
             Some(_) => {}
@@ -327,26 +330,31 @@
             self.stop(now);
         }
         self.look(now);
-        if self.out || self.due.is_none_or(|due| now < due) {
+        if self.pending || self.due.is_none_or(|due| now < due) {
             return false;
         }
         if !self.own.asks {
-            self.own = Word { asks: true, failures: u32::MAX, count: self.own.count + 1, ..self.own };
+            self.own = PollerStatus { asks: true, failures: u32::MAX, count: self.own.count + 1, ..self.own };
         }
-        (self.due, self.out) = (None, true);
+        (self.due, self.pending) = (None, true);
         true
     }
 
-    /// When [`Turns::ask`] should be looked at again.
+    /// When [`PollScheduler::ask`] should be looked at again.
     pub fn due(&self) -> Option<Micros> {
-        self.due.filter(|_| !self.out)
+        self.due.filter(|_| !self.pending)
     }
 
     /// Leaves it to others where more ask than are wanted.
     fn stop(&mut self, now: Micros) {
-        let fresh = |o: &&Other| o.word.asks && o.fresh(now);
-        let hearing: Vec<Id> =
-            self.others.values().filter(fresh).filter(|o| o.word.failures == 0).map(|o| o.word.id).collect();
+        let fresh = |o: &&KnownPoller| o.status.asks && o.fresh(now);
+        let hearing: Vec<Id> = self
+            .others
+            .values()
+            .filter(fresh)
+            .filter(|o| o.status.failures == 0)
+            .map(|o| o.status.id)
+            .collect();
         let rank = |id: Id| xxhash_rust::xxh3::xxh3_64(&id.0.to_le_bytes());
         let before = |ids: &[Id]| ids.iter().filter(|id| rank(**id) > rank(self.id)).count();
         let stops = match self.own.failures {
@@ -365,15 +373,15 @@
                 enough || in_turn
             }
         };
-        if stops && !self.out {
-            self.own = Word { asks: false, count: self.own.count + 1, ..self.own };
+        if stops && !self.pending {
+            self.own = PollerStatus { asks: false, count: self.own.count + 1, ..self.own };
             self.due = None;
         }
     }
 
     /// The service has answered: a watch may follow at once. `took`: for an answer that did not wait for news.
     pub fn answered(&mut self, now: Micros, took: Option<Micros>) {
-        self.out = false;
+        self.pending = false;
         self.own.failures = 0;
         self.own.count += 1;
         if let Some(took) = took {
@@ -385,7 +393,7 @@
 
     /// The question has failed; `told`: the service has said when to come back.
     pub fn failed(&mut self, now: Micros, told: Option<Micros>) {
-        self.out = false;
+        self.pending = false;
         self.own.count += 1;
         self.own.failures = match self.own.failures {
             u32::MAX => 1,
@@ -401,7 +409,7 @@
 
     /// There is another service: a question that is out concerns nobody.
     pub fn moved(&mut self, now: Micros) {
-        if std::mem::take(&mut self.out) {
+        if std::mem::take(&mut self.pending) {
             self.due = Some(now);
         }
     }
@@ -416,8 +424,8 @@
 mod tests {
     use super::*;
 
-    fn word(id: u64, count: u32, failures: u32) -> Word {
-        Word { id: Id(id), count, asks: true, failures, answer_ms: 8 }
+    fn status(id: u64, count: u32, failures: u32) -> PollerStatus {
+        PollerStatus { id: Id(id), count, asks: true, failures, answer_ms: 8 }
     }
 
     #[test]
@@ -425,10 +433,10 @@
         for proxies in [5, 300, 2_000, 10_000] {
             let mut firsts: Vec<Micros> = (0..proxies)
                 .map(|n| {
-                    let mut turns = Turns::new(Id(n), false);
-                    turns.met(0);
-                    assert!(!turns.ask(0, false) || turns.out);
-                    turns.due().unwrap_or(0)
+                    let mut scheduler = PollScheduler::new(Id(n), false);
+                    scheduler.met(0);
+                    assert!(!scheduler.ask(0, false) || scheduler.pending);
+                    scheduler.due().unwrap_or(0)
                 })
                 .collect();
             firsts.sort_unstable();
@@ -442,123 +450,125 @@
     /// Sixty-four were remembered, of fleets of hundreds.
     #[test]
     fn a_thousand_that_ask_are_told_apart_and_beyond_the_room_those_go_that_do_not() {
-        let mut turns = Turns::new(Id(0), false);
+        let mut scheduler = PollScheduler::new(Id(0), false);
         for n in 1..=1_024 {
-            turns.told(n, &[word(n, 1, 0)]);
+            scheduler.told(n, &[status(n, 1, 0)]);
         }
-        assert_eq!(turns.others.len(), 1_024);
+        assert_eq!(scheduler.others.len(), 1_024);
         let room = KNOWN_MOST as u64;
         for n in 1_025..=2 * room {
-            turns.told(n, &[Word { asks: false, ..word(n, 1, 0) }]);
+            scheduler.told(n, &[PollerStatus { asks: false, ..status(n, 1, 0) }]);
         }
-        assert_eq!(turns.others.len(), KNOWN_MOST);
-        assert!((1..=1_024).all(|n| turns.others.contains_key(&Id(n))), "who asks is kept");
+        assert_eq!(scheduler.others.len(), KNOWN_MOST);
+        assert!((1..=1_024).all(|n| scheduler.others.contains_key(&Id(n))), "who asks is kept");
     }
 
     #[test]
     fn one_that_hears_of_enough_does_not_ask_and_one_that_hears_of_fewer_does() {
-        let mut turns = Turns::new(Id(9), false);
-        assert!(!turns.ask(0, false));
-        assert!(turns.told(10, &[word(1, 1, 0), word(2, 1, 0), word(3, 1, u32::MAX)]));
-        assert!(!turns.told(11, &[word(1, 1, 0)]), "nothing new");
-        turns.met(5_000_000);
-        assert!(turns.due().is_none() && !turns.ask(5_000_000, false) && turns.heard());
+        let mut scheduler = PollScheduler::new(Id(9), false);
+        assert!(!scheduler.ask(0, false));
+        assert!(scheduler.told(10, &[status(1, 1, 0), status(2, 1, 0), status(3, 1, u32::MAX)]));
+        assert!(!scheduler.told(11, &[status(1, 1, 0)]), "nothing new");
+        scheduler.met(5_000_000);
+        assert!(scheduler.due().is_none() && !scheduler.ask(5_000_000, false) && scheduler.heard());
         // One dies, and the others go on.
-        turns.gone(5_000_000, Id(3));
-        let due = turns.due().expect("it would stand in");
+        scheduler.gone(5_000_000, Id(3));
+        let due = scheduler.due().expect("it would stand in");
         assert!(due <= 5_000_000 + SPAN_MORE);
-        turns.met(due);
-        assert!(turns.ask(due, true) && turns.asks());
-        // An old word does not bring the dead one back.
-        turns.told(due, &[word(3, 1, 0)]);
-        assert_eq!(turns.known(due).len(), 3);
+        scheduler.met(due);
+        assert!(scheduler.ask(due, true) && scheduler.asks());
+        // An old status does not bring the dead one back.
+        scheduler.told(due, &[status(3, 1, 0)]);
+        assert_eq!(scheduler.known(due).len(), 3);
     }
 
     #[test]
     fn who_tries_in_vain_keeps_others_from_trying_and_is_relieved_in_the_end() {
-        let mut turns = Turns::new(Id(9), false);
-        turns.told(0, &[word(1, 1, 2)]);
-        assert!(!turns.ask(2_900_000, false), "somebody tries");
-        turns.told(3_000_000, &[word(1, 2, CUT_OFF)]);
-        let due = turns.due().expect("it may be cut off");
-        turns.told(due - 1, &[word(1, 3, CUT_OFF)]);
-        assert!(due <= 3_000_000 + SPAN_FAILED && turns.ask(due, false));
+        let mut scheduler = PollScheduler::new(Id(9), false);
+        scheduler.told(0, &[status(1, 1, 2)]);
+        assert!(!scheduler.ask(2_900_000, false), "somebody tries");
+        scheduler.told(3_000_000, &[status(1, 2, CUT_OFF)]);
+        let due = scheduler.due().expect("it may be cut off");
+        scheduler.told(due - 1, &[status(1, 3, CUT_OFF)]);
+        assert!(due <= 3_000_000 + SPAN_FAILED && scheduler.ask(due, false));
         // In vain here as well: with enough others that try it rests.
         let mut now = due;
         for _ in 0..CUT_OFF {
-            turns.told(now, &[word(1, now as u32, 9), word(2, now as u32, 9), word(3, now as u32, 9)]);
-            turns.failed(now, Some(700_000));
-            let due = turns.due().expect("again");
+            scheduler
+                .told(now, &[status(1, now as u32, 9), status(2, now as u32, 9), status(3, now as u32, 9)]);
+            scheduler.failed(now, Some(700_000));
+            let due = scheduler.due().expect("again");
             assert!(due >= now + 700_000);
             now = due;
-            if turns.asks() && turns.ask(now, false) {
+            if scheduler.asks() && scheduler.ask(now, false) {
                 continue;
             }
         }
-        assert!(!turns.asks(), "{:?}", turns.own);
-        turns.gone(now, Id(1));
-        assert!(turns.due().is_none_or(|d| d >= now + REST - 1));
+        assert!(!scheduler.asks(), "{:?}", scheduler.own);
+        scheduler.gone(now, Id(1));
+        assert!(scheduler.due().is_none_or(|d| d >= now + REST - 1));
     }
 
     #[test]
     fn one_that_hears_no_peer_any_more_asks_for_itself_and_leaves_it_to_them_when_it_does() {
-        let mut turns = Turns::new(Id(9), false);
-        turns.met(0);
-        turns.told(0, &[word(1, 1, 0), word(2, 1, 0), word(3, 1, 0)]);
-        turns.ask(SILENT - 1, true);
-        assert_eq!(turns.due(), None);
-        turns.ask(SILENT, true);
-        let due = turns.due().expect("it is cut off");
+        let mut scheduler = PollScheduler::new(Id(9), false);
+        scheduler.met(0);
+        scheduler.told(0, &[status(1, 1, 0), status(2, 1, 0), status(3, 1, 0)]);
+        scheduler.ask(SILENT - 1, true);
+        assert_eq!(scheduler.due(), None);
+        scheduler.ask(SILENT, true);
+        let due = scheduler.due().expect("it is cut off");
         assert!((SILENT + ALONE.0..=SILENT + ALONE.1).contains(&due));
-        turns.met(SILENT + 1);
-        turns.ask(SILENT + 1, true);
-        assert_eq!(turns.due(), None);
-        turns.ask(2 * SILENT + 1, true);
-        assert!(turns.ask(due + 2 * SILENT + ALONE.1, true) && turns.asks());
+        scheduler.met(SILENT + 1);
+        scheduler.ask(SILENT + 1, true);
+        assert_eq!(scheduler.due(), None);
+        scheduler.ask(2 * SILENT + 1, true);
+        assert!(scheduler.ask(due + 2 * SILENT + ALONE.1, true) && scheduler.asks());
     }
 
     #[test]
     fn a_time_that_was_drawn_stays_whatever_is_heard_meanwhile() {
-        let mut turns = Turns::new(Id(9), false);
-        turns.met(0);
-        turns.ask(0, true);
-        let due = turns.due().expect("nobody asks");
+        let mut scheduler = PollScheduler::new(Id(9), false);
+        scheduler.met(0);
+        scheduler.ask(0, true);
+        let due = scheduler.due().expect("nobody asks");
         for at in 1..100 {
-            turns.told(at, &[Word { asks: false, ..word(1, at as u32, 0) }]);
-            turns.ask(at, true);
-            assert_eq!(turns.due(), Some(due));
+            scheduler.told(at, &[PollerStatus { asks: false, ..status(1, at as u32, 0) }]);
+            scheduler.ask(at, true);
+            assert_eq!(scheduler.due(), Some(due));
         }
     }
 
-    /// The service goes down, and all that ask it fail at once, each with word that the others hear it.
+    /// The service goes down, and all that ask it fail at once, each with the status that the others hear it.
     #[test]
     fn those_that_fail_together_do_not_stop_together() {
-        let mut turns = Turns::new(Id(9), true);
-        turns.ask(0, false);
-        assert!(turns.asks() || turns.ask(SPAN_SEED, false));
-        turns.answered(SPAN_SEED, None);
-        turns.told(SPAN_SEED, &[word(1, 1, 0), word(2, 1, 0), word(3, 1, 0)]);
-        turns.failed(SPAN_SEED, None);
-        turns.ask(SPAN_SEED, true);
-        assert!(turns.asks());
-        turns.failed(SPAN_SEED, None);
-        turns.ask(SPAN_SEED, true);
-        assert!(!turns.asks(), "the others hear it still");
+        let mut scheduler = PollScheduler::new(Id(9), true);
+        scheduler.ask(0, false);
+        assert!(scheduler.asks() || scheduler.ask(SPAN_SEED, false));
+        scheduler.answered(SPAN_SEED, None);
+        scheduler.told(SPAN_SEED, &[status(1, 1, 0), status(2, 1, 0), status(3, 1, 0)]);
+        scheduler.failed(SPAN_SEED, None);
+        scheduler.ask(SPAN_SEED, true);
+        assert!(scheduler.asks());
+        scheduler.failed(SPAN_SEED, None);
+        scheduler.ask(SPAN_SEED, true);
+        assert!(!scheduler.asks(), "the others hear it still");
     }
 
     #[test]
     fn of_more_than_are_wanted_those_of_the_lowest_rank_stop() {
         let ids: Vec<u64> = (1..=8).collect();
         let stays = |own: u64| {
-            let mut turns = Turns::new(Id(own), false);
-            turns.ask(0, false);
-            let due = turns.due().unwrap_or(0);
-            assert!(turns.asks() || turns.ask(due, false));
-            turns.answered(due, Some(8_000));
-            let others: Vec<Word> = ids.iter().filter(|n| **n != own).map(|n| word(*n, 1, 0)).collect();
-            turns.told(due, &others);
-            turns.ask(due, true);
-            turns.asks()
+            let mut scheduler = PollScheduler::new(Id(own), false);
+            scheduler.ask(0, false);
+            let due = scheduler.due().unwrap_or(0);
+            assert!(scheduler.asks() || scheduler.ask(due, false));
+            scheduler.answered(due, Some(8_000));
+            let others: Vec<PollerStatus> =
+                ids.iter().filter(|n| **n != own).map(|n| status(*n, 1, 0)).collect();
+            scheduler.told(due, &others);
+            scheduler.ask(due, true);
+            scheduler.asks()
         };
         let staying = ids.iter().filter(|n| stays(**n)).count();
         assert_eq!(staying, WANTED);
@@ -566,20 +576,20 @@
 
     #[test]
     fn pauses_grow_with_failures_and_with_what_an_answer_takes() {
-        let mut turns = Turns::new(Id(1), true);
-        turns.ask(0, false);
-        let due = turns.due().unwrap_or(0);
-        assert!(turns.ask(due, false) || turns.out);
+        let mut scheduler = PollScheduler::new(Id(1), true);
+        scheduler.ask(0, false);
+        let due = scheduler.due().unwrap_or(0);
+        assert!(scheduler.ask(due, false) || scheduler.pending);
         let mut longest = 0;
         for _ in 0..20 {
-            turns.failed(0, None);
-            longest = longest.max(turns.due().unwrap_or(0));
+            scheduler.failed(0, None);
+            longest = longest.max(scheduler.due().unwrap_or(0));
         }
         assert!((PAUSE_MOST / 2..=PAUSE_MOST).contains(&longest));
-        turns.answered(0, Some(1_000_000));
+        scheduler.answered(0, Some(1_000_000));
         for _ in 0..20 {
-            turns.failed(0, None);
+            scheduler.failed(0, None);
         }
-        assert!(turns.due().is_some_and(|d| d >= 10_000_000), "{:?}", turns.due());
+        assert!(scheduler.due().is_some_and(|d| d >= 10_000_000), "{:?}", scheduler.due());
     }
 }
