--- a/crates/peers/src/peer/api.rs
+++ b/crates/peers/src/peer/api.rs
@@ -39,7 +39,7 @@
 pub enum Input<'a> {
     /// A message has come whose seal was good.
     Message(&'a [u8]),
-    /// [`Peer::due`] has come.
+    /// [`Peer::due`](super::Peer::due) has come.
     Timer,
     /// The list service has answered.
     Answered(Answer),
