--- a/crates/channel/src/client.rs
+++ b/crates/channel/src/client.rs
@@ -59,11 +59,21 @@
     }
 }
 
+/// Whom a client speaks for: the seal of each is for another purpose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Audience {
+    /// A proxy or a publisher, to control.
+    Fleet,
+    /// The leader of a region, to another region's.
+    Regions,
+}
+
 /// Replicas of control, and the one that was last seen to lead.
 pub struct Client {
     replicas: Vec<SocketAddr>,
     secret: Secret,
     within: Duration,
+    audience: Audience,
     place: usize,
     open: HashMap<SocketAddr, ControlClient<Channel>>,
 }
@@ -71,7 +81,12 @@
 impl Client {
     /// Asks these replicas, each question within this time.
     pub fn new(replicas: Vec<SocketAddr>, secret: Secret, within: Duration) -> Self {
-        Client { replicas, secret, within, place: 0, open: HashMap::new() }
+        Client { replicas, secret, within, audience: Audience::Fleet, place: 0, open: HashMap::new() }
+    }
+
+    /// Asks these replicas of another region for the leader of this one.
+    pub fn between_regions(replicas: Vec<SocketAddr>, secret: Secret, within: Duration) -> Self {
+        Client { audience: Audience::Regions, ..Client::new(replicas, secret, within) }
     }
 
     fn to(&mut self, address: SocketAddr) -> Result<ControlClient<Channel>, Fault> {
@@ -94,8 +109,19 @@
     async fn once(&mut self, address: SocketAddr, what: &request::What) -> Result<reply::What, Fault> {
         let mut client = self.to(address)?;
         let nonce = rand::random();
-        let sealed = self.secret.seal(Purpose::Request, &Request { nonce, what: Some(what.clone()) });
-        let answer = tokio::time::timeout(self.within, client.call(sealed)).await;
+        let request = Request { nonce, what: Some(what.clone()) };
+        let (asked, answered) = match self.audience {
+            Audience::Fleet => (Purpose::Request, Purpose::Reply),
+            Audience::Regions => (Purpose::RegionRequest, Purpose::RegionReply),
+        };
+        let sealed = self.secret.seal(asked, &request);
+        let call = async {
+            match self.audience {
+                Audience::Fleet => client.call(sealed).await,
+                Audience::Regions => client.region(sealed).await,
+            }
+        };
+        let answer = tokio::time::timeout(self.within, call).await;
         let answer = match answer {
             Ok(Ok(answer)) => answer.into_inner(),
             Ok(Err(status)) if status.code() == tonic::Code::PermissionDenied => {
@@ -108,7 +134,7 @@
                 return Err(Fault::Away(format!("{address}: no answer in time")));
             }
         };
-        let reply: Reply = self.secret.open(Purpose::Reply, answer)?;
+        let reply: Reply = self.secret.open(answered, answer)?;
         if reply.nonce != nonce {
             return Err(Fault::Odd("the answer is to another question".to_owned()));
         }
--- a/crates/channel/src/convert.rs
+++ b/crates/channel/src/convert.rs
@@ -48,9 +48,16 @@
             unread: own.unread.map(|u| wire::Unread { generation: u.generation.0, reason: u.reason }),
             cut_off: wire::CutOff::from(own.cut_off).into(),
             application: application.to_owned(),
+            region: String::new(),
         }
     }
 
+    /// The same question, for the control of this region only.
+    #[must_use]
+    pub fn in_region(self, region: Option<&str>) -> Self {
+        wire::Ask { region: region.unwrap_or_default().to_owned(), ..self }
+    }
+
     /// What the decisions take; `None` if a part is missing or out of its range.
     pub fn read(&self) -> Option<Ask> {
         let cut_off = match self.cut_off() {
--- a/crates/channel/src/seal.rs
+++ b/crates/channel/src/seal.rs
@@ -30,6 +30,10 @@
     ReplicaRequest,
     /// Its answer.
     ReplicaReply,
+    /// A question of one region's leader to another's.
+    RegionRequest,
+    /// Its answer.
+    RegionReply,
 }
 
 impl Purpose {
@@ -39,6 +43,8 @@
             Purpose::Reply => b"badgerramp control reply",
             Purpose::ReplicaRequest => b"badgerramp control replica request",
             Purpose::ReplicaReply => b"badgerramp control replica reply",
+            Purpose::RegionRequest => b"badgerramp control region request",
+            Purpose::RegionReply => b"badgerramp control region reply",
         }
     }
 }
--- a/crates/config/src/policy.rs
+++ b/crates/config/src/policy.rs
@@ -6,9 +6,13 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-const KEYS: [&str; 7] = ["control", "secret", "application", "name", "cut_off", "floor", "state"];
+const KEYS: [&str; 8] = ["control", "secret", "application", "name", "region", "cut_off", "floor", "state"];
 /// Replicas of control at the most.
 const REPLICAS: usize = 5;
+/// Most characters of a region's name.
+const REGION_NAME_LONGEST: usize = 64;
+/// What a region may be called, for people.
+pub const REGION_NAMES: &str = "1 to 64 letters, digits, hyphens and underscores";
 
 /// What `[policy]` says.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -21,6 +25,8 @@
     pub application: String,
     /// The proxy's name; `None`: its machine's.
     pub name: Option<String>,
+    /// The region of its control; `None`: whatever that of `control` is.
+    pub region: Option<String>,
     /// What it does when its lease has run out.
     pub cut_off: CutOff,
     /// The classes whose calls go on where `cut_off` is `narrow`.
@@ -39,6 +45,7 @@
     let secret = section.text(notes, "secret");
     let application = section.text(notes, "application");
     let name = section.text(notes, "name").map(|n| n.value);
+    let region = region(notes, &section);
     let words = [("refuse", CutOff::Refuse), ("narrow", CutOff::Narrow), ("keep", CutOff::Keep)];
     let cut_off = section.word(notes, "cut_off", &words);
     let state = section.text(notes, "state").map(|s| PathBuf::from(s.value));
@@ -62,12 +69,27 @@
         secret: PathBuf::from(secret?.value),
         application: application?.value,
         name,
+        region,
         cut_off: cut_off.map_or(CutOff::Refuse, |c| c.value),
         floor,
         state,
     })
 }
 
+/// May a region of control be called so?
+pub fn is_region_name(name: &str) -> bool {
+    let plain = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
+    (1..=REGION_NAME_LONGEST).contains(&name.len()) && name.chars().all(plain)
+}
+
+fn region(notes: &mut Notes, section: &Section<'_>) -> Option<String> {
+    let wording = ("this is no name of a region", REGION_NAMES);
+    let name = section.read(notes, "region", wording, |value| {
+        value.as_str().filter(|name| is_region_name(name)).map(str::to_owned)
+    });
+    name.map(|set| set.value)
+}
+
 fn addresses(notes: &mut Notes, section: &Section<'_>) -> Option<Vec<SocketAddr>> {
     let list = section.list(notes, "control", "addresses, like \"127.0.0.1:7400\"")?;
     let mut all = Vec::new();
