Policy: record, messages and steps of a change of all regions

Regions with a replica group each need a change that comes into force in all of them or in none. Two-phase commit with presumed abort, whose prepared state is the existing middle under leases: the types of its messages, the commands and what the record refuses, and what coordinator and participant send, log and answer, without I/O or clock. Fields of records and log entries that older versions did not write have defaults. Commands move to a module of their own, and the leader's choice of the next command moves here from control's leader.

--- a/crates/policy/src/leases.rs
+++ b/crates/policy/src/leases.rs
@@ -191,7 +191,7 @@
         let mut record = Record::default();
         for _ in 0..publishes {
             let (revision, floors) = (record.revision(), record.floors());
-            record.apply(&Command::Publish { revision, text: String::new(), floors });
+            record.apply(&Command::Publish { revision, text: String::new(), floors, all_regions: None });
         }
         record
     }
@@ -253,7 +253,7 @@
         record.apply(&Command::Register { identity: keeps.identity.clone(), cut_off: CutOff::Keep });
         assert!(matches!(leases.lend(200, &record, &keeps), Lent::Grant(_)));
         let (revision, floors) = (record.revision(), record.floors());
-        record.apply(&Command::Publish { revision, text: String::new(), floors });
+        record.apply(&Command::Publish { revision, text: String::new(), floors, all_regions: None });
         let why = |l: &Leases| l.blockers(10_000, &record).into_iter().map(|b| b.why).collect::<Vec<_>>();
         assert_eq!(why(&leases), [Why::Keeps]);
         let told = Ask { cut_off: CutOff::Keep, ..ask(2, 2) };
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,21 +6,29 @@
 //! ([`meet`]). Control leaves the middle for the new generation when no proxy can act under an older mode any more: it
 //! has told so, or its lease has run out. So at any time old stands beside middle, or middle beside new, and old never
 //! beside new. `docs/policy-design.md` weighs this against other ways.
+//!
+//! A fleet may have several regions, each with control of its own: [`regions`] says how one change comes into force in all
+//! of them or in none, and `docs/regions-design.md` why so.
 #![forbid(unsafe_code)]
 
+mod command;
 mod holder;
 mod judge;
 mod leases;
 mod meet;
 mod mode;
 mod record;
+pub mod regions;
+mod steps;
 
+pub use command::{Command, Outcome, Refused};
 pub use holder::{Admission, Answered, Ask, Closed, CutOff, Grant, Holder, Terms as HolderTerms, Unread};
 pub use judge::{Begun, Fault, Judge};
 pub use leases::{Blocker, Leases, Lent, Stale, Terms as LeaseTerms, Why};
 pub use meet::{meet, meet_answers, Call, Key, Met, Side, Unlike};
 pub use mode::{Generation, Mode};
-pub use record::{Change, Command, Ended, Outcome, Record, Refused, Standing};
+pub use record::{Change, Ended, Record, Standing};
+pub use steps::{next_command, Limits};
 
 /// Microseconds.
 pub use badgerramp_decisions::Micros;
--- a/crates/policy/src/record.rs
+++ b/crates/policy/src/record.rs
@@ -1,62 +1,19 @@
-//! Control's lasting side: the same on each replica, changed by commands in one agreed order.
+//! What the replicas of a region know for good: the state machine of their replicated log.
 
-use crate::{CutOff, Generation, Identity, Mode};
+use crate::regions::{
+    AllRegions, ChangeId, ChangeRef, CrossRegion, Decision, Participation, Region, Role, Scope,
+    Unacknowledged,
+};
+use crate::{Command, CutOff, Generation, Identity, Mode, Outcome, Refused};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Generations whose text is kept, so that a rollback can go there.
 const KEPT: usize = 16;
-
-/// One step that the replicas agree on. Those that name a revision are for that one only: another step in between
-/// leaves them without effect.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum Command {
-    /// A policy is to come into force.
-    Publish {
-        /// The revision that it was looked at beside.
-        revision: u64,
-        /// Its text.
-        text: String,
-        /// The generations whose floors it was held against.
-        floors: BTreeSet<Generation>,
-    },
-    /// The middle is left for the new generation.
-    Advance {
-        /// The middle.
-        revision: u64,
-    },
-    /// The change comes to nothing.
-    Abort {
-        /// The middle.
-        revision: u64,
-        /// Why, for people.
-        why: String,
-    },
-    /// A proxy that may act without a lease begins.
-    Register {
-        /// Which.
-        identity: Identity,
-        /// What it does then.
-        cut_off: CutOff,
-    },
-    /// Such proxies act under this revision and none older.
-    Acting {
-        /// The revision.
-        revision: u64,
-        /// Which.
-        proxies: BTreeSet<Identity>,
-    },
-    /// A proxy has ended by itself.
-    Retire {
-        /// Which.
-        identity: Identity,
-    },
-    /// An operator answers for it that a proxy runs no more.
-    Evict {
-        /// Which.
-        identity: Identity,
-    },
-}
+/// Changes that are remembered.
+const CHANGES_KEPT: usize = 8 * KEPT;
+/// Why a change ended that the coordinator has given up.
+const GIVEN_UP: &str = "the coordinating region has given it up";
 
 /// A proxy that may act without a lease, and under what at the oldest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -90,31 +47,22 @@
     pub from: Generation,
     /// How it stands.
     pub ended: Ended,
+    /// Identifies it among the regions, if it is a change of all regions.
+    #[serde(default)]
+    pub id: Option<ChangeId>,
 }
 
-/// Why a command had no effect.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum Refused {
-    /// A change is under way.
-    UnderWay(Generation),
-    /// Something else happened in between.
-    Moved,
-    /// This start of the proxy was evicted.
-    Evicted,
-}
-
-/// What a command came to.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum Outcome {
-    /// The change has this number.
-    Begun(Generation),
-    /// Done.
-    Done,
-    /// It had no effect.
-    Refused(Refused),
+impl Change {
+    /// Which regions it is for.
+    pub fn scope(&self) -> Scope {
+        match self.id {
+            Some(_) => Scope::All,
+            None => Scope::Region,
+        }
+    }
 }
 
-/// All that control knows for good.
+/// All that the replicas of a region know for good. What a command does depends on nothing but the commands before it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Record {
     mode: Mode,
@@ -123,6 +71,15 @@
     changes: BTreeMap<Generation, Change>,
     standing: BTreeMap<Identity, Standing>,
     evicted: BTreeSet<Identity>,
+    /// The change of all regions that the middle is for.
+    #[serde(default)]
+    cross_region: Option<CrossRegion>,
+    /// The commit that the coordinator has to remember.
+    #[serde(default)]
+    unacknowledged: Option<Unacknowledged>,
+    /// By coordinator: the last change of all regions in which this region took part.
+    #[serde(default)]
+    participations: BTreeMap<Region, Participation>,
 }
 
 impl Default for Record {
@@ -135,14 +92,37 @@
             changes: BTreeMap::new(),
             standing: BTreeMap::new(),
             evicted: BTreeSet::new(),
+            cross_region: None,
+            unacknowledged: None,
+            participations: BTreeMap::new(),
         }
     }
 }
 
 impl Record {
-    /// What proxies may act under; `None` until there is a policy.
+    /// What proxies may act under; `None` until there is a policy in force.
     pub fn mode(&self) -> Option<Mode> {
-        (self.mode.new > Generation(0)).then_some(self.mode)
+        (self.mode.old > Generation(0)).then_some(self.mode)
+    }
+
+    /// The change under way: also the first one, before which there is no policy.
+    pub fn middle(&self) -> Option<Mode> {
+        self.mode.is_middle().then_some(self.mode)
+    }
+
+    /// The change of all regions under way here, and this region's part in it.
+    pub fn cross_region(&self) -> Option<&CrossRegion> {
+        self.cross_region.as_ref()
+    }
+
+    /// The commit that not all participants have acknowledged to this coordinator.
+    pub fn unacknowledged(&self) -> Option<&Unacknowledged> {
+        self.unacknowledged.as_ref()
+    }
+
+    /// The last change of all regions of a coordinator in which this region took part.
+    pub fn participation(&self, coordinator: &Region) -> Option<&Participation> {
+        self.participations.get(coordinator)
     }
 
     /// The revision now, policy or not.
@@ -176,76 +156,247 @@
         narrow.chain(self.mode().map(|mode| mode.old)).filter(|&g| g > Generation(0)).collect()
     }
 
-    /// Takes a command. What it does depends on nothing but the commands before it.
+    /// Applies a command.
     pub fn apply(&mut self, command: &Command) -> Outcome {
-        match command {
-            Command::Publish { revision, text, floors } => self.publish(*revision, text, floors),
-            Command::Advance { revision } => self.end(*revision, Ended::InForce),
-            Command::Abort { revision, why } => self.end(*revision, Ended::NotInForce { why: why.clone() }),
-            Command::Register { identity, cut_off } => {
-                if self.evicted.contains(identity) {
-                    return Outcome::Refused(Refused::Evicted);
-                }
-                let Mode { revision, old, .. } = self.mode;
-                let standing = Standing { cut_off: *cut_off, revision, floor: old };
-                self.standing.entry(identity.clone()).or_insert(standing);
-                Outcome::Done
-            }
-            Command::Acting { revision, proxies } => {
-                if *revision != self.mode.revision {
-                    return Outcome::Refused(Refused::Moved);
-                }
-                for (_, standing) in self.standing.iter_mut().filter(|(i, _)| proxies.contains(i)) {
-                    (standing.revision, standing.floor) = (*revision, self.mode.old);
-                }
-                self.clear();
-                Outcome::Done
+        let applied = match command {
+            Command::Publish { revision, text, floors, all_regions } => {
+                self.publish(*revision, text, floors, all_regions.as_ref())
             }
-            Command::Retire { identity } => {
-                self.standing.remove(identity);
-                self.clear();
-                Outcome::Done
+            Command::Prepare { revision, change, text, floors } => {
+                self.prepare(*revision, change, text, floors)
             }
+            Command::Vote { revision } => self.vote(*revision),
+            Command::Prepared { revision, region } => self.prepared(*revision, region),
+            Command::Advance { revision } => self.advance(*revision),
+            Command::Abort { revision, why } => self.abort(*revision, why),
+            Command::Committed { id } => self.decided(*id, Ended::InForce),
+            Command::Aborted { id } => self.decided(*id, Ended::NotInForce { why: GIVEN_UP.to_owned() }),
+            Command::Acknowledged { id, region } => self.acknowledged(*id, region),
+            Command::Register { identity, cut_off } => self.register(identity, *cut_off),
+            Command::Acting { revision, proxies } => self.acting(*revision, proxies),
+            Command::Retire { identity } => self.retire(identity),
             Command::Evict { identity } => {
-                self.standing.remove(identity);
                 self.evicted.insert(identity.clone());
-                self.clear();
-                Outcome::Done
+                self.retire(identity)
             }
+        };
+        applied.unwrap_or_else(Outcome::Refused)
+    }
+
+    /// Why nothing new can begin, if it can't.
+    fn under_way(&self) -> Option<Refused> {
+        let generation = self.middle()?.new;
+        Some(match &self.cross_region {
+            None => Refused::UnderWay(generation),
+            Some(cross) => {
+                Refused::AcrossRegions { generation, id: cross.change.id, waits_for: cross.waits_for() }
+            }
+        })
+    }
+
+    /// Why no change of all regions can begin beside [`Record::under_way`], if it can't.
+    fn remembered(&self) -> Option<Refused> {
+        let Unacknowledged { change, regions } = self.unacknowledged.as_ref()?;
+        Some(Refused::AcrossRegions { generation: change.number, id: change.id, waits_for: regions.clone() })
+    }
+
+    fn publish(
+        &mut self,
+        revision: u64,
+        text: &str,
+        floors: &BTreeSet<Generation>,
+        all_regions: Option<&AllRegions>,
+    ) -> Result<Outcome, Refused> {
+        let in_the_way = self.under_way().or_else(|| all_regions.and_then(|_| self.remembered()));
+        if let Some(refused) = in_the_way {
+            return Err(refused);
         }
+        let Some(all) = all_regions else {
+            let number = self.begin(revision, text, floors, None)?;
+            // Before the first policy nothing can begin, so there is nothing to stand between.
+            if self.mode.old == Generation(0) {
+                self.mode = Mode::settled(self.mode.revision, number);
+                self.note(number, Ended::InForce);
+            }
+            return Ok(Outcome::Begun(number));
+        };
+        let number = self.begin(revision, text, floors, Some(all.id))?;
+        let change = ChangeRef { id: all.id, coordinator: all.coordinator.clone(), number };
+        let role = Role::Coordinator { participants: all.participants.clone(), prepared: BTreeSet::new() };
+        self.cross_region = Some(CrossRegion { change, role });
+        Ok(Outcome::Begun(number))
     }
 
-    fn publish(&mut self, revision: u64, text: &str, floors: &BTreeSet<Generation>) -> Outcome {
-        if self.mode.is_middle() {
-            return Outcome::Refused(Refused::UnderWay(self.mode.new));
+    fn prepare(
+        &mut self,
+        revision: u64,
+        change: &ChangeRef,
+        text: &str,
+        floors: &BTreeSet<Generation>,
+    ) -> Result<Outcome, Refused> {
+        if let Some(refused) = self.under_way() {
+            return Err(refused);
         }
+        // A coordinator begins its next change when the one before has ended: a late message must not begin it again.
+        let last = self.participations.get(&change.coordinator).map_or(Generation(0), |p| p.change.number);
+        if change.number <= last {
+            return Err(Refused::Moved);
+        }
+        let number = self.begin(revision, text, floors, Some(change.id))?;
+        let role = Role::Participant { voted: false };
+        self.cross_region = Some(CrossRegion { change: change.clone(), role });
+        let participation = Participation { change: change.clone(), decision: Decision::Open };
+        self.participations.insert(change.coordinator.clone(), participation);
+        Ok(Outcome::Begun(number))
+    }
+
+    /// Begins the middle of a new generation.
+    fn begin(
+        &mut self,
+        revision: u64,
+        text: &str,
+        floors: &BTreeSet<Generation>,
+        id: Option<ChangeId>,
+    ) -> Result<Generation, Refused> {
         if revision != self.mode.revision || !self.floors().is_subset(floors) {
-            return Outcome::Refused(Refused::Moved);
+            return Err(Refused::Moved);
         }
-        let from = self.mode.old;
         self.last = Generation(self.last.0 + 1);
         self.texts.insert(self.last, text.to_owned());
-        // Before the first policy nothing can begin, so there is nothing to stand between.
-        let first = from == Generation(0);
-        let ended = if first { Ended::InForce } else { Ended::Open };
-        let old = if first { self.last } else { from };
-        self.mode = Mode { revision: revision + 1, old, new: self.last };
-        self.changes.insert(self.last, Change { from, ended });
+        self.changes.insert(self.last, Change { from: self.mode.old, ended: Ended::Open, id });
+        self.mode = Mode { revision: revision + 1, old: self.mode.old, new: self.last };
         self.clear();
-        Outcome::Begun(self.last)
+        Ok(self.last)
     }
 
-    fn end(&mut self, revision: u64, ended: Ended) -> Outcome {
-        if revision != self.mode.revision || !self.mode.is_middle() {
-            return Outcome::Refused(Refused::Moved);
+    fn vote(&mut self, revision: u64) -> Result<Outcome, Refused> {
+        let now = self.mode.revision;
+        match self.cross_region.as_mut().map(|cross| &mut cross.role) {
+            Some(Role::Participant { voted }) if revision == now => *voted = true,
+            _ => return Err(Refused::Moved),
         }
-        let Mode { old, new, .. } = self.mode;
-        let settled = if ended == Ended::InForce { new } else { old };
-        if let Some(change) = self.changes.get_mut(&new) {
+        Ok(Outcome::Done)
+    }
+
+    fn prepared(&mut self, revision: u64, region: &Region) -> Result<Outcome, Refused> {
+        let now = self.mode.revision;
+        match self.cross_region.as_mut().map(|cross| &mut cross.role) {
+            Some(Role::Coordinator { participants, prepared })
+                if revision == now && participants.contains(region) =>
+            {
+                prepared.insert(region.clone());
+            }
+            _ => return Err(Refused::Moved),
+        }
+        Ok(Outcome::Done)
+    }
+
+    fn is_middle_of(&self, revision: u64) -> Result<(), Refused> {
+        match self.middle() {
+            Some(middle) if middle.revision == revision => Ok(()),
+            _ => Err(Refused::Moved),
+        }
+    }
+
+    fn advance(&mut self, revision: u64) -> Result<Outcome, Refused> {
+        self.is_middle_of(revision)?;
+        if let Some(CrossRegion { change, role }) = &self.cross_region {
+            match role {
+                Role::Participant { .. } => {
+                    return Err(Refused::AwaitsDecision { coordinator: change.coordinator.clone() })
+                }
+                Role::Coordinator { participants, prepared } if participants != prepared => {
+                    return Err(Refused::NotPrepared {
+                        regions: participants.difference(prepared).cloned().collect(),
+                    })
+                }
+                Role::Coordinator { participants, .. } if !participants.is_empty() => {
+                    let (change, regions) = (change.clone(), participants.clone());
+                    self.unacknowledged = Some(Unacknowledged { change, regions });
+                }
+                Role::Coordinator { .. } => {}
+            }
+        }
+        self.settle(Ended::InForce);
+        Ok(Outcome::Done)
+    }
+
+    fn abort(&mut self, revision: u64, why: &str) -> Result<Outcome, Refused> {
+        self.is_middle_of(revision)?;
+        if let Some(CrossRegion { change, role: Role::Participant { voted: true } }) = &self.cross_region {
+            return Err(Refused::AwaitsDecision { coordinator: change.coordinator.clone() });
+        }
+        self.settle(Ended::NotInForce { why: why.to_owned() });
+        Ok(Outcome::Done)
+    }
+
+    /// Takes in what the coordinator has decided. Only a participant that has voted can find itself committed.
+    fn decided(&mut self, id: ChangeId, ended: Ended) -> Result<Outcome, Refused> {
+        match &self.cross_region {
+            Some(CrossRegion { change, role: Role::Participant { voted } })
+                if change.id == id && (*voted || ended != Ended::InForce) => {}
+            _ => return Err(Refused::Moved),
+        }
+        self.settle(ended);
+        Ok(Outcome::Done)
+    }
+
+    fn acknowledged(&mut self, id: ChangeId, region: &Region) -> Result<Outcome, Refused> {
+        let Some(commit) = self.unacknowledged.as_mut().filter(|commit| commit.change.id == id) else {
+            return Err(Refused::Moved);
+        };
+        commit.regions.remove(region);
+        if commit.regions.is_empty() {
+            self.unacknowledged = None;
+        }
+        Ok(Outcome::Done)
+    }
+
+    /// Leaves the middle.
+    fn settle(&mut self, ended: Ended) {
+        let Mode { revision, old, new } = self.mode;
+        let in_force = ended == Ended::InForce;
+        self.mode = Mode::settled(revision + 1, if in_force { new } else { old });
+        self.note(new, ended);
+        let Some(CrossRegion { change, role: Role::Participant { .. } }) = self.cross_region.take() else {
+            return;
+        };
+        let decision = if in_force { Decision::InForce } else { Decision::NotInForce };
+        let coordinator = change.coordinator.clone();
+        self.participations.insert(coordinator, Participation { change, decision });
+    }
+
+    /// Notes how a change has ended.
+    fn note(&mut self, generation: Generation, ended: Ended) {
+        if let Some(change) = self.changes.get_mut(&generation) {
             change.ended = ended;
         }
-        self.mode = Mode::settled(revision + 1, settled);
-        Outcome::Done
+    }
+
+    fn register(&mut self, identity: &Identity, cut_off: CutOff) -> Result<Outcome, Refused> {
+        if self.evicted.contains(identity) {
+            return Err(Refused::Evicted);
+        }
+        let Mode { revision, old, .. } = self.mode;
+        self.standing.entry(identity.clone()).or_insert(Standing { cut_off, revision, floor: old });
+        Ok(Outcome::Done)
+    }
+
+    fn acting(&mut self, revision: u64, proxies: &BTreeSet<Identity>) -> Result<Outcome, Refused> {
+        if revision != self.mode.revision {
+            return Err(Refused::Moved);
+        }
+        for (_, standing) in self.standing.iter_mut().filter(|(i, _)| proxies.contains(i)) {
+            (standing.revision, standing.floor) = (revision, self.mode.old);
+        }
+        self.clear();
+        Ok(Outcome::Done)
+    }
+
+    fn retire(&mut self, identity: &Identity) -> Result<Outcome, Refused> {
+        self.standing.remove(identity);
+        self.clear();
+        Ok(Outcome::Done)
     }
 
     /// Lets go of what nothing can come back to: a floor that may be acted under keeps its text.
@@ -257,7 +408,7 @@
             let Some(&gone) = self.texts.keys().find(gone) else { break };
             self.texts.remove(&gone);
         }
-        while self.changes.len() > 8 * KEPT {
+        while self.changes.len() > CHANGES_KEPT {
             self.changes.pop_first();
         }
     }
@@ -268,8 +419,12 @@
     use super::*;
 
     fn publish(record: &mut Record) -> Outcome {
-        let command =
-            Command::Publish { revision: record.revision(), text: "t".to_owned(), floors: record.floors() };
+        let command = Command::Publish {
+            revision: record.revision(),
+            text: "t".to_owned(),
+            floors: record.floors(),
+            all_regions: None,
+        };
         record.apply(&command)
     }
 
@@ -312,8 +467,12 @@
         publish(&mut record);
         record.apply(&Command::Advance { revision: 2 });
         assert_eq!(record.floors(), BTreeSet::from([Generation(1), Generation(2)]));
-        let one_floor =
-            Command::Publish { revision: 3, text: String::new(), floors: BTreeSet::from([Generation(2)]) };
+        let one_floor = Command::Publish {
+            revision: 3,
+            text: String::new(),
+            floors: BTreeSet::from([Generation(2)]),
+            all_regions: None,
+        };
         assert_eq!(record.apply(&one_floor), Outcome::Refused(Refused::Moved));
         record.apply(&Command::Acting { revision: 3, proxies: BTreeSet::from([identity("n")]) });
         assert_eq!(record.floors(), BTreeSet::from([Generation(2)]));
--- /dev/null
+++ b/crates/policy/src/regions/participant.rs
@@ -0,0 +1,150 @@
+//! A participant of a change of all regions: what it answers, logs and asks, as its record stands.
+
+use super::{
+    ChangeRef, Commit, CrossRegion, Decision, OutcomeAsked, OutcomeReply, Prepare, Regions, Role, Vote,
+    VoteReply,
+};
+use crate::{Command, Generation, Outcome, Record, Refused};
+use std::collections::BTreeSet;
+
+/// What to do with a [`Prepare`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OnPrepare {
+    /// Answer this.
+    Reply(VoteReply),
+    /// Read the policy and check it against these floors of the own record. If it is good, log the command and answer
+    /// [`begun`] of what became of it; if not, answer [`refused`].
+    Begin {
+        /// The generations whose floors the policy must leave.
+        floors: BTreeSet<Generation>,
+        /// What to log.
+        command: Command,
+    },
+}
+
+/// What to do with a [`Commit`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OnCommit {
+    /// Answer this.
+    Reply(VoteReply),
+    /// Log this, and then answer [`standing`].
+    Log(Command),
+}
+
+/// A [`Prepare`] has come in.
+pub fn on_prepare(record: &Record, regions: &Regions, prepare: &Prepare) -> OnPrepare {
+    let change = &prepare.change;
+    if let Some(vote) = known(record, change) {
+        return OnPrepare::Reply(reply(change, vote));
+    }
+    if awaits_older(record, change) {
+        return OnPrepare::Reply(reply(change, Vote::Preparing));
+    }
+    if let Some(why) = not_taken(record, regions, change) {
+        return OnPrepare::Reply(refused(change, why));
+    }
+    let floors = record.floors();
+    let command = Command::Prepare {
+        revision: record.revision(),
+        change: change.clone(),
+        text: prepare.text.clone(),
+        floors: floors.clone(),
+    };
+    OnPrepare::Begin { floors, command }
+}
+
+/// Is this region still in the middle of an older change of the same coordinator? That one has ended, and the answer to
+/// the next [`inquiry`] makes room for the new one.
+fn awaits_older(record: &Record, change: &ChangeRef) -> bool {
+    record.cross_region().is_some_and(|cross| {
+        cross.change.coordinator == change.coordinator && cross.change.number < change.number
+    })
+}
+
+/// Why a change that is not known here is not taken in, if it isn't.
+fn not_taken(record: &Record, regions: &Regions, change: &ChangeRef) -> Option<String> {
+    let (own, coordinator) = (regions.own(), regions.coordinator());
+    if &change.coordinator != coordinator || coordinator == own {
+        let found = &change.coordinator;
+        return Some(format!("it comes from region {found}; for region {own} {coordinator} coordinates"));
+    }
+    let middle = record.middle()?;
+    Some(format!("the change to {} is under way there", middle.new))
+}
+
+/// The answer to a [`Prepare`] whose [`OnPrepare::Begin`] was logged and came to this.
+pub fn begun(change: &ChangeRef, outcome: &Outcome) -> VoteReply {
+    match outcome {
+        Outcome::Begun(_) | Outcome::Done => reply(change, Vote::Preparing),
+        Outcome::Refused(Refused::UnderWay(generation)) => {
+            refused(change, format!("the change to {generation} is under way there"))
+        }
+        // Another message may have been faster; the next one finds out.
+        Outcome::Refused(_) => reply(change, Vote::Preparing),
+    }
+}
+
+/// The answer to a [`Prepare`] whose policy can't come here.
+pub fn refused(change: &ChangeRef, why: String) -> VoteReply {
+    reply(change, Vote::Refused { why })
+}
+
+/// A [`Commit`] has come in.
+pub fn on_commit(record: &Record, commit: &Commit) -> OnCommit {
+    match known(record, &commit.change) {
+        Some(Vote::Prepared) => OnCommit::Log(Command::Committed { id: commit.change.id }),
+        _ => OnCommit::Reply(standing(record, &commit.change)),
+    }
+}
+
+/// How a change stands here.
+pub fn standing(record: &Record, change: &ChangeRef) -> VoteReply {
+    let unknown = || Vote::Refused { why: "it is not known there".to_owned() };
+    reply(change, known(record, change).unwrap_or_else(unknown))
+}
+
+/// The question for the outcome, to be sent again and again to the coordinator while a change of all regions is under
+/// way here.
+pub fn inquiry(record: &Record, regions: &Regions) -> Option<(super::Region, OutcomeAsked)> {
+    let CrossRegion { change, role: Role::Participant { .. } } = record.cross_region()? else { return None };
+    let asked = OutcomeAsked { id: change.id, region: regions.own().clone() };
+    Some((change.coordinator.clone(), asked))
+}
+
+/// What to log when the coordinator has answered. `None`: nothing.
+pub fn on_outcome(record: &Record, reply: &OutcomeReply) -> Option<Command> {
+    let CrossRegion { change, role: Role::Participant { voted } } = record.cross_region()? else {
+        return None;
+    };
+    let id = change.id;
+    match reply.decision {
+        _ if id != reply.id => None,
+        Decision::Open => None,
+        // Nothing is committed without this region's vote.
+        Decision::InForce => voted.then_some(Command::Committed { id }),
+        Decision::NotInForce => Some(Command::Aborted { id }),
+    }
+}
+
+fn reply(change: &ChangeRef, vote: Vote) -> VoteReply {
+    VoteReply { id: change.id, vote }
+}
+
+/// How a change stands here, if it was ever taken in or a later one of its coordinator was.
+fn known(record: &Record, change: &ChangeRef) -> Option<Vote> {
+    let last = record.participation(&change.coordinator)?;
+    if last.change.id == change.id {
+        return Some(match last.decision {
+            Decision::Open if voted(record) => Vote::Prepared,
+            Decision::Open => Vote::Preparing,
+            Decision::InForce => Vote::InForce,
+            Decision::NotInForce => Vote::NotInForce,
+        });
+    }
+    // The coordinator has begun a later change, so this one has ended, and nobody waits for this answer any more.
+    (change.number <= last.change.number).then_some(Vote::NotInForce)
+}
+
+fn voted(record: &Record) -> bool {
+    matches!(record.cross_region(), Some(CrossRegion { role: Role::Participant { voted: true }, .. }))
+}
--- a/crates/policy/tests/exhaustive.rs
+++ b/crates/policy/tests/exhaustive.rs
@@ -134,7 +134,7 @@
     fn first(&self) -> State {
         let mut record = Record::default();
         let floors = BTreeSet::new();
-        record.apply(&Command::Publish { revision: 0, text: String::new(), floors });
+        record.apply(&Command::Publish { revision: 0, text: String::new(), floors, all_regions: None });
         for (place, &cut_off) in self.proxies.iter().enumerate() {
             if cut_off != CutOff::Refuse {
                 record.apply(&Command::Register { identity: identity(place, 1), cut_off });
@@ -257,7 +257,12 @@
             state.before = Some(state.record.clone());
         }
         let (revision, floors) = (state.record.revision(), state.record.floors());
-        let published = state.record.apply(&Command::Publish { revision, text: String::new(), floors });
+        let published = state.record.apply(&Command::Publish {
+            revision,
+            text: String::new(),
+            floors,
+            all_regions: None,
+        });
         if self.is(Mutant::NoMiddle) && matches!(published, Outcome::Begun(_)) {
             self.advance(state);
         }
