--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod command;
 mod holder;
+mod identity;
 mod judge;
 mod leases;
 mod meet;
@@ -23,6 +24,7 @@
 
 pub use command::{Command, Outcome, Refused};
 pub use holder::{Admission, Answered, Ask, Closed, CutOff, Grant, Holder, Terms as HolderTerms, Unread};
+pub use identity::Identity;
 pub use judge::{Begun, Fault, Judge};
 pub use leases::{Blocker, Leases, Lent, Stale, Terms as LeaseTerms, Why};
 pub use meet::{meet, meet_answers, Call, Key, Met, Side, Unlike};
@@ -32,18 +34,3 @@
 
 /// Microseconds.
 pub use badgerramp_decisions::Micros;
-
-/// Who a proxy is: its name in the operator's file, and a number that is new at each start of the program.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize)]
-pub struct Identity {
-    /// Its name.
-    pub name: String,
-    /// This start of it. Two processes of one name are two proxies.
-    pub incarnation: u64,
-}
-
-impl std::fmt::Display for Identity {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{} ({:016x})", self.name, self.incarnation)
-    }
-}
--- a/crates/policy/src/record.rs
+++ b/crates/policy/src/record.rs
@@ -1,5 +1,6 @@
 //! What the replicas of a region know for good: the state machine of their replicated log.
 
+use crate::identity::as_key;
 use crate::regions::{
     AllRegions, ChangeId, ChangeRef, CrossRegion, Decision, Participation, Region, Role, Scope,
     Unacknowledged,
@@ -69,6 +70,7 @@
     last: Generation,
     texts: BTreeMap<Generation, String>,
     changes: BTreeMap<Generation, Change>,
+    #[serde(with = "as_key")]
     standing: BTreeMap<Identity, Standing>,
     evicted: BTreeSet<Identity>,
     /// The change of all regions that the middle is for.
