--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -46,6 +46,7 @@
             drift: Duration::from_millis(21),
             wait: Duration::from_secs(60),
             election: Duration::from_millis(500),
+            regions: None,
         };
         std::thread::spawn(move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
--- a/crates/channel/src/convert.rs
+++ b/crates/channel/src/convert.rs
@@ -1,6 +1,7 @@
 //! Between what travels and what the decisions know.
 
 use crate::wire;
+use badgerramp_policy::regions::Region;
 use badgerramp_policy::{Ask, CutOff, Generation, Grant, Identity, Mode, Unread};
 
 impl From<Identity> for wire::Identity {
@@ -54,8 +55,8 @@
 
     /// The same question, for the control of this region only.
     #[must_use]
-    pub fn in_region(self, region: Option<&str>) -> Self {
-        wire::Ask { region: region.unwrap_or_default().to_owned(), ..self }
+    pub fn in_region(self, region: Option<&Region>) -> Self {
+        wire::Ask { region: region.map(Region::to_string).unwrap_or_default(), ..self }
     }
 
     /// What the decisions take; `None` if a part is missing or out of its range.
--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -5,6 +5,7 @@
 mod client;
 pub mod clock;
 mod convert;
+pub mod regions;
 mod seal;
 
 pub use client::{Client, Fault, News};
--- a/crates/config-tool/src/fleet.rs
+++ b/crates/config-tool/src/fleet.rs
@@ -14,6 +14,9 @@
 /// One question is given up after this.
 const QUESTION: Duration = Duration::from_secs(2);
 
+/// How a change stands that has not ended.
+const UNDER_WAY: &str = "under way";
+
 /// Where control is.
 #[derive(Debug, clap::Args)]
 pub struct At {
@@ -28,6 +31,16 @@
     pub timeout: u64,
 }
 
+/// Which regions a change is for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, clap::ValueEnum)]
+pub enum Scope {
+    /// The region of the control that is asked; all proxies, where control has no regions.
+    #[default]
+    Region,
+    /// All regions: in force in each of them, or in none.
+    All,
+}
+
 /// How a change ended, as far as is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -43,8 +56,11 @@
 /// One that holds a change up.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Held {
-    /// Which proxy; `None`: any.
+    /// Which proxy; `None`: any, or a region.
     pub proxy: Option<String>,
+    /// Which region, if it is no proxy.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub region: Option<String>,
     /// Why.
     pub why: String,
     /// For how long at the most, in milliseconds; `None`: until it is heard of, evicted, or the change given up.
@@ -90,6 +106,46 @@
     pub outcome: &'static str,
     /// Why not.
     pub why: String,
+    /// Identifies it, if it is a change of all regions.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub all_regions: Option<String>,
+}
+
+/// The region of the control that was asked.
+#[derive(Clone, Debug, Serialize)]
+pub struct RegionStanding {
+    /// Its name.
+    pub name: String,
+    /// The region that coordinates changes of all regions.
+    pub coordinator: String,
+    /// The change of all regions under way, or in force and not acknowledged by all regions.
+    pub change: Option<AllRegionsChange>,
+}
+
+/// A change of all regions, as one of them knows it.
+#[derive(Clone, Debug, Serialize)]
+pub struct AllRegionsChange {
+    /// Identifies it; the same in all regions.
+    pub id: String,
+    /// Its generation in the region that was asked.
+    pub generation: u64,
+    /// The region that coordinates it.
+    pub coordinator: String,
+    /// The region that was asked has voted, and only the coordinator can end it.
+    pub voted: bool,
+    /// The other regions, where the region that was asked coordinates.
+    pub participants: Vec<Participant>,
+}
+
+/// Another region in a change of all regions.
+#[derive(Clone, Debug, Serialize)]
+pub struct Participant {
+    /// Its name.
+    pub region: String,
+    /// It has voted that it is prepared.
+    pub prepared: bool,
+    /// It has taken the commit into its log.
+    pub acknowledged: bool,
 }
 
 /// How the fleet stands.
@@ -109,11 +165,77 @@
     pub proxies: Vec<Proxy>,
     /// Changes, the oldest first.
     pub changes: Vec<Change>,
+    /// The region; `None`: control has no regions.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub region: Option<RegionStanding>,
+}
+
+/// An identifier of a change of all regions, as operators see it.
+fn change_id(id: u64) -> String {
+    format!("{id:016x}")
+}
+
+impl From<&wire::RegionStatus> for RegionStanding {
+    fn from(told: &wire::RegionStatus) -> Self {
+        let (name, coordinator) = (told.name.clone(), told.coordinator.clone());
+        RegionStanding { name, coordinator, change: told.change.as_ref().map(AllRegionsChange::from) }
+    }
+}
+
+impl From<&wire::CrossRegion> for AllRegionsChange {
+    fn from(told: &wire::CrossRegion) -> Self {
+        let participant = |p: &wire::ParticipantStatus| Participant {
+            region: p.region.clone(),
+            prepared: p.prepared,
+            acknowledged: p.acknowledged,
+        };
+        AllRegionsChange {
+            id: change_id(told.id),
+            generation: told.generation,
+            coordinator: told.coordinator.clone(),
+            voted: told.voted,
+            participants: told.participants.iter().map(participant).collect(),
+        }
+    }
+}
+
+impl RegionStanding {
+    /// As text.
+    fn human(&self) -> String {
+        let mut text = format!("region {}, coordinator {}\n", self.name, self.coordinator);
+        let Some(change) = &self.change else { return text };
+        let AllRegionsChange { id, generation, coordinator, .. } = change;
+        let _ = writeln!(text, "change of all regions {id}: generation {generation} here");
+        match (coordinator == &self.name, change.voted) {
+            (true, _) => change.participants.iter().for_each(|p| {
+                let _ = writeln!(text, "  region {}: {}", p.region, p.step());
+            }),
+            (false, true) => {
+                let _ = writeln!(text, "  this region has voted; region {coordinator} decides");
+            }
+            (false, false) => {
+                let _ = writeln!(text, "  this region is not prepared yet; region {coordinator} coordinates");
+            }
+        }
+        text
+    }
+}
+
+impl Participant {
+    /// How far it is.
+    fn step(&self) -> &'static str {
+        match (self.prepared, self.acknowledged) {
+            (false, _) => "not prepared yet",
+            (true, false) => "prepared",
+            (true, true) => "has acknowledged",
+        }
+    }
 }
 
 fn held(blockers: &[wire::Blocker]) -> Vec<Held> {
     let one = |b: &wire::Blocker| Held {
         proxy: b.identity.as_ref().map(|i| format!("{} ({:016x})", i.name, i.incarnation)),
+        region: Some(b.region.clone()).filter(|region| !region.is_empty()),
         why: b.why.clone(),
         left_ms: (b.left > 0).then_some(b.left / 1_000),
     };
@@ -136,9 +258,10 @@
             let outcome = match c.ended() {
                 Ended::InForce => "in force",
                 Ended::NotInForce => "not in force",
-                Ended::Open | Ended::Unspecified => "under way",
+                Ended::Open | Ended::Unspecified => UNDER_WAY,
             };
-            Change { generation: c.generation, from: c.from, outcome, why: c.why.clone() }
+            let all_regions = (c.all_regions != 0).then(|| change_id(c.all_regions));
+            Change { generation: c.generation, from: c.from, outcome, why: c.why.clone(), all_regions }
         };
         let mode = status.mode;
         Standing {
@@ -149,6 +272,7 @@
             held_up: held(&status.blockers),
             proxies: status.proxies.iter().map(proxy).collect(),
             changes: status.changes.iter().map(change).collect(),
+            region: status.region.as_ref().map(RegionStanding::from),
         }
     }
 
@@ -162,6 +286,7 @@
             }
         };
         let _ = writeln!(text, "leader {}, revision {}", self.leader, self.revision);
+        text.extend(self.region.as_ref().map(RegionStanding::human));
         for held in &self.held_up {
             let _ = writeln!(text, "held up by {}", held.human());
         }
@@ -185,6 +310,9 @@
         for change in &self.changes {
             let _ =
                 write!(text, "generation {}, after {}: {}", change.generation, change.from, change.outcome);
+            if let Some(id) = &change.all_regions {
+                let _ = write!(text, " (all regions, {id})");
+            }
             let _ = match change.why.is_empty() {
                 true => writeln!(text),
                 false => writeln!(text, ": {}", change.why),
@@ -197,7 +325,8 @@
 impl Held {
     /// As text.
     pub fn human(&self) -> String {
-        let who = self.proxy.as_deref().unwrap_or("any proxy");
+        let region = self.region.as_ref().map(|region| format!("region {region}"));
+        let who = region.or_else(|| self.proxy.clone()).unwrap_or_else(|| "any proxy".to_owned());
         match self.left_ms {
             Some(left) => format!("{who}: {} (at most {left} ms more)", self.why),
             None => format!("{who}: {}", self.why),
@@ -208,6 +337,7 @@
 /// The way to control.
 pub struct Control {
     client: Client,
+    secret: Secret,
     time: Duration,
 }
 
@@ -220,8 +350,8 @@
     /// If the secret is none.
     pub fn new(at: &At) -> Result<Self, String> {
         let secret = Secret::read(&at.secret).map_err(|e| format!("{}: {e}", at.secret.display()))?;
-        let client = Client::new(at.control.clone(), secret, QUESTION);
-        Ok(Control { client, time: Duration::from_secs(at.timeout) })
+        let client = Client::new(at.control.clone(), secret.clone(), QUESTION);
+        Ok(Control { client, secret, time: Duration::from_secs(at.timeout) })
     }
 
     async fn asked(&mut self, what: request::What) -> Result<reply::What, Fault> {
@@ -243,6 +373,28 @@
         Ok(Standing::of(&self.raw_status().await?))
     }
 
+    /// From now on asks the region that coordinates changes of all regions. Tells its name.
+    ///
+    /// # Errors
+    /// If control can't be asked, or has no regions.
+    pub async fn go_to_coordinator(&mut self) -> Result<String, String> {
+        let status = self.raw_status().await.map_err(|e| e.to_string())?;
+        let region = status.region.ok_or("control has no regions: the scope can only be \"region\"")?;
+        if !region.coordinator_replicas.is_empty() {
+            self.go_to(&region.coordinator_replicas)?;
+        }
+        Ok(region.coordinator)
+    }
+
+    /// From now on asks these replicas.
+    fn go_to(&mut self, replicas: &[String]) -> Result<(), String> {
+        let address =
+            |text: &String| text.parse().map_err(|_| format!("{text:?} is no address of a replica"));
+        let replicas: Vec<SocketAddr> = replicas.iter().map(address).collect::<Result<_, String>>()?;
+        self.client = Client::new(replicas, self.secret.clone(), QUESTION);
+        Ok(())
+    }
+
     /// The files of a generation by application.
     ///
     /// # Errors
@@ -285,15 +437,29 @@
     /// If control can't be asked, or there is none.
     pub async fn abort(&mut self, why: &str) -> Result<u64, String> {
         let standing = self.standing().await.map_err(|e| e.to_string())?;
-        let generation = standing.to_come.ok_or("no change is under way")?;
+        // Before the first policy is in force, a change of all regions shows among the changes alone.
+        let open = || standing.changes.iter().find(|c| c.outcome == UNDER_WAY).map(|c| c.generation);
+        let generation = standing.to_come.or_else(open).ok_or("no change is under way")?;
         let abort = wire::Abort { generation, why: why.to_owned() };
         self.asked(request::What::Abort(abort)).await.map_err(|e| e.to_string())?;
         Ok(generation)
     }
 
-    /// Publishes files, beside what stands at `revision`, and follows the change to its end. `told` hears of each who
-    /// holds it up.
-    pub async fn publish(&mut self, files: &Files, revision: u64, mut told: impl FnMut(&[Held])) -> Done {
+    /// Publishes files for the region that is asked, beside what stands at `revision`, and follows the change to its end.
+    /// `told` hears of each who holds it up.
+    pub async fn publish(&mut self, files: &Files, revision: u64, told: impl FnMut(&[Held])) -> Done {
+        self.publish_for(Scope::Region, files, revision, told).await
+    }
+
+    /// As [`Control::publish`], for these regions. One of all regions has to go to the coordinator
+    /// ([`Control::go_to_coordinator`]); `revision` is the one there.
+    pub async fn publish_for(
+        &mut self,
+        scope: Scope,
+        files: &Files,
+        revision: u64,
+        mut told: impl FnMut(&[Held]),
+    ) -> Done {
         let begun = Instant::now();
         let end = begun + self.time;
         let took = || u64::try_from(begun.elapsed().as_millis()).unwrap_or(u64::MAX);
@@ -304,7 +470,11 @@
             held_up: Vec::new(),
             took_ms: 0,
         };
-        let what = request::What::Publish(wire::Publish { files: files.clone(), revision });
+        let policy = wire::Publish { files: files.clone(), revision };
+        let what = match scope {
+            Scope::Region => request::What::Publish(policy),
+            Scope::All => request::What::PublishAll(policy),
+        };
         // Asked again it changes nothing more: it names the revision that it stands beside.
         let mut lost = false;
         loop {
@@ -365,7 +535,8 @@
                     break;
                 }
                 done.held_up = held(&status.blockers);
-                let names: Vec<_> = done.held_up.iter().map(|h| (h.proxy.clone(), h.why.clone())).collect();
+                let name = |h: &Held| (h.proxy.clone(), h.region.clone(), h.why.clone());
+                let names: Vec<_> = done.held_up.iter().map(name).collect();
                 if names != last {
                     told(&done.held_up);
                     last = names;
--- a/crates/config-tool/src/main.rs
+++ b/crates/config-tool/src/main.rs
@@ -3,7 +3,7 @@
 
 use badgerramp_config_tool::commands::{self, Plan};
 use badgerramp_config_tool::finding::Report;
-use badgerramp_config_tool::fleet::{self, At, Control, Outcome};
+use badgerramp_config_tool::fleet::{self, At, Control, Outcome, Scope};
 use badgerramp_config_tool::{explain, STARTING};
 use clap::{Parser, Subcommand, ValueEnum};
 use std::path::{Path, PathBuf};
@@ -84,6 +84,10 @@
     Publish {
         /// The folder: a file NAME.toml for each application.
         folder: PathBuf,
+        /// Which regions it is for. With all, any region's control may be named: the change goes to the one that
+        /// coordinates.
+        #[arg(long, value_enum, default_value_t)]
+        scope: Scope,
         #[command(flatten)]
         at: At,
     },
@@ -101,6 +105,9 @@
     Rollback {
         /// Its number.
         generation: u64,
+        /// Which regions it is for; with all, the number is the coordinator's.
+        #[arg(long, value_enum, default_value_t)]
+        scope: Scope,
         #[command(flatten)]
         at: At,
     },
@@ -136,10 +143,10 @@
         Command::Explain { file, request, header, client, class } => {
             explain(&file, request, (&header, client), class, format)
         }
-        Command::Publish { folder, at } => publish(&folder, &at, format),
+        Command::Publish { folder, scope, at } => publish(&folder, scope, &at, format),
         Command::Status { at } => standing(&at, format, fleet::Standing::human),
         Command::History { at } => standing(&at, format, fleet::Standing::history),
-        Command::Rollback { generation, at } => rollback(generation, &at, format),
+        Command::Rollback { generation, scope, at } => rollback(generation, scope, &at, format),
         Command::Abort { why, at } => with_control(&at, async |control| {
             let generation = control.abort(&why).await?;
             println!("the change to generation {generation} comes to nothing");
@@ -174,7 +181,7 @@
     })
 }
 
-fn publish(folder: &Path, at: &At, format: Format) -> ExitCode {
+fn publish(folder: &Path, scope: Scope, at: &At, format: Format) -> ExitCode {
     let paths = match fleet::to_check(folder) {
         Ok(paths) => paths,
         Err(fault) => return failed(fault),
@@ -187,19 +194,35 @@
         Ok(files) => files,
         Err(fault) => return failed(fault),
     };
-    with_control(at, async |control| follow(control, files, format).await)
+    with_control(at, async |control| {
+        go_where(control, scope, format).await?;
+        follow(control, scope, files, format).await
+    })
 }
 
-fn rollback(generation: u64, at: &At, format: Format) -> ExitCode {
+fn rollback(generation: u64, scope: Scope, at: &At, format: Format) -> ExitCode {
     with_control(at, async |control| {
+        go_where(control, scope, format).await?;
         let files = control.files(generation).await.map_err(|e| e.to_string())?;
-        follow(control, files, format).await
+        follow(control, scope, files, format).await
     })
 }
 
+/// Goes where a change of this scope is published.
+async fn go_where(control: &mut Control, scope: Scope, format: Format) -> Result<(), String> {
+    if scope == Scope::All {
+        let coordinator = control.go_to_coordinator().await?;
+        if format == Format::Human {
+            println!("a change of all regions, by region {coordinator}");
+        }
+    }
+    Ok(())
+}
+
 /// Shows the difference to what is in force, publishes, and follows the change to its end.
 async fn follow(
     control: &mut Control,
+    scope: Scope,
     files: std::collections::HashMap<String, String>,
     format: Format,
 ) -> Result<ExitCode, String> {
@@ -210,7 +233,7 @@
         print!("{}", fleet::difference(&old, &files));
     }
     let done = control
-        .publish(&files, standing.revision, |held| {
+        .publish_for(scope, &files, standing.revision, |held| {
             held.iter().filter(|_| human).for_each(|h| println!("held up by {}", h.human()));
         })
         .await;
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -29,7 +29,7 @@
 pub use log::{Format, Level, Log};
 pub use peers::PeersTerms;
 pub use platform::narrow;
-pub use policy::{is_region_name, PolicyTerms, REGION_NAMES};
+pub use policy::PolicyTerms;
 pub use subset::{ListTerms, SubsetTerms};
 
 use std::path::Path;
--- a/crates/config/src/policy.rs
+++ b/crates/config/src/policy.rs
@@ -1,18 +1,17 @@
 //! `[policy]`: where the policy of the fleet is controlled, who this proxy is to control, and what it does when it is
 //! cut off from it.
 
+use badgerramp_policy::regions::Region;
 use badgerramp_policy::CutOff;
 use badgerramp_reading::{show, Notes, Section};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
 const KEYS: [&str; 8] = ["control", "secret", "application", "name", "region", "cut_off", "floor", "state"];
+/// What a region may be called, for people. [`Region`] decides.
+const REGION_NAMES: &str = "1 to 63 of a-z, 0-9, '-' and '_', the first one a letter";
 /// Replicas of control at the most.
 const REPLICAS: usize = 5;
-/// Most characters of a region's name.
-const REGION_NAME_LONGEST: usize = 64;
-/// What a region may be called, for people.
-pub const REGION_NAMES: &str = "1 to 64 letters, digits, hyphens and underscores";
 
 /// What `[policy]` says.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,7 +25,7 @@
     /// The proxy's name; `None`: its machine's.
     pub name: Option<String>,
     /// The region of its control; `None`: whatever that of `control` is.
-    pub region: Option<String>,
+    pub region: Option<Region>,
     /// What it does when its lease has run out.
     pub cut_off: CutOff,
     /// The classes whose calls go on where `cut_off` is `narrow`.
@@ -76,17 +75,9 @@
     })
 }
 
-/// May a region of control be called so?
-pub fn is_region_name(name: &str) -> bool {
-    let plain = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
-    (1..=REGION_NAME_LONGEST).contains(&name.len()) && name.chars().all(plain)
-}
-
-fn region(notes: &mut Notes, section: &Section<'_>) -> Option<String> {
+fn region(notes: &mut Notes, section: &Section<'_>) -> Option<Region> {
     let wording = ("this is no name of a region", REGION_NAMES);
-    let name = section.read(notes, "region", wording, |value| {
-        value.as_str().filter(|name| is_region_name(name)).map(str::to_owned)
-    });
+    let name = section.read(notes, "region", wording, |value| value.as_str().and_then(|n| n.parse().ok()));
     name.map(|set| set.value)
 }
 
--- a/crates/config/tests/policy.rs
+++ b/crates/config/tests/policy.rs
@@ -12,26 +12,30 @@
     parse("proxy.toml", &text)
 }
 
+fn region_of(config: Config) -> Option<String> {
+    config.policy.expect("a policy").region.map(String::from)
+}
+
 fn region(policy: &str) -> Option<String> {
-    file(policy).unwrap_or_else(|mistakes| panic!("{mistakes}")).policy.expect("a policy").region
+    region_of(file(policy).unwrap_or_else(|mistakes| panic!("{mistakes}")))
 }
 
 #[test]
 fn a_region_is_named_or_left_out() {
     assert_eq!(region(""), None);
     assert_eq!(region("region = \"norte\"\n").as_deref(), Some("norte"));
-    let longest = "r".repeat(64);
+    let longest = "r".repeat(63);
     assert_eq!(region(&format!("region = \"{longest}\"\n")), Some(longest));
 }
 
 #[test]
 fn a_bad_region_is_refused_with_file_line_key_what_was_found_and_what_is_allowed() {
-    let too_long = format!("\"{}\"", "r".repeat(65));
-    for found in ["\"\"", "\"el norte\"", "7", "\"nörte\"", &too_long] {
+    let too_long = format!("\"{}\"", "r".repeat(64));
+    for found in ["\"\"", "\"el norte\"", "7", "\"nörte\"", "\"Norte\"", "\"1sur\"", &too_long] {
         let mistakes = file(&format!("region = {found}\n")).expect_err(found);
         assert_eq!(mistakes.count(), 1, "{mistakes}");
         let told = mistakes.line();
-        let allowed = "allowed: 1 to 64 letters, digits, hyphens and underscores";
+        let allowed = "allowed: 1 to 63 of a-z, 0-9, '-' and '_', the first one a letter";
         let place = "proxy.toml:12:10: policy.region: this is no name of a region";
         assert!(told.starts_with(place) && told.contains(found) && told.contains(allowed), "{told}");
     }
@@ -41,5 +45,5 @@
 fn the_region_is_the_machines_own_and_not_the_policys() {
     let local = file("region = \"sur\"\n").expect("good");
     let published = file("region = \"norte\"\n").expect("good");
-    assert_eq!(published.beside(&local).policy.expect("a policy").region.as_deref(), Some("sur"));
+    assert_eq!(region_of(published.beside(&local)).as_deref(), Some("sur"));
 }
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -1,13 +1,18 @@
 //! What the leader does: lends modes, and takes a change from step to step.
 
+use crate::progress::{self, Before};
+use crate::removed;
+use crate::settings::Settings;
 use crate::store::{Id, Store, Types};
 use badgerramp_channel::clock;
+use badgerramp_policy::regions::Region;
 use badgerramp_policy::{
-    Ask, Blocker, Command, Generation, Identity, LeaseTerms, Leases, Lent, Micros, Mode, Outcome,
+    next_command, Ask, Blocker, Command, Generation, Identity, LeaseTerms, Leases, Lent, Limits, Micros,
+    Mode, Outcome, Record,
 };
 use openraft::error::{CheckIsLeaderError, ClientWriteError, RaftError};
 use openraft::{BasicNode, Raft, ServerState};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, Notify};
@@ -30,7 +35,7 @@
 struct Held {
     term: u64,
     leases: Leases,
-    /// Since when the change under way is known here, by revision.
+    /// The present revision, and when this leader first saw it.
     since: Option<(u64, Micros)>,
 }
 
@@ -44,13 +49,19 @@
     raft: Raft<Types>,
     store: Store,
     terms: LeaseTerms,
-    wait: Micros,
+    limits: Limits,
+    /// The other regions.
+    others: BTreeSet<Region>,
     held: Mutex<Option<Held>>,
     questions: mpsc::Sender<Question>,
     /// Something has happened that may take the change on.
     pub stir: Notify,
 }
 
+fn micros(time: Duration) -> Micros {
+    Micros::try_from(time.as_micros()).unwrap_or(Micros::MAX)
+}
+
 fn forward<E>(fault: &RaftError<Id, E>, named: impl Fn(&E) -> Option<&BasicNode>) -> NotLeader
 where
     E: std::error::Error,
@@ -64,19 +75,19 @@
 
 impl Leader {
     /// The part of this replica. [`Leader::run`] must run beside it.
-    pub fn new(
-        raft: Raft<Types>,
-        store: Store,
-        (lease, drift, wait): (Duration, Duration, Duration),
-    ) -> (Self, Questions) {
-        let micros = |d: Duration| u64::try_from(d.as_micros()).unwrap_or(u64::MAX);
+    pub fn new(raft: Raft<Types>, store: Store, settings: &Settings) -> (Self, Questions) {
         let (questions, asked) = mpsc::channel(4 * TOGETHER);
-        let terms = LeaseTerms { lease: micros(lease), drift: micros(drift) };
+        let terms = LeaseTerms { lease: micros(settings.lease), drift: micros(settings.drift) };
+        let others = settings.regions.as_ref().map(|regions| regions.regions.others().clone());
+        let others = others.unwrap_or_default();
+        let regions_wait = settings.regions.as_ref().map_or(settings.wait, |regions| regions.wait);
+        let limits = Limits { wait: micros(settings.wait), regions_wait: micros(regions_wait) };
         let leader = Leader {
             raft,
             store,
             terms,
-            wait: micros(wait),
+            limits,
+            others,
             held: Mutex::default(),
             questions,
             stir: Notify::new(),
@@ -106,6 +117,11 @@
         held.is_some()
     }
 
+    /// Does this replica lead, as far as it knows?
+    pub fn leads(&self) -> bool {
+        self.term().is_some()
+    }
+
     /// Still the leader, with all that was agreed on before this was asked?
     pub async fn confirmed(&self) -> Result<(), NotLeader> {
         self.raft.ensure_linearizable().await.map(|_| ()).map_err(|fault| {
@@ -118,13 +134,19 @@
 
     /// Has the replicas agree on a command.
     pub async fn agree(&self, command: Command) -> Result<Outcome, NotLeader> {
-        let written = self.raft.client_write(command).await;
+        let before = self.store.with(Before::of);
+        let written = self.raft.client_write(command.clone()).await;
         let outcome = written.map(|w| w.data).map_err(|fault| {
             forward(&fault, |e| match e {
                 ClientWriteError::ForwardToLeader(forward) => forward.leader_node.as_ref(),
                 ClientWriteError::ChangeMembershipError(_) => None,
             })
         });
+        if let Ok(outcome) = &outcome {
+            if let Some(line) = self.store.with(|after| progress::line(&before, &command, outcome, after)) {
+                info!("{line}");
+            }
+        }
         self.stir.notify_one();
         outcome
     }
@@ -192,10 +214,9 @@
         let mut held = self.held();
         self.lead(&mut held);
         let Some(held) = held.as_ref() else { return Default::default() };
-        let middle = self.store.with(|r| r.mode().is_some_and(Mode::is_middle));
-        let blockers = |r: &badgerramp_policy::Record| match middle {
-            true => held.leases.blockers(clock::now(), r),
-            false => Vec::new(),
+        let blockers = |record: &Record| match record.middle() {
+            Some(_) => held.leases.blockers(clock::now(), record),
+            None => Vec::new(),
         };
         let sessions = held.leases.sessions().map(|(i, acting, _)| (i.clone(), acting)).collect();
         (self.store.with(blockers), sessions)
@@ -211,38 +232,14 @@
         let now = clock::now();
         held.leases.sweep(now);
         let record = self.store.record();
-        let mode = record.mode()?;
-        let behind = held.leases.acting(&record);
-        if !mode.is_middle() {
-            held.since = None;
-            // Whose floors are held is brought up to date together, when most have moved.
-            let most = behind.len() * 2 > record.standing().len();
-            return most.then_some(Command::Acting { revision: mode.revision, proxies: behind });
-        }
-        let since = match held.since {
-            Some((revision, since)) if revision == mode.revision => since,
-            _ => {
-                held.since = Some((mode.revision, now));
-                now
-            }
+        let revision = record.revision();
+        let begun = match held.since {
+            Some((known, begun)) if known == revision => begun,
+            _ => now,
         };
-        if let Some((identity, why)) = held.leases.unread(mode) {
-            let why = format!("{identity} can't read it: {why}");
-            return Some(Command::Abort { revision: mode.revision, why });
-        }
-        let blockers = held.leases.blockers(now, &record);
-        if blockers.is_empty() {
-            if !behind.is_empty() {
-                return Some(Command::Acting { revision: mode.revision, proxies: behind });
-            }
-            return Some(Command::Advance { revision: mode.revision });
-        }
-        let named = |b: &Blocker| b.identity.as_ref().map_or("any".to_owned(), ToString::to_string);
-        (now.saturating_sub(since) > self.wait).then(|| {
-            let names: Vec<String> = blockers.iter().map(named).collect();
-            let why = format!("not in force in time; held up by {}", names.join(", "));
-            Command::Abort { revision: mode.revision, why }
-        })
+        held.since = Some((revision, begun));
+        removed::acknowledgement(&record, &self.others)
+            .or_else(|| next_command(&record, &held.leases, now, begun, self.limits))
     }
 
     /// Takes changes on, as long as this replica runs.
@@ -252,34 +249,21 @@
                 let _ = tokio::time::timeout(LOOK, self.stir.notified()).await;
                 continue;
             };
-            let told = match &command {
-                Command::Advance { .. } => {
-                    self.store.with(|r| r.mode()).map(|m| format!("{} is in force", m.new))
-                }
-                Command::Abort { why, .. } => Some(format!("the change comes to nothing: {why}")),
-                _ => None,
-            };
-            match self.agree(command).await {
-                Ok(Outcome::Done) => {
-                    if let Some(told) = told {
-                        info!("{told}");
-                    }
-                }
-                Ok(_) => {}
-                Err(fault) => {
-                    warn!("the change can't be taken on: {}", fault.why);
-                    tokio::time::sleep(LOOK).await;
-                }
+            if let Err(fault) = self.agree(command).await {
+                warn!("the change can't be taken on: {}", fault.why);
+                tokio::time::sleep(LOOK).await;
             }
         }
     }
 
-    /// Gives up the change to this generation.
-    pub async fn abort(&self, generation: Generation, why: String) -> Result<bool, NotLeader> {
+    /// Gives up the change to this generation; `None`: no such change is under way.
+    pub async fn abort(&self, generation: Generation, why: String) -> Result<Option<Outcome>, NotLeader> {
         self.confirmed().await?;
-        let mode = self.store.with(|r| r.mode()).filter(|m| m.is_middle() && m.new == generation);
-        let Some(mode) = mode else { return Ok(false) };
-        let outcome = self.agree(Command::Abort { revision: mode.revision, why }).await?;
-        Ok(outcome == Outcome::Done)
+        let middle = self.store.with(Record::middle).filter(|middle| middle.new == generation);
+        let Some(Mode { revision, .. }) = middle else { return Ok(None) };
+        if let Some(command) = self.store.with(|record| removed::abort(record, &self.others)) {
+            return self.agree(command).await.map(Some);
+        }
+        self.agree(Command::Abort { revision, why }).await.map(Some)
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,10 +2,15 @@
 //! next step. The decisions are those of [`badgerramp_policy`]; here are the replicas' agreement, the store, the channel.
 #![forbid(unsafe_code)]
 
+mod check;
 pub mod cli;
 pub mod floor;
 mod leader;
 mod network;
+mod progress;
+mod regions;
+mod removed;
 pub mod serve;
 pub mod settings;
+mod status;
 pub mod store;
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -1,16 +1,17 @@
 //! A replica as a program: its channel, its part in the agreement, its end.
 
-use crate::floor;
+use crate::check;
 use crate::leader::{Leader, NotLeader};
 use crate::network::{self, Network, MESSAGE_MOST};
-use crate::settings::Settings;
+use crate::regions::{Carrier, Responder};
+use crate::settings::{RegionSettings, Settings};
+use crate::status::View;
 use crate::store::{Store, Types};
 use badgerramp_channel::wire::control_server::{Control, ControlServer};
 use badgerramp_channel::wire::{self, refusal, reply, request, Refusal, Reply, Request, Sealed};
 use badgerramp_channel::{digest, Purpose, SealFault, Secret};
-use badgerramp_policy::{
-    Command, CutOff, Ended, Generation, Grant, Identity, Lent, Mode, Outcome, Refused, Stale, Why,
-};
+use badgerramp_policy::regions::{AllRegions, ChangeId};
+use badgerramp_policy::{Command, Generation, Grant, Identity, Lent, Mode, Outcome, Refused, Stale};
 use openraft::{BasicNode, Config, Raft, SnapshotPolicy};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::future::Future;
@@ -25,21 +26,19 @@
 
 /// Entries of the log after which a snapshot is taken.
 const SNAPSHOT_AFTER: u64 = 500;
-/// Most bytes of all files of a policy together.
-const POLICY_MOST: usize = 1 << 20;
-/// Most files of one: one for each application.
-const FILES_MOST: usize = 4_096;
-
 struct Service {
     secret: Secret,
     store: Store,
     raft: Raft<Types>,
     leader: Arc<Leader>,
     address: String,
+    /// The regions, and what answers the other ones; `None`: there are none.
+    regions: Option<RegionSettings>,
+    responder: Option<Responder>,
 }
 
 fn refuse(code: refusal::Code, text: impl Into<String>) -> reply::What {
-    reply::What::Refusal(Refusal { code: code.into(), text: text.into(), leader: String::new() })
+    reply::What::Refusal(Refusal { code: code.into(), text: text.into(), ..Refusal::default() })
 }
 
 fn elsewhere(fault: NotLeader) -> reply::What {
@@ -47,6 +46,7 @@
         code: refusal::Code::NotLeader.into(),
         text: fault.why,
         leader: fault.leader.unwrap_or_default(),
+        ..Refusal::default()
     })
 }
 
@@ -59,9 +59,31 @@
     Status::new(code, fault.to_string())
 }
 
-/// The files of a generation, as they stand in the record.
-fn files_of(text: &str) -> Result<BTreeMap<String, String>, String> {
-    serde_json::from_str(text).map_err(|e| format!("the files of a generation can't be read: {e}"))
+/// What is told of a command that had no effect.
+fn not_logged(refused: &Refused) -> reply::What {
+    match refused {
+        Refused::UnderWay(generation) => {
+            refuse(refusal::Code::UnderWay, format!("the change to {generation} is under way"))
+        }
+        Refused::AcrossRegions { generation, id, waits_for } => {
+            let names: Vec<&str> = waits_for.iter().map(|region| region.as_str()).collect();
+            let waits_for = match names.is_empty() {
+                true => "proxies of this region".to_owned(),
+                false => format!("region {}", names.join(", ")),
+            };
+            let text = format!(
+                "the change of all regions {id}, to {generation}, is under way: it waits for {waits_for}"
+            );
+            refuse(refusal::Code::UnderWay, text)
+        }
+        Refused::AwaitsDecision { coordinator } => {
+            let text = format!(
+                "this region has voted for a change of all regions: only region {coordinator} can end it"
+            );
+            refuse(refusal::Code::UnderWay, text)
+        }
+        _ => refuse(refusal::Code::Moved, "something else came in between: look again"),
+    }
 }
 
 impl Service {
@@ -79,15 +101,10 @@
                 self.leader.leaves(identity.into()).await?;
                 reply::What::Done(wire::Done {})
             }
-            request::What::Publish(policy) => self.publish(policy).await?,
+            request::What::Publish(policy) => self.publish(policy, None).await?,
+            request::What::PublishAll(policy) => self.publish_all(policy).await?,
             request::What::Status(_) => self.status().await?,
-            request::What::Abort(abort) => {
-                let generation = Generation(abort.generation);
-                match self.leader.abort(generation, abort.why).await? {
-                    true => reply::What::Done(wire::Done {}),
-                    false => refuse(refusal::Code::Moved, format!("no change to {generation} is under way")),
-                }
-            }
+            request::What::Abort(abort) => self.abort(abort).await?,
             request::What::Evict(identity) => {
                 self.leader.confirmed().await?;
                 let identity = Identity::from(identity);
@@ -95,24 +112,35 @@
                 self.leader.agree(Command::Evict { identity }).await?;
                 reply::What::Done(wire::Done {})
             }
-            request::What::Text(text) => {
-                self.leader.confirmed().await?;
-                let generation = Generation(text.generation);
-                match self.store.with(|r| r.text(generation).map(files_of)) {
-                    Some(Ok(files)) => reply::What::Text(wire::Text {
-                        generation: generation.0,
-                        files: files.into_iter().collect(),
-                    }),
-                    Some(Err(fault)) => refuse(refusal::Code::Bad, fault),
-                    None => refuse(
-                        refusal::Code::Bad,
-                        format!("{generation}: there is none, or it is kept no more"),
-                    ),
-                }
+            request::What::Text(text) => self.text(Generation(text.generation)).await?,
+            request::What::Prepare(_) | request::What::Commit(_) | request::What::Outcome(_) => {
+                refuse(refusal::Code::Bad, "this passes between regions alone")
+            }
+        })
+    }
+
+    async fn text(&self, generation: Generation) -> Result<reply::What, NotLeader> {
+        self.leader.confirmed().await?;
+        Ok(match self.store.with(|r| r.text(generation).map(check::files_of)) {
+            Some(Ok(files)) => {
+                reply::What::Text(wire::Text { generation: generation.0, files: files.into_iter().collect() })
             }
+            Some(Err(fault)) => refuse(refusal::Code::Bad, fault),
+            None => refuse(refusal::Code::Bad, format!("{generation}: there is none, or it is kept no more")),
         })
     }
 
+    /// Why a proxy of this region gets nothing here, if it doesn't.
+    fn of_other_region(&self, named: &str) -> Option<reply::What> {
+        let own = self.regions.as_ref().map(|settings| settings.regions.own());
+        if named.is_empty() || own.is_some_and(|own| own.as_str() == named) {
+            return None;
+        }
+        let here = own.map_or("has no region".to_owned(), |own| format!("is of region \"{own}\""));
+        let text = format!("policy.region of this proxy is {named:?}, and the control that it asks {here}");
+        Some(refuse(refusal::Code::OtherRegion, text))
+    }
+
     async fn ask(&self, asked: &wire::Ask) -> Result<reply::What, NotLeader> {
         let Some(ask) = asked.read() else {
             return Ok(refuse(
@@ -120,6 +148,9 @@
                 "the question names no proxy, or no way to act when cut off",
             ));
         };
+        if let Some(refused) = self.of_other_region(&asked.region) {
+            return Ok(refused);
+        }
         let has = ask.has.clone();
         Ok(match self.leader.lend(ask).await? {
             Lent::Grant(grant) => self.grant(grant, &has, &asked.application),
@@ -137,7 +168,7 @@
         let mut texts = Vec::new();
         let mut digests = HashMap::new();
         for generation in BTreeSet::from([old, new]) {
-            let files = self.store.with(|r| r.text(generation).map(files_of));
+            let files = self.store.with(|r| r.text(generation).map(check::files_of));
             let mut files = files.and_then(Result::ok).unwrap_or_default();
             // Without its file the proxy says that it can't read it.
             files.retain(|name, _| name == application);
@@ -155,16 +186,37 @@
         })
     }
 
-    async fn publish(&self, policy: wire::Publish) -> Result<reply::What, NotLeader> {
+    /// A change of all regions: only its coordinator takes it.
+    async fn publish_all(&self, policy: wire::Publish) -> Result<reply::What, NotLeader> {
+        let Some(settings) = &self.regions else {
+            let text = "control has no regions: publish with the scope \"region\"";
+            return Ok(refuse(refusal::Code::OtherRegion, text));
+        };
+        if let Some(replicas) = settings.coordinator_replicas() {
+            let coordinator = settings.regions.coordinator();
+            return Ok(reply::What::Refusal(Refusal {
+                code: refusal::Code::NotCoordinator.into(),
+                text: format!("region {coordinator} coordinates changes of all regions: publish there"),
+                replicas: replicas.iter().map(ToString::to_string).collect(),
+                ..Refusal::default()
+            }));
+        }
+        let all = AllRegions {
+            id: ChangeId(rand::random()),
+            coordinator: settings.regions.own().clone(),
+            participants: settings.regions.others().clone(),
+        };
+        self.publish(policy, Some(all)).await
+    }
+
+    async fn publish(
+        &self,
+        policy: wire::Publish,
+        all_regions: Option<AllRegions>,
+    ) -> Result<reply::What, NotLeader> {
         self.leader.confirmed().await?;
         let files: BTreeMap<String, String> = policy.files.into_iter().collect();
-        let bytes: usize = files.iter().map(|(name, text)| name.len() + text.len()).sum();
-        if files.is_empty() || files.len() > FILES_MOST || bytes > POLICY_MOST {
-            let found = format!("found {} files of {bytes} bytes", files.len());
-            let text = format!("{found}, allowed are 1 to {FILES_MOST} of {POLICY_MOST} bytes together");
-            return Ok(refuse(refusal::Code::Bad, text));
-        }
-        let read = match floor::read(&files) {
+        let read = match check::read(&files) {
             Ok(read) => read,
             Err(mistakes) => return Ok(refuse(refusal::Code::Bad, mistakes)),
         };
@@ -174,88 +226,40 @@
             return Ok(refuse(refusal::Code::Moved, text));
         }
         let floors = record.floors();
-        let mut left = Vec::new();
-        for &generation in &floors {
-            let old =
-                record.text(generation).map(files_of).and_then(Result::ok).and_then(|f| floor::read(&f).ok());
-            match old {
-                Some(old) => left.extend(floor::left(&old, &read)),
-                None => left.push(format!("the floor of {generation} can't be read any more")),
-            }
-        }
-        if !left.is_empty() {
-            left.sort();
-            left.dedup();
-            let steps = "Proxies that are cut off go by it. Make it in two steps: publish the policy in force with the \
-                         class taken out of policy.floor; when all proxies act under that, publish this one";
-            return Ok(refuse(refusal::Code::Bad, format!("{}\n{steps}", left.join("\n"))));
-        }
-        let Ok(text) = serde_json::to_string(&files) else {
-            return Ok(refuse(refusal::Code::Bad, "the files can't be written down"));
+        let good = check::leaves_floors(&record, &floors, &read).and_then(|()| check::text_of(&files));
+        let text = match good {
+            Ok(text) => text,
+            Err(why) => return Ok(refuse(refusal::Code::Bad, why)),
         };
-        let command = Command::Publish { revision: policy.revision, text, floors };
+        let command = Command::Publish { revision: policy.revision, text, floors, all_regions };
         Ok(match self.leader.agree(command).await? {
-            Outcome::Begun(generation) => {
-                info!("{generation} is to come into force");
-                reply::What::Begun(wire::Begun { generation: generation.0 })
-            }
-            Outcome::Refused(Refused::UnderWay(generation)) => {
-                refuse(refusal::Code::UnderWay, format!("the change to {generation} is under way"))
-            }
-            _ => refuse(refusal::Code::Moved, "something else came in between: look again"),
+            Outcome::Begun(generation) => reply::What::Begun(wire::Begun { generation: generation.0 }),
+            Outcome::Refused(refused) => not_logged(&refused),
+            Outcome::Done => refuse(refusal::Code::Moved, "something else came in between: look again"),
+        })
+    }
+
+    async fn abort(&self, abort: wire::Abort) -> Result<reply::What, NotLeader> {
+        let generation = Generation(abort.generation);
+        Ok(match self.leader.abort(generation, abort.why).await? {
+            Some(Outcome::Done) => reply::What::Done(wire::Done {}),
+            Some(Outcome::Refused(refused @ Refused::AwaitsDecision { .. })) => not_logged(&refused),
+            _ => refuse(refusal::Code::Moved, format!("no change to {generation} is under way")),
         })
     }
 
     async fn status(&self) -> Result<reply::What, NotLeader> {
         self.leader.confirmed().await?;
         let (blockers, sessions) = self.leader.view();
-        let record = self.store.record();
-        let now = badgerramp_channel::clock::now();
-        let blockers = blockers.into_iter().map(|b| {
-            let (why, left) = match b.why {
-                Why::Lease(until) if b.identity.is_none() => (
-                    "a leader before this one may have lent to any proxy".to_owned(),
-                    until.saturating_sub(now),
-                ),
-                Why::Lease(until) => (
-                    "it has not told that it acts under it, and its lease runs".to_owned(),
-                    until.saturating_sub(now),
-                ),
-                Why::Keeps => {
-                    ("it goes on without a lease, and has not told that it acts under it".to_owned(), 0)
-                }
-                Why::Unread(reason) => (format!("it can't read it: {reason}"), 0),
-            };
-            wire::Blocker { identity: b.identity.map(Into::into), why, left }
-        });
-        let changes = record.changes().iter().map(|(generation, change)| {
-            use wire::change::Ended as On;
-            let (ended, why) = match &change.ended {
-                Ended::Open => (On::Open, String::new()),
-                Ended::InForce => (On::InForce, String::new()),
-                Ended::NotInForce { why } => (On::NotInForce, why.clone()),
-            };
-            wire::Change { generation: generation.0, from: change.from.0, ended: ended.into(), why }
-        });
-        let standing = record.standing().iter().map(|(i, s)| (i.clone(), (s.cut_off, s.revision)));
-        let mut proxies: BTreeMap<Identity, (CutOff, u64)> = standing.collect();
-        for (identity, acting) in sessions {
-            let known = proxies.entry(identity).or_insert((CutOff::Refuse, acting));
-            known.1 = known.1.max(acting);
-        }
-        let proxies = proxies.into_iter().map(|(identity, (cut_off, acting))| wire::Proxy {
-            identity: Some(identity.into()),
-            acting,
-            cut_off: wire::CutOff::from(cut_off).into(),
-        });
-        Ok(reply::What::Status(wire::Status {
-            mode: record.mode().map(Into::into),
-            changes: changes.collect(),
-            blockers: blockers.collect(),
-            proxies: proxies.collect(),
-            leader: self.address.clone(),
-            revision: record.revision(),
-        }))
+        let view = View {
+            record: &self.store.record(),
+            blockers,
+            sessions,
+            regions: self.regions.as_ref(),
+            address: &self.address,
+            now: badgerramp_channel::clock::now(),
+        };
+        Ok(reply::What::Status(view.status()))
     }
 }
 
@@ -293,6 +297,22 @@
         let answer = network::answer(&self.raft, &body).await.map_err(Status::invalid_argument)?;
         Ok(Response::new(self.secret.seal_bytes(Purpose::ReplicaReply, answer)))
     }
+
+    async fn region(&self, sealed: tonic::Request<Sealed>) -> Result<Response<Sealed>, Status> {
+        let opened = self.secret.open(Purpose::RegionRequest, sealed.into_inner());
+        let Request { nonce, what } = opened.map_err(|fault| {
+            warn!("a message of another region is refused: {fault}");
+            denied(&fault)
+        })?;
+        let what = match (&self.responder, what) {
+            (Some(responder), Some(what)) => responder.answer(what).await.unwrap_or_else(elsewhere),
+            (Some(_), None) => {
+                refuse(refusal::Code::Bad, "an empty message, or one that this version does not know")
+            }
+            (None, _) => refuse(refusal::Code::OtherRegion, "this control has no region: see its file"),
+        };
+        Ok(Response::new(self.secret.seal(Purpose::RegionReply, &Reply { nonce, what: Some(what) })))
+    }
 }
 
 fn millis(time: Duration) -> u64 {
@@ -335,15 +355,27 @@
             info!("the replicas have begun already: {fault}");
         }
     }
-    let (leader, asked) =
-        Leader::new(raft.clone(), store.clone(), (settings.lease, settings.drift, settings.wait));
+    let (leader, asked) = Leader::new(raft.clone(), store.clone(), &settings);
     let leader = Arc::new(leader);
+    let responder = settings.regions.as_ref().map(|regions| Responder {
+        regions: regions.regions.clone(),
+        leader: Arc::clone(&leader),
+        store: store.clone(),
+    });
+    let carrier = settings.regions.clone().map(|regions| Carrier {
+        settings: regions,
+        leader: Arc::clone(&leader),
+        store: store.clone(),
+        secret: settings.secret.clone(),
+    });
     let service = Service {
         secret: settings.secret,
         store,
         raft: raft.clone(),
         leader: Arc::clone(&leader),
         address: address.to_string(),
+        regions: settings.regions,
+        responder,
     };
     let service = ControlServer::new(service)
         .max_decoding_message_size(MESSAGE_MOST)
@@ -369,6 +401,11 @@
         tokio::spawn(async move { leader.answer(asked).await })
     };
     let steps = tokio::spawn(async move { leader.run().await });
+    let carries = tokio::spawn(async move {
+        if let Some(carrier) = carrier {
+            carrier.run().await;
+        }
+    });
     let ended = tokio::select! {
         () = stop => Ok(()),
         served = server => served.map_err(|e| format!("listen on {listen}: {e}")),
@@ -376,6 +413,7 @@
     };
     answers.abort();
     steps.abort();
+    carries.abort();
     let _ = raft.shutdown().await;
     ended
 }
--- /dev/null
+++ b/crates/control/tests/regions.rs
@@ -0,0 +1,449 @@
+//! Two regions, each with a replica as a process: a change of all regions is in force in both or in none, also when the
+//! ways between them are cut at any of its steps.
+
+use badgerramp_channel::wire::{self, refusal, reply, request};
+use badgerramp_channel::{Client, Fault, Secret};
+use badgerramp_config_tool::fleet::{At, Control, Done, Outcome, Scope, Standing};
+use badgerramp_policy::regions::Region;
+use badgerramp_policy::{Ask, CutOff, Identity};
+use badgerramp_trial::link::{Link, Pass};
+use badgerramp_trial::process::{Folder, Plan, Process};
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+const CONTROL: &str = env!("CARGO_BIN_EXE_badgerramp-control");
+const POLICY: &str = include_str!("../../../deploy/sidecar.example.toml");
+const LONG: Duration = Duration::from_secs(30);
+/// Pause between two looks at what a test waits for.
+const LOOK: Duration = Duration::from_millis(20);
+const NORTE: usize = 0;
+const SUR: usize = 1;
+const NAMES: [&str; 2] = ["norte", "sur"];
+
+/// A region of one replica.
+struct RegionReplica {
+    process: Process,
+    at: watch::Sender<Option<SocketAddr>>,
+    /// Where proxies and publishers reach it.
+    front: Link,
+    /// Where the other region reaches it.
+    between: Link,
+}
+
+struct World {
+    folder: Folder,
+    regions: Vec<RegionReplica>,
+}
+
+/// A replica's file.
+fn settings(place: usize, own: SocketAddr, other: SocketAddr, wait_ms: u64) -> String {
+    let (name, other_name) = (NAMES[place], NAMES[1 - place]);
+    format!(
+        "replica = 1\nreplicas = {{ 1 = \"{own}\" }}\nlisten = \"127.0.0.1:0\"\nstore = \"store-{name}\"\n\
+         secret = \"secret\"\nlease_ms = 300\nwait_ms = 20000\nelection_ms = 300\nregion = \"{name}\"\n\
+         regions_wait_ms = {wait_ms}\n[regions.{other_name}]\nreplicas = [\"{other}\"]\n"
+    )
+}
+
+/// Writes a replica's file, and its store if it has none. What starts it.
+fn plan(folder: &Folder, name: &str, text: &str) -> Plan {
+    let file = folder.write(&format!("{name}.toml"), text, false).expect("a file");
+    if !folder.path().join(format!("store-{name}")).exists() {
+        let made = std::process::Command::new(CONTROL).arg("create").arg(&file).output();
+        assert!(made.expect("it runs").status.success());
+    }
+    let arguments = vec!["serve".to_owned(), file.display().to_string()];
+    Plan { program: CONTROL.into(), arguments, keep: Vec::new(), variables: Vec::new() }
+}
+
+impl World {
+    /// Starts both regions. A change of all regions that lacks a vote comes to nothing after `wait_ms`.
+    async fn start(name: &str, wait_ms: u64) -> World {
+        let folder = Folder::new(&format!("regions-{name}")).expect("a folder");
+        World::start_in(folder, wait_ms).await
+    }
+
+    /// As [`World::start`], with the stores that are in this folder.
+    async fn start_in(folder: Folder, wait_ms: u64) -> World {
+        folder.write("secret", "a secret of the tests", true).expect("a file");
+        let mut links = Vec::new();
+        for _ in NAMES {
+            let (at, known) = watch::channel(None);
+            let front = Link::to(known.clone()).await.expect("a link");
+            let between = Link::to(known).await.expect("a link");
+            links.push((at, front, between));
+        }
+        let between: Vec<SocketAddr> = links.iter().map(|(_, _, between)| between.address).collect();
+        let mut regions = Vec::new();
+        for (place, (at, front, link)) in links.into_iter().enumerate() {
+            let text = settings(place, front.address, between[1 - place], wait_ms);
+            let plan = plan(&folder, NAMES[place], &text);
+            let mut process = Process::start(plan).await.expect("it starts");
+            at.send_replace(Some(process.listens().await.expect("it listens")));
+            regions.push(RegionReplica { process, at, front, between: link });
+        }
+        World { folder, regions }
+    }
+
+    /// Starts both regions with a first policy in force in each.
+    async fn with_policy(name: &str, wait_ms: u64) -> World {
+        let world = World::start(name, wait_ms).await;
+        let done = world.publish(NORTE, Scope::All, 1).await;
+        assert_eq!(done.outcome, Outcome::InForce, "{}", done.why);
+        for place in [NORTE, SUR] {
+            world.until(place, "the first policy", |s| s.in_force == Some(1) && s.to_come.is_none()).await;
+        }
+        world.until(NORTE, "no commit that is not acknowledged", |s| change(s).is_none()).await;
+        world
+    }
+
+    fn control(&self, place: usize) -> Control {
+        let secret = self.folder.path().join("secret");
+        let control = vec![self.regions[place].front.address];
+        Control::new(&At { control, secret, timeout: LONG.as_secs() }).expect("a secret")
+    }
+
+    fn client(&self, place: usize) -> Client {
+        let secret = Secret::read(&self.folder.path().join("secret")).expect("a secret");
+        Client::new(vec![self.regions[place].front.address], secret, Duration::from_secs(5))
+    }
+
+    async fn standing(&self, place: usize) -> Standing {
+        self.control(place).standing().await.expect("a status")
+    }
+
+    /// Waits until a region stands so.
+    async fn until(&self, place: usize, what: &str, is_so: impl Fn(&Standing) -> bool) -> Standing {
+        let end = Instant::now() + LONG;
+        loop {
+            let standing = self.standing(place).await;
+            if is_so(&standing) {
+                return standing;
+            }
+            assert!(Instant::now() < end, "no {what}: {standing:?} {:?}", self.regions[place].process.log());
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// Publishes as the tool does, by way of this region's control.
+    async fn publish(&self, place: usize, scope: Scope, number: u64) -> Done {
+        publish(self.control(place), scope, number).await
+    }
+
+    fn publishing(&self, place: usize, scope: Scope, number: u64) -> JoinHandle<Done> {
+        tokio::spawn(publish(self.control(place), scope, number))
+    }
+
+    /// Cuts or mends the way to this region from the other one, in both directions.
+    fn pass_to(&self, place: usize, forth: Pass, back: Pass) {
+        self.regions[place].between.set(|state| (state.forth, state.back) = (forth, back));
+    }
+
+    fn cut(&self) {
+        [NORTE, SUR].into_iter().for_each(|place| self.pass_to(place, Pass::Cut, Pass::Cut));
+    }
+
+    fn mend(&self) {
+        [NORTE, SUR].into_iter().for_each(|place| self.pass_to(place, Pass::Free, Pass::Free));
+    }
+
+    /// Takes the other region out of this one's file. It holds from the next restart on.
+    fn remove_other(&self, place: usize) {
+        let (name, front) = (NAMES[place], self.regions[place].front.address);
+        let text = settings(place, front, front, 1_000);
+        let (own, _) = text.split_once("region = ").expect("the keys of regions come last");
+        self.folder.write(&format!("{name}.toml"), own, false).expect("a file");
+    }
+
+    async fn restart(&mut self, place: usize) {
+        let region = &mut self.regions[place];
+        region.process.kill().await;
+        region.process.again().expect("it starts");
+        let address = region.process.listens().await.expect("it listens");
+        region.at.send_replace(Some(address));
+    }
+
+    /// Asks for a lease, for a proxy that goes on without one.
+    async fn lease(&self, place: usize, number: u64, acting: u64) -> wire::Grant {
+        let what = request::What::Ask(ask(number, acting, CutOff::Keep));
+        match self.client(place).ask_until(&what, LONG).await {
+            Ok(reply::What::Grant(grant)) => grant,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Sends a message to a region, and takes its refusal.
+    async fn refused(&self, place: usize, what: request::What) -> wire::Refusal {
+        match self.client(place).ask_until(&what, LONG).await {
+            Err(Fault::Refused(refusal)) => refusal,
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+async fn publish(mut control: Control, scope: Scope, number: u64) -> Done {
+    if scope == Scope::All {
+        assert_eq!(control.go_to_coordinator().await.expect("a coordinator"), "norte");
+    }
+    let revision = control.standing().await.expect("a status").revision;
+    control.publish_for(scope, &files(number), revision, |_| {}).await
+}
+
+fn files(number: u64) -> HashMap<String, String> {
+    HashMap::from([("caja".to_owned(), format!("{POLICY}\n# {number}\n"))])
+}
+
+fn ask(number: u64, acting: u64, cut_off: CutOff) -> wire::Ask {
+    let identity = Identity { name: "proxy".to_owned(), incarnation: 7 };
+    let ask = Ask { identity, number, acting, has: BTreeSet::new(), unread: None, cut_off };
+    wire::Ask::of(ask, "caja")
+}
+
+/// The change of all regions that a region tells of.
+fn change(standing: &Standing) -> Option<&badgerramp_config_tool::fleet::AllRegionsChange> {
+    standing.region.as_ref()?.change.as_ref()
+}
+
+fn has_voted(standing: &Standing) -> bool {
+    change(standing).is_some_and(|change| change.voted)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_of_all_is_in_force_in_both_and_one_of_a_region_in_that_alone() {
+    let world = World::with_policy("both", 10_000).await;
+    // By way of the region that does not coordinate.
+    let done = world.publish(SUR, Scope::All, 2).await;
+    assert_eq!((done.outcome, done.generation), (Outcome::InForce, Some(2)), "{}", done.why);
+    world.until(SUR, "second policy", |s| s.in_force == Some(2)).await;
+    world.until(NORTE, "acknowledgement", |s| change(s).is_none()).await;
+    for place in [NORTE, SUR] {
+        assert_eq!(world.control(place).files(2).await.expect("kept"), files(2));
+    }
+    let done = world.publish(SUR, Scope::Region, 3).await;
+    assert_eq!((done.outcome, done.generation), (Outcome::InForce, Some(3)), "{}", done.why);
+    assert_eq!(world.standing(SUR).await.in_force, Some(3));
+    assert_eq!(world.standing(NORTE).await.in_force, Some(2));
+    let done = world.publish(NORTE, Scope::Region, 4).await;
+    assert_eq!((done.outcome, done.generation), (Outcome::InForce, Some(3)), "{}", done.why);
+    // Each has numbers of its own; a change of all is told apart by its identifier.
+    let (norte, sur) = (world.standing(NORTE).await, world.standing(SUR).await);
+    let ids = |s: &Standing| s.changes.iter().map(|c| c.all_regions.clone()).collect::<Vec<_>>();
+    assert_eq!(ids(&norte), ids(&sur));
+    assert!(matches!(&ids(&norte)[..], [Some(first), Some(second), None] if first != second));
+    let done = world.publish(NORTE, Scope::All, 5).await;
+    assert_eq!((done.outcome, done.generation), (Outcome::InForce, Some(4)), "{}", done.why);
+    world.until(SUR, "fourth policy", |s| s.in_force == Some(4)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_before_the_vote_ends_the_change_and_changes_of_one_region_go_on() {
+    let world = World::with_policy("cut", 1_000).await;
+    world.cut();
+    let done = world.publish(NORTE, Scope::All, 2).await;
+    assert_eq!(done.outcome, Outcome::NotInForce);
+    assert_eq!(done.why, "not in force in time; no vote of region sur");
+    for place in [NORTE, SUR] {
+        let standing = world.standing(place).await;
+        assert_eq!((standing.in_force, standing.to_come), (Some(1), None), "{}", NAMES[place]);
+        assert!(change(&standing).is_none());
+    }
+    for (place, generation) in [(NORTE, 3), (SUR, 2)] {
+        let done = world.publish(place, Scope::Region, 3).await;
+        assert_eq!((done.outcome, done.generation), (Outcome::InForce, Some(generation)), "{}", done.why);
+    }
+    world.mend();
+    // A connection may have to be found dead first.
+    let end = Instant::now() + LONG;
+    while world.publish(NORTE, Scope::All, 4).await.outcome != Outcome::InForce {
+        assert!(Instant::now() < end, "{:?}", world.regions[NORTE].process.log());
+    }
+    world
+        .until(SUR, "the policy of all", |s| {
+            s.changes.iter().any(|c| c.outcome == "in force" && c.all_regions.is_some() && c.generation > 2)
+        })
+        .await;
+    assert_eq!(
+        world.control(SUR).files(world.standing(SUR).await.in_force.expect("one")).await.expect("kept"),
+        files(4)
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_region_that_voted_waits_for_the_decision_and_takes_it_by_itself() {
+    let mut world = World::with_policy("voted", 1_500).await;
+    // The prepare comes through; neither its answer nor any question for the outcome does.
+    world.pass_to(SUR, Pass::Free, Pass::Cut);
+    world.pass_to(NORTE, Pass::Cut, Pass::Cut);
+    let publishing = world.publishing(NORTE, Scope::All, 2);
+    world.until(SUR, "vote", has_voted).await;
+    let done = publishing.await.expect("it ends");
+    assert_eq!(done.outcome, Outcome::NotInForce);
+    assert_eq!(done.why, "not in force in time; no vote of region sur");
+    let stays = |s: &Standing| s.in_force == Some(1) && s.to_come == Some(2) && has_voted(s);
+    assert!(stays(&world.standing(SUR).await));
+    // It can neither be left nor be followed by another change here.
+    let refusal = world.refused(SUR, publish_request(files(3), world.standing(SUR).await.revision)).await;
+    assert_eq!(refusal.code(), refusal::Code::UnderWay);
+    assert!(refusal.text.contains("waits for region norte"), "{}", refusal.text);
+    let fault = world.control(SUR).abort("by hand").await.expect_err("not its to end");
+    assert!(fault.contains("only region norte can end it"), "{fault}");
+    // The other region goes on.
+    let done = world.publish(NORTE, Scope::Region, 4).await;
+    assert_eq!((done.outcome, done.generation), (Outcome::InForce, Some(3)), "{}", done.why);
+    world.restart(SUR).await;
+    assert!(stays(&world.standing(SUR).await), "it is on disk");
+    world.mend();
+    let standing = world.until(SUR, "decision", |s| s.to_come.is_none()).await;
+    assert_eq!(standing.in_force, Some(1));
+    assert_eq!(standing.changes.last().map(|c| c.outcome), Some("not in force"));
+    let done = world.publish(SUR, Scope::Region, 5).await;
+    assert_eq!((done.outcome, done.generation), (Outcome::InForce, Some(3)), "{}", done.why);
+}
+
+fn publish_request(files: HashMap<String, String>, revision: u64) -> request::What {
+    request::What::Publish(wire::Publish { files, revision })
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_decision_of_the_cut_is_kept_until_the_other_region_has_it() {
+    let mut world = cut_after_the_decision("commit").await;
+    world.restart(SUR).await;
+    world.restart(NORTE).await;
+    let (norte, sur) = (world.standing(NORTE).await, world.standing(SUR).await);
+    assert_eq!((norte.in_force, norte.to_come), (Some(2), None));
+    assert_eq!((sur.in_force, sur.to_come), (Some(1), Some(2)));
+    // Until the other region has it, no further change of all begins.
+    let all = request::What::PublishAll(wire::Publish { files: files(3), revision: norte.revision });
+    let refusal = world.refused(NORTE, all).await;
+    assert_eq!(refusal.code(), refusal::Code::UnderWay);
+    assert!(refusal.text.contains("waits for region sur"), "{}", refusal.text);
+    world.mend();
+    let sur = world.until(SUR, "decision", |s| s.to_come.is_none()).await;
+    assert_eq!(sur.in_force, Some(2));
+    assert_eq!(world.control(SUR).files(2).await.expect("kept"), files(2));
+    world.until(NORTE, "acknowledgement", |s| change(s).is_none()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_region_that_can_not_take_it_refuses_it_for_all() {
+    let world = World::with_policy("refused", 10_000).await;
+    // A proxy that has not told holds a change of this region up.
+    world.lease(SUR, 1, 0).await;
+    let publishing = world.publishing(SUR, Scope::Region, 2);
+    world.until(SUR, "change of its own", |s| s.to_come == Some(2)).await;
+    let done = world.publish(NORTE, Scope::All, 3).await;
+    assert_eq!(done.outcome, Outcome::NotInForce);
+    assert_eq!(done.why, "region sur refuses it: the change to generation 2 is under way there");
+    let revision = world.standing(SUR).await.revision;
+    world.lease(SUR, 2, revision).await;
+    assert_eq!(publishing.await.expect("it ends").outcome, Outcome::InForce);
+    assert_eq!(world.standing(NORTE).await.in_force, Some(1));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn messages_for_another_region_are_refused_and_change_nothing() {
+    let world = World::with_policy("messages", 10_000).await;
+    let revision = world.standing(SUR).await.revision;
+    let all = request::What::PublishAll(wire::Publish { files: files(2), revision });
+    let refusal = world.refused(SUR, all).await;
+    assert_eq!(refusal.code(), refusal::Code::NotCoordinator);
+    assert_eq!(refusal.replicas, [world.regions[NORTE].between.address.to_string()]);
+    // A proxy that means the control of another region gets no lease.
+    let sur: Region = "sur".parse().expect("a name");
+    let strayed = ask(1, 0, CutOff::Refuse).in_region(Some(&sur));
+    let refusal = world.refused(NORTE, request::What::Ask(strayed.clone())).await;
+    assert_eq!(refusal.code(), refusal::Code::OtherRegion);
+    assert!(refusal.text.contains("\"sur\"") && refusal.text.contains("\"norte\""), "{}", refusal.text);
+    let lent = world.client(SUR).ask_until(&request::What::Ask(strayed), LONG).await;
+    assert!(matches!(lent, Ok(reply::What::Grant(_))), "{lent:?}");
+    // A message between regions under the seal of a proxy.
+    let named = wire::ChangeRef { id: 9, coordinator: "norte".to_owned(), number: 9 };
+    let text = serde_json::to_string(&files(9)).expect("JSON");
+    let prepare = wire::Prepare { change: Some(named), region: "sur".to_owned(), text };
+    let refusal = world.refused(SUR, request::What::Prepare(prepare.clone())).await;
+    assert_eq!(refusal.code(), refusal::Code::Bad);
+    // One for another region than the one that it has come to, under the right seal.
+    let secret = Secret::read(&world.folder.path().join("secret")).expect("a secret");
+    let norte = vec![world.regions[NORTE].front.address];
+    let mut leader = Client::between_regions(norte, secret.clone(), Duration::from_secs(5));
+    let fault = leader.ask(&request::What::Prepare(prepare.clone())).await.expect_err("misdirected");
+    assert!(fault.to_string().contains("\"sur\"") && fault.to_string().contains("\"norte\""), "{fault}");
+    // And a question of a proxy under the seal of a region.
+    let asked = leader.ask(&request::What::Status(wire::StatusAsked {})).await;
+    assert!(matches!(asked, Err(Fault::Refused(refusal)) if refusal.code() == refusal::Code::Bad));
+    // A change that the coordinator does not know begins, and ends by the coordinator's word.
+    let sur = vec![world.regions[SUR].front.address];
+    let mut leader = Client::between_regions(sur, secret, Duration::from_secs(5));
+    assert!(matches!(leader.ask(&request::What::Prepare(prepare)).await, Ok(reply::What::Vote(_))));
+    let standing = world.until(SUR, "end", |s| s.changes.len() == 2 && s.to_come.is_none()).await;
+    assert_eq!((standing.in_force, standing.changes[1].outcome), (Some(1), "not in force"));
+}
+
+/// The change is in force in the coordinator, and the participant has voted and does not know it: the ways are cut.
+async fn cut_after_the_decision(name: &str) -> World {
+    let world = World::with_policy(name, 10_000).await;
+    // The coordinator waits for a proxy of its own, which has not told that it acts under the middle.
+    world.lease(NORTE, 1, 0).await;
+    let publishing = world.publishing(NORTE, Scope::All, 2);
+    let prepared = |s: &Standing| change(s).is_some_and(|c| c.participants.iter().all(|p| p.prepared));
+    let middle = world.until(NORTE, "vote of the other region", prepared).await;
+    world.cut();
+    world.lease(NORTE, 2, middle.revision).await;
+    let done = publishing.await.expect("it ends");
+    assert_eq!(done.outcome, Outcome::InForce, "{}", done.why);
+    assert!(has_voted(&world.standing(SUR).await));
+    world
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_region_that_is_lost_for_good_is_taken_out_of_the_files() {
+    let mut world = cut_after_the_decision("lost-sur").await;
+    world.regions[SUR].process.kill().await;
+    world.remove_other(NORTE);
+    world.restart(NORTE).await;
+    let acknowledged = |(_, line): &(u64, String)| line.contains("region sur acknowledged the commit");
+    let end = Instant::now() + LONG;
+    while !world.regions[NORTE].process.log().iter().any(acknowledged) {
+        assert!(Instant::now() < end, "{:?}", world.regions[NORTE].process.log());
+        tokio::time::sleep(LOOK).await;
+    }
+    let standing = world.standing(NORTE).await;
+    assert_eq!((standing.in_force, standing.region.is_none()), (Some(2), true));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_whose_coordinator_is_lost_for_good_is_given_up_by_hand() {
+    let mut world = cut_after_the_decision("lost-norte").await;
+    world.control(SUR).abort("it is down").await.expect_err("it may come back");
+    world.regions[NORTE].process.kill().await;
+    world.remove_other(SUR);
+    world.restart(SUR).await;
+    assert_eq!(world.standing(SUR).await.to_come, Some(2), "nothing ends by itself");
+    assert_eq!(world.control(SUR).abort("it is lost").await, Ok(2));
+    let standing = world.standing(SUR).await;
+    assert_eq!((standing.in_force, standing.to_come), (Some(1), None));
+    let done = world.publish(SUR, Scope::Region, 3).await;
+    assert_eq!((done.outcome, done.generation), (Outcome::InForce, Some(3)), "{}", done.why);
+}
+
+/// A store that the last version without regions has written: three policies, the third in force.
+const STORE_WITHOUT_REGIONS: &[u8] = include_bytes!("fixtures/store-without-regions.zst");
+const STORE_BYTES_MOST: usize = 1 << 20;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_of_a_version_without_regions_goes_on_as_that_of_a_region() {
+    let folder = Folder::new("regions-older").expect("a folder");
+    let store = zstd::bulk::decompress(STORE_WITHOUT_REGIONS, STORE_BYTES_MOST).expect("a store");
+    std::fs::write(folder.path().join("store-norte"), store).expect("a file");
+    let world = World::start_in(folder, 10_000).await;
+    let standing = world.standing(NORTE).await;
+    assert_eq!((standing.in_force, standing.changes.len()), (Some(3), 3));
+    assert!(standing.changes.iter().all(|change| change.all_regions.is_none()));
+    let done = world.publish(SUR, Scope::All, 1).await;
+    assert_eq!((done.outcome, done.generation), (Outcome::InForce, Some(4)), "{}", done.why);
+    world.until(SUR, "the first policy", |s| s.in_force == Some(1)).await;
+    assert_eq!(world.control(SUR).files(1).await.expect("kept"), files(1));
+}
--- /dev/null
+++ b/crates/control/tests/settings.rs
@@ -0,0 +1,91 @@
+//! A replica's file: what it says of regions, and what is refused.
+
+use badgerramp_control::settings::{RegionSettings, Settings};
+use badgerramp_trial::process::Folder;
+use std::time::Duration;
+
+const GOOD: &str = "replica = 1\nreplicas = { 1 = \"127.0.0.1:7401\" }\nstore = \"s\"\nsecret = \"secret\"\n";
+const SUR: &str = "region = \"norte\"\n[regions.sur]\nreplicas = [\"127.0.0.1:7501\"]\n";
+
+struct File(Folder);
+
+impl File {
+    fn new(name: &str) -> File {
+        let folder = Folder::new(&format!("settings-{name}")).expect("a folder");
+        folder.write("secret", "a secret of the tests", true).expect("a file");
+        File(folder)
+    }
+
+    fn load(&self, more: &str) -> Result<Settings, String> {
+        let path = self.0.write("control.toml", &format!("{GOOD}{more}"), false).expect("a file");
+        Settings::load(&path)
+    }
+
+    fn regions(&self, more: &str) -> Option<RegionSettings> {
+        self.load(more).expect("good").regions
+    }
+}
+
+#[test]
+fn regions_are_off_unless_the_file_names_one() {
+    assert_eq!(File::new("off").regions(""), None);
+}
+
+#[test]
+fn the_first_region_by_name_coordinates_for_all() {
+    let file = File::new("coordinator");
+    let norte = file.regions(SUR).expect("regions");
+    assert_eq!(norte.wait, Duration::from_secs(10));
+    assert!(norte.regions.is_coordinator() && norte.coordinator_replicas().is_none());
+    let sur = "region = \"sur\"\nregions_wait_ms = 3000\n[regions.norte]\nreplicas = [\"127.0.0.1:7601\"]\n";
+    let sur = file.regions(sur).expect("regions");
+    assert_eq!(sur.wait, Duration::from_secs(3));
+    assert_eq!(sur.regions.coordinator().as_str(), "norte");
+    assert_eq!(sur.coordinator_replicas(), Some(&["127.0.0.1:7601".parse().expect("an address")][..]));
+}
+
+#[test]
+fn bad_regions_are_refused_with_file_key_what_was_found_and_what_is_allowed() {
+    let file = File::new("bad");
+    let table = "[regions.sur]\nreplicas = [\"127.0.0.1:7501\"]\n";
+    for (more, words) in [
+        ("region = \"norte\"\n".to_owned(), vec!["regions: found none", "[regions.NAME]"]),
+        (table.to_owned(), vec!["regions.sur: found a region", "allowed only beside `region`"]),
+        ("regions_wait_ms = 5000\n".to_owned(), vec!["regions_wait_ms: found 5000", "beside `region`"]),
+        (
+            SUR.replace("\"norte\"", "\"El Norte\""),
+            vec!["region: found", "\"El Norte\"", "allowed are 1 to 63"],
+        ),
+        (SUR.replace("\"norte\"", "7"), vec!["invalid type", "region = 7", "expected a string"]),
+        (
+            SUR.replace("regions.sur", "regions.norte"),
+            vec!["regions.norte: found \"norte\"", "other than `region`"],
+        ),
+        (SUR.replace("regions.sur", "regions.SUR"), vec!["regions.SUR: found", "allowed are 1 to 63"]),
+        (
+            SUR.replace("[\"127.0.0.1:7501\"]", "[]"),
+            vec!["regions.sur.replicas: found 0", "allowed are 1, 3 or 5"],
+        ),
+        (
+            SUR.replace("7501", "7401"),
+            vec!["regions.sur.replicas[0]: found 127.0.0.1:7401", "that of replicas.1 already"],
+        ),
+        (SUR.replace("127.0.0.1:7501", "nowhere"), vec!["nowhere", "invalid socket address"]),
+        (SUR.replace("replicas = [", "replcas = ["), vec!["unknown field `replcas`", "expected `replicas`"]),
+        (
+            format!("{SUR}[regions.oeste]\nreplicas = [\"127.0.0.1:7501\"]\n"),
+            vec![
+                "regions.sur.replicas[0]: found 127.0.0.1:7501",
+                "that of regions.oeste.replicas[0] already",
+            ],
+        ),
+        (
+            SUR.replace("[regions.sur]", "regions_wait_ms = 10\n[regions.sur]"),
+            vec!["regions_wait_ms: found 10", "allowed is 200 to 86400000"],
+        ),
+    ] {
+        let fault = file.load(&more).expect_err(&more);
+        assert!(fault.contains("control.toml"), "{fault}");
+        words.iter().for_each(|word| assert!(fault.contains(word), "{word:?} is not in: {fault}"));
+    }
+}
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -174,7 +174,7 @@
                 continue;
             }
             let ask = self.gate.holder().borrow_mut().ask(clock::now());
-            let ask = wire::Ask::of(ask, &self.terms.application).in_region(self.terms.region.as_deref());
+            let ask = wire::Ask::of(ask, &self.terms.application).in_region(self.terms.region.as_ref());
             let ask = request::What::Ask(ask);
             let fault = match client.ask(&ask).await {
                 Ok(reply::What::Grant(grant)) => self.granted(&grant, &driver, &front).err(),
--- a/crates/proxy/tests/fleet.rs
+++ b/crates/proxy/tests/fleet.rs
@@ -38,6 +38,7 @@
             drift: Duration::from_millis(10),
             wait: Duration::from_secs(5),
             election: Duration::from_millis(200),
+            regions: None,
         };
         let (stop, stopped) = oneshot::channel::<()>();
         let thread = thread::spawn(move || {
