--- a/crates/control/src/regions.rs
+++ b/crates/control/src/regions.rs
@@ -21,7 +21,7 @@
 const ANSWER: Duration = Duration::from_secs(2);
 /// Pause between two messages to one region, at first and at the longest: it doubles while nothing comes of them.
 const PAUSE_FIRST: Duration = Duration::from_millis(50);
-const PAUSE_LONGEST: Duration = Duration::from_secs(1);
+const PAUSE_LONGEST: Duration = Duration::from_millis(250);
 /// How often it is looked whether there is something to send.
 const LOOK: Duration = Duration::from_millis(50);
 
--- a/crates/control/tests/regions.rs
+++ b/crates/control/tests/regions.rs
@@ -1,4 +1,4 @@
-//! Two regions, each with a replica as a process: a change of all regions is in force in both or in none, also when the
+//! Two regions, each with replicas as processes: a change of all regions is in force in both or in none, also when the
 //! ways between them are cut at any of its steps.
 
 use badgerramp_channel::wire::{self, refusal, reply, request};
@@ -23,31 +23,61 @@
 const SUR: usize = 1;
 const NAMES: [&str; 2] = ["norte", "sur"];
 
-/// A region of one replica.
-struct RegionReplica {
+/// A replica of a region.
+struct Replica {
     process: Process,
     at: watch::Sender<Option<SocketAddr>>,
-    /// Where proxies and publishers reach it.
+    /// Where proxies, publishers and the other replicas of its region reach it.
     front: Link,
     /// Where the other region reaches it.
     between: Link,
 }
 
+/// The ways to a replica that is not there yet.
+struct Ways {
+    at: watch::Sender<Option<SocketAddr>>,
+    front: Link,
+    between: Link,
+}
+
+impl Ways {
+    async fn new() -> Ways {
+        let (at, known) = watch::channel(None);
+        let front = Link::to(known.clone()).await.expect("a link");
+        let between = Link::to(known).await.expect("a link");
+        Ways { at, front, between }
+    }
+}
+
 struct World {
     folder: Folder,
-    regions: Vec<RegionReplica>,
+    /// By place: the replicas of a region.
+    regions: Vec<Vec<Replica>>,
 }
 
 /// A replica's file.
-fn settings(place: usize, own: SocketAddr, other: SocketAddr, wait_ms: u64) -> String {
+fn settings(
+    place: usize,
+    number: usize,
+    (own, other): (&[SocketAddr], &[SocketAddr]),
+    wait_ms: u64,
+) -> String {
     let (name, other_name) = (NAMES[place], NAMES[1 - place]);
+    let own: Vec<String> = own.iter().enumerate().map(|(n, a)| format!("{} = \"{a}\"", n + 1)).collect();
+    let other: Vec<String> = other.iter().map(|a| format!("\"{a}\"")).collect();
     format!(
-        "replica = 1\nreplicas = {{ 1 = \"{own}\" }}\nlisten = \"127.0.0.1:0\"\nstore = \"store-{name}\"\n\
+        "replica = {number}\nreplicas = {{ {} }}\nlisten = \"127.0.0.1:0\"\nstore = \"store-{name}-{number}\"\n\
          secret = \"secret\"\nlease_ms = 300\nwait_ms = 20000\nelection_ms = 300\nregion = \"{name}\"\n\
-         regions_wait_ms = {wait_ms}\n[regions.{other_name}]\nreplicas = [\"{other}\"]\n"
+         regions_wait_ms = {wait_ms}\n[regions.{other_name}]\nreplicas = [{}]\n",
+        own.join(", "),
+        other.join(", ")
     )
 }
 
+fn file_name(place: usize, number: usize) -> String {
+    format!("{}-{number}", NAMES[place])
+}
+
 /// Writes a replica's file, and its store if it has none. What starts it.
 fn plan(folder: &Folder, name: &str, text: &str) -> Plan {
     let file = folder.write(&format!("{name}.toml"), text, false).expect("a file");
@@ -60,37 +90,46 @@
 }
 
 impl World {
-    /// Starts both regions. A change of all regions that lacks a vote comes to nothing after `wait_ms`.
-    async fn start(name: &str, wait_ms: u64) -> World {
-        let folder = Folder::new(&format!("regions-{name}")).expect("a folder");
-        World::start_in(folder, wait_ms).await
-    }
-
-    /// As [`World::start`], with the stores that are in this folder.
-    async fn start_in(folder: Folder, wait_ms: u64) -> World {
+    /// Starts both regions, with so many replicas each and the stores that are in this folder. A change of all regions
+    /// that lacks a vote comes to nothing after `wait_ms`.
+    async fn start(folder: Folder, count: usize, wait_ms: u64) -> World {
         folder.write("secret", "a secret of the tests", true).expect("a file");
-        let mut links = Vec::new();
+        let mut ways = Vec::new();
         for _ in NAMES {
-            let (at, known) = watch::channel(None);
-            let front = Link::to(known.clone()).await.expect("a link");
-            let between = Link::to(known).await.expect("a link");
-            links.push((at, front, between));
+            let mut region = Vec::new();
+            for _ in 0..count {
+                region.push(Ways::new().await);
+            }
+            ways.push(region);
         }
-        let between: Vec<SocketAddr> = links.iter().map(|(_, _, between)| between.address).collect();
+        let front = |region: &Vec<Ways>| region.iter().map(|w| w.front.address).collect::<Vec<_>>();
+        let between = |region: &Vec<Ways>| region.iter().map(|w| w.between.address).collect::<Vec<_>>();
+        let fronts: Vec<_> = ways.iter().map(front).collect();
+        let betweens: Vec<_> = ways.iter().map(between).collect();
         let mut regions = Vec::new();
-        for (place, (at, front, link)) in links.into_iter().enumerate() {
-            let text = settings(place, front.address, between[1 - place], wait_ms);
-            let plan = plan(&folder, NAMES[place], &text);
-            let mut process = Process::start(plan).await.expect("it starts");
-            at.send_replace(Some(process.listens().await.expect("it listens")));
-            regions.push(RegionReplica { process, at, front, between: link });
+        for (place, region) in ways.into_iter().enumerate() {
+            let mut replicas = Vec::new();
+            for (number, Ways { at, front, between }) in (1..).zip(region) {
+                let text = settings(place, number, (&fronts[place], &betweens[1 - place]), wait_ms);
+                let plan = plan(&folder, &file_name(place, number), &text);
+                let mut process = Process::start(plan).await.expect("it starts");
+                at.send_replace(Some(process.listens().await.expect("it listens")));
+                replicas.push(Replica { process, at, front, between });
+            }
+            regions.push(replicas);
         }
         World { folder, regions }
     }
 
-    /// Starts both regions with a first policy in force in each.
+    /// Starts both regions, of one replica each, with a first policy in force in each.
     async fn with_policy(name: &str, wait_ms: u64) -> World {
-        let world = World::start(name, wait_ms).await;
+        World::of_replicas(name, 1, wait_ms).await
+    }
+
+    /// As [`World::with_policy`], with so many replicas in each region.
+    async fn of_replicas(name: &str, count: usize, wait_ms: u64) -> World {
+        let folder = Folder::new(&format!("regions-{name}")).expect("a folder");
+        let world = World::start(folder, count, wait_ms).await;
         let done = world.publish(NORTE, Scope::All, 1).await;
         assert_eq!(done.outcome, Outcome::InForce, "{}", done.why);
         for place in [NORTE, SUR] {
@@ -100,15 +139,24 @@
         world
     }
 
+    fn addresses(&self, place: usize) -> Vec<SocketAddr> {
+        self.regions[place].iter().map(|replica| replica.front.address).collect()
+    }
+
+    /// What the logs of a region say.
+    fn log(&self, place: usize) -> Vec<String> {
+        self.regions[place].iter().flat_map(|r| r.process.log()).map(|(_, line)| line).collect()
+    }
+
     fn control(&self, place: usize) -> Control {
         let secret = self.folder.path().join("secret");
-        let control = vec![self.regions[place].front.address];
+        let control = self.addresses(place);
         Control::new(&At { control, secret, timeout: LONG.as_secs() }).expect("a secret")
     }
 
     fn client(&self, place: usize) -> Client {
         let secret = Secret::read(&self.folder.path().join("secret")).expect("a secret");
-        Client::new(vec![self.regions[place].front.address], secret, Duration::from_secs(5))
+        Client::new(self.addresses(place), secret, Duration::from_secs(5))
     }
 
     async fn standing(&self, place: usize) -> Standing {
@@ -123,7 +171,7 @@
             if is_so(&standing) {
                 return standing;
             }
-            assert!(Instant::now() < end, "no {what}: {standing:?} {:?}", self.regions[place].process.log());
+            assert!(Instant::now() < end, "no {what}: {standing:?} {:?}", self.log(place));
             tokio::time::sleep(LOOK).await;
         }
     }
@@ -139,7 +187,9 @@
 
     /// Cuts or mends the way to this region from the other one, in both directions.
     fn pass_to(&self, place: usize, forth: Pass, back: Pass) {
-        self.regions[place].between.set(|state| (state.forth, state.back) = (forth, back));
+        for replica in &self.regions[place] {
+            replica.between.set(|state| (state.forth, state.back) = (forth, back));
+        }
     }
 
     fn cut(&self) {
@@ -150,20 +200,34 @@
         [NORTE, SUR].into_iter().for_each(|place| self.pass_to(place, Pass::Free, Pass::Free));
     }
 
-    /// Takes the other region out of this one's file. It holds from the next restart on.
+    /// Takes the other region out of the file of this one's only replica. It holds from the next restart on.
     fn remove_other(&self, place: usize) {
-        let (name, front) = (NAMES[place], self.regions[place].front.address);
-        let text = settings(place, front, front, 1_000);
+        let own = self.addresses(place);
+        let text = settings(place, 1, (&own, &own), 1_000);
         let (own, _) = text.split_once("region = ").expect("the keys of regions come last");
-        self.folder.write(&format!("{name}.toml"), own, false).expect("a file");
+        self.folder.write(&format!("{}.toml", file_name(place, 1)), own, false).expect("a file");
     }
 
+    /// Kills the only replica of a region.
+    async fn kill(&mut self, place: usize) {
+        self.regions[place][0].process.kill().await;
+    }
+
+    /// Kills the only replica of a region, and starts it again from its disk.
     async fn restart(&mut self, place: usize) {
-        let region = &mut self.regions[place];
-        region.process.kill().await;
-        region.process.again().expect("it starts");
-        let address = region.process.listens().await.expect("it listens");
-        region.at.send_replace(Some(address));
+        self.kill(place).await;
+        let replica = &mut self.regions[place][0];
+        replica.process.again().expect("it starts");
+        let address = replica.process.listens().await.expect("it listens");
+        replica.at.send_replace(Some(address));
+    }
+
+    /// Kills the replica that leads a region.
+    async fn kill_leader(&mut self, place: usize) {
+        let leader = self.standing(place).await.leader;
+        let replicas = &mut self.regions[place];
+        let leads = |replica: &&mut Replica| replica.front.address.to_string() == leader;
+        replicas.iter_mut().find(leads).expect("one of them").process.kill().await;
     }
 
     /// Asks for a lease, for a proxy that goes on without one.
@@ -258,7 +322,7 @@
     // A connection may have to be found dead first.
     let end = Instant::now() + LONG;
     while world.publish(NORTE, Scope::All, 4).await.outcome != Outcome::InForce {
-        assert!(Instant::now() < end, "{:?}", world.regions[NORTE].process.log());
+        assert!(Instant::now() < end, "{:?}", world.log(NORTE));
     }
     world
         .until(SUR, "the policy of all", |s| {
@@ -350,7 +414,7 @@
     let all = request::What::PublishAll(wire::Publish { files: files(2), revision });
     let refusal = world.refused(SUR, all).await;
     assert_eq!(refusal.code(), refusal::Code::NotCoordinator);
-    assert_eq!(refusal.replicas, [world.regions[NORTE].between.address.to_string()]);
+    assert_eq!(refusal.replicas, [world.regions[NORTE][0].between.address.to_string()]);
     // A proxy that means the control of another region gets no lease.
     let sur: Region = "sur".parse().expect("a name");
     let strayed = ask(1, 0, CutOff::Refuse).in_region(Some(&sur));
@@ -367,7 +431,7 @@
     assert_eq!(refusal.code(), refusal::Code::Bad);
     // One for another region than the one that it has come to, under the right seal.
     let secret = Secret::read(&world.folder.path().join("secret")).expect("a secret");
-    let norte = vec![world.regions[NORTE].front.address];
+    let norte = world.addresses(NORTE);
     let mut leader = Client::between_regions(norte, secret.clone(), Duration::from_secs(5));
     let fault = leader.ask(&request::What::Prepare(prepare.clone())).await.expect_err("misdirected");
     assert!(fault.to_string().contains("\"sur\"") && fault.to_string().contains("\"norte\""), "{fault}");
@@ -375,39 +439,59 @@
     let asked = leader.ask(&request::What::Status(wire::StatusAsked {})).await;
     assert!(matches!(asked, Err(Fault::Refused(refusal)) if refusal.code() == refusal::Code::Bad));
     // A change that the coordinator does not know begins, and ends by the coordinator's word.
-    let sur = vec![world.regions[SUR].front.address];
+    let sur = world.addresses(SUR);
     let mut leader = Client::between_regions(sur, secret, Duration::from_secs(5));
     assert!(matches!(leader.ask(&request::What::Prepare(prepare)).await, Ok(reply::What::Vote(_))));
     let standing = world.until(SUR, "end", |s| s.changes.len() == 2 && s.to_come.is_none()).await;
     assert_eq!((standing.in_force, standing.changes[1].outcome), (Some(1), "not in force"));
 }
 
-/// The change is in force in the coordinator, and the participant has voted and does not know it: the ways are cut.
-async fn cut_after_the_decision(name: &str) -> World {
-    let world = World::with_policy(name, 10_000).await;
-    // The coordinator waits for a proxy of its own, which has not told that it acts under the middle.
+/// Publishes a change of all that the other region has voted for, and that waits for a proxy of the coordinator's region
+/// alone. What comes of it, and the coordinator's middle.
+async fn waits_for_a_proxy(world: &World) -> (JoinHandle<Done>, u64) {
     world.lease(NORTE, 1, 0).await;
     let publishing = world.publishing(NORTE, Scope::All, 2);
     let prepared = |s: &Standing| change(s).is_some_and(|c| c.participants.iter().all(|p| p.prepared));
     let middle = world.until(NORTE, "vote of the other region", prepared).await;
+    (publishing, middle.revision)
+}
+
+/// The change is in force in the coordinator, and the participant has voted and does not know it: the ways are cut.
+async fn cut_after_the_decision(name: &str) -> World {
+    let world = World::with_policy(name, 10_000).await;
+    let (publishing, middle) = waits_for_a_proxy(&world).await;
     world.cut();
-    world.lease(NORTE, 2, middle.revision).await;
+    world.lease(NORTE, 2, middle).await;
     let done = publishing.await.expect("it ends");
     assert_eq!(done.outcome, Outcome::InForce, "{}", done.why);
     assert!(has_voted(&world.standing(SUR).await));
     world
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn leaders_that_die_between_the_steps_leave_the_change_to_the_next_ones() {
+    let mut world = World::of_replicas("leaders", 3, 10_000).await;
+    let (publishing, middle) = waits_for_a_proxy(&world).await;
+    world.kill_leader(NORTE).await;
+    world.kill_leader(SUR).await;
+    assert!(has_voted(&world.standing(SUR).await), "the next leader knows of the vote");
+    world.lease(NORTE, 2, middle).await;
+    let done = publishing.await.expect("it ends");
+    assert_eq!((done.outcome, done.generation), (Outcome::InForce, Some(2)), "{}", done.why);
+    world.until(SUR, "decision", |s| s.in_force == Some(2)).await;
+    world.until(NORTE, "acknowledgement", |s| change(s).is_none()).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_region_that_is_lost_for_good_is_taken_out_of_the_files() {
     let mut world = cut_after_the_decision("lost-sur").await;
-    world.regions[SUR].process.kill().await;
+    world.kill(SUR).await;
     world.remove_other(NORTE);
     world.restart(NORTE).await;
-    let acknowledged = |(_, line): &(u64, String)| line.contains("region sur acknowledged the commit");
+    let acknowledged = |line: &String| line.contains("region sur acknowledged the commit");
     let end = Instant::now() + LONG;
-    while !world.regions[NORTE].process.log().iter().any(acknowledged) {
-        assert!(Instant::now() < end, "{:?}", world.regions[NORTE].process.log());
+    while !world.log(NORTE).iter().any(acknowledged) {
+        assert!(Instant::now() < end, "{:?}", world.log(NORTE));
         tokio::time::sleep(LOOK).await;
     }
     let standing = world.standing(NORTE).await;
@@ -418,7 +502,7 @@
 async fn a_change_whose_coordinator_is_lost_for_good_is_given_up_by_hand() {
     let mut world = cut_after_the_decision("lost-norte").await;
     world.control(SUR).abort("it is down").await.expect_err("it may come back");
-    world.regions[NORTE].process.kill().await;
+    world.kill(NORTE).await;
     world.remove_other(SUR);
     world.restart(SUR).await;
     assert_eq!(world.standing(SUR).await.to_come, Some(2), "nothing ends by itself");
@@ -437,8 +521,8 @@
 async fn a_store_of_a_version_without_regions_goes_on_as_that_of_a_region() {
     let folder = Folder::new("regions-older").expect("a folder");
     let store = zstd::bulk::decompress(STORE_WITHOUT_REGIONS, STORE_BYTES_MOST).expect("a store");
-    std::fs::write(folder.path().join("store-norte"), store).expect("a file");
-    let world = World::start_in(folder, 10_000).await;
+    std::fs::write(folder.path().join("store-norte-1"), store).expect("a file");
+    let world = World::start(folder, 1, 10_000).await;
     let standing = world.standing(NORTE).await;
     assert_eq!((standing.in_force, standing.changes.len()), (Some(3), 3));
     assert!(standing.changes.iter().all(|change| change.all_regions.is_none()));
