--- a/crates/policy/src/command.rs
+++ b/crates/policy/src/command.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 
 /// One entry of the replicated log. A command that names a revision is refused at any other revision.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Command {
     /// A policy is to come into force.
     Publish {
--- a/crates/policy/src/regions.rs
+++ b/crates/policy/src/regions.rs
@@ -159,7 +159,7 @@
 }
 
 /// Names a change of all regions in messages and in records.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ChangeRef {
     /// Its identifier.
     pub id: ChangeId,
@@ -170,7 +170,7 @@
 }
 
 /// What a publish of all regions says beside the policy.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct AllRegions {
     /// Identifies the change.
     pub id: ChangeId,
@@ -181,7 +181,7 @@
 }
 
 /// The part of a region in a change of all regions that is under way.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Role {
     /// It decides.
     Coordinator {
@@ -198,7 +198,7 @@
 }
 
 /// A change of all regions that is under way in a region.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CrossRegion {
     /// The change.
     pub change: ChangeRef,
@@ -220,7 +220,7 @@
 
 /// A change of all regions that is in force here, and of which the coordinator does not know yet whether all participants
 /// have taken it in.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Unacknowledged {
     /// The change.
     pub change: ChangeRef,
@@ -229,7 +229,7 @@
 }
 
 /// The last change of all regions in which a region took part under one coordinator.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Participation {
     /// The change.
     pub change: ChangeRef,
@@ -238,7 +238,7 @@
 }
 
 /// What the coordinator has decided about a change of all regions.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Decision {
     /// Nothing yet.
     Open,
@@ -249,7 +249,7 @@
 }
 
 /// From the coordinator to a participant: take part in this change, and tell whether you are prepared.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Prepare {
     /// The change.
     pub change: ChangeRef,
@@ -258,14 +258,14 @@
 }
 
 /// From the coordinator to a participant: this change is in force; tell when it is so with you.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Commit {
     /// The change.
     pub change: ChangeRef,
 }
 
 /// What a coordinator sends to a participant. The answer to either is a [`VoteReply`].
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Request {
     /// See [`Prepare`].
     Prepare(Prepare),
@@ -274,7 +274,7 @@
 }
 
 /// How a change of all regions stands in a participant.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Vote {
     /// It is under way, and proxies may still act under an older mode.
     Preparing,
@@ -292,7 +292,7 @@
 }
 
 /// From a participant to the coordinator.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct VoteReply {
     /// The change.
     pub id: ChangeId,
@@ -301,7 +301,7 @@
 }
 
 /// From a participant to the coordinator: how did this change end? The answer is an [`OutcomeReply`].
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct OutcomeAsked {
     /// The change.
     pub id: ChangeId,
@@ -310,7 +310,7 @@
 }
 
 /// From the coordinator to a participant.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct OutcomeReply {
     /// The change.
     pub id: ChangeId,
