--- a/crates/policy/src/command.rs
+++ b/crates/policy/src/command.rs
@@ -1,9 +1,10 @@
 //! The commands that the replicas of a region agree on, and what becomes of them.
 
-use crate::regions::{AllRegions, ChangeId, ChangeRef, Region};
+use crate::regions::{listed, AllRegions, ChangeId, ChangeRef, Region};
 use crate::{CutOff, Generation, Identity};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
+use std::fmt;
 
 /// One entry of the replicated log. A command that names a revision is refused at any other revision.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -128,6 +129,28 @@
     Evicted,
 }
 
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Refused::UnderWay(generation) => write!(f, "the change to {generation} is under way"),
+            Refused::AcrossRegions { generation, id, waits_for } => {
+                write!(f, "the change of all regions {id}, here {generation}, is not at its end: ")?;
+                match waits_for.is_empty() {
+                    true => f.write_str("it waits for proxies of this region"),
+                    false => write!(f, "it waits for {}", listed(waits_for)),
+                }
+            }
+            Refused::NotPrepared { regions } => write!(f, "no vote yet of {}", listed(regions)),
+            Refused::AwaitsDecision { coordinator } => write!(
+                f,
+                "this region has voted for a change of all regions: region {coordinator} decides how it ends"
+            ),
+            Refused::Moved => f.write_str("something else came in between: look again"),
+            Refused::Evicted => f.write_str("this start of the proxy was evicted: start it anew"),
+        }
+    }
+}
+
 /// What became of a command.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Outcome {
--- a/crates/policy/src/regions.rs
+++ b/crates/policy/src/regions.rs
@@ -94,6 +94,13 @@
     }
 }
 
+/// Regions for people.
+pub(crate) fn listed(regions: &BTreeSet<Region>) -> String {
+    let names: Vec<&str> = regions.iter().map(Region::as_str).collect();
+    let noun = if names.len() == 1 { "region" } else { "regions" };
+    format!("{noun} {}", names.join(", "))
+}
+
 /// The regions of a fleet, as one of them sees them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Regions {
--- a/crates/policy/src/steps.rs
+++ b/crates/policy/src/steps.rs
@@ -1,6 +1,6 @@
 //! The next step of the change under way, as the leader of a region sees it.
 
-use crate::regions::{CrossRegion, Region, Role};
+use crate::regions::{listed, CrossRegion, Region, Role};
 use crate::{Blocker, Command, Leases, Micros, Mode, Record};
 use std::collections::BTreeSet;
 
@@ -92,8 +92,3 @@
         _ => BTreeSet::new(),
     }
 }
-
-fn listed(regions: &BTreeSet<Region>) -> String {
-    let names: Vec<&str> = regions.iter().map(Region::as_str).collect();
-    format!("region {}", names.join(", "))
-}
--- a/crates/policy/tests/regions.rs
+++ b/crates/policy/tests/regions.rs
@@ -447,6 +447,21 @@
     }
 }
 
+#[test]
+fn a_refusal_says_what_is_waited_for() {
+    let across = |waits_for: &[Region]| Refused::AcrossRegions {
+        generation: Generation(7),
+        id: ChangeId(255),
+        waits_for: waits_for.iter().cloned().collect(),
+    };
+    let head = "the change of all regions 00000000000000ff, here generation 7, is not at its end: ";
+    assert_eq!(across(&[sur()]).to_string(), format!("{head}it waits for region sur"));
+    assert_eq!(across(&[sur(), norte()]).to_string(), format!("{head}it waits for regions norte, sur"));
+    assert_eq!(across(&[]).to_string(), format!("{head}it waits for proxies of this region"));
+    let awaits = Refused::AwaitsDecision { coordinator: norte() }.to_string();
+    assert_eq!(awaits, "this region has voted for a change of all regions: region norte decides how it ends");
+}
+
 #[test]
 fn a_restart_between_any_two_steps_loses_nothing() {
     let (mut norte, mut sur) = (with_policy(), with_policy());
