--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,7 @@
 mod leader;
 mod network;
 mod progress;
+mod refusals;
 mod regions;
 mod removed;
 pub mod serve;
--- /dev/null
+++ b/crates/control/src/refusals.rs
@@ -0,0 +1,56 @@
+//! What control answers to a question that it does not take.
+
+use crate::leader::NotLeader;
+use badgerramp_channel::wire::{refusal, reply, Refusal};
+use badgerramp_channel::SealFault;
+use badgerramp_policy::regions::Region;
+use badgerramp_policy::Refused;
+use std::net::SocketAddr;
+use tonic::{Code, Status};
+
+/// A refusal with this code.
+pub fn refuse(code: refusal::Code, text: impl Into<String>) -> reply::What {
+    reply::What::Refusal(Refusal { code: code.into(), text: text.into(), ..Refusal::default() })
+}
+
+/// Another replica may lead, and this one does not.
+pub fn elsewhere(fault: NotLeader) -> reply::What {
+    reply::What::Refusal(Refusal {
+        code: refusal::Code::NotLeader.into(),
+        text: fault.why,
+        leader: fault.leader.unwrap_or_default(),
+        ..Refusal::default()
+    })
+}
+
+/// What is told of a message whose seal does not pass.
+pub fn denied(fault: &SealFault) -> Status {
+    let code = match fault {
+        SealFault::Version(_) => Code::FailedPrecondition,
+        SealFault::Forged => Code::PermissionDenied,
+        SealFault::TooLarge(_) | SealFault::Malformed(_) => Code::InvalidArgument,
+    };
+    Status::new(code, fault.to_string())
+}
+
+/// What is told of a command that had no effect.
+pub fn not_logged(refused: &Refused) -> reply::What {
+    let code = match refused {
+        Refused::UnderWay(_) | Refused::AcrossRegions { .. } | Refused::AwaitsDecision { .. } => {
+            refusal::Code::UnderWay
+        }
+        Refused::Evicted => refusal::Code::Evicted,
+        Refused::NotPrepared { .. } | Refused::Moved => refusal::Code::Moved,
+    };
+    refuse(code, refused.to_string())
+}
+
+/// Only the coordinator takes a change of all regions: where it is.
+pub fn not_coordinator(coordinator: &Region, replicas: &[SocketAddr]) -> reply::What {
+    reply::What::Refusal(Refusal {
+        code: refusal::Code::NotCoordinator.into(),
+        text: format!("region {coordinator} coordinates changes of all regions: publish there"),
+        replicas: replicas.iter().map(ToString::to_string).collect(),
+        ..Refusal::default()
+    })
+}
--- a/crates/control/src/regions.rs
+++ b/crates/control/src/regions.rs
@@ -3,10 +3,11 @@
 
 use crate::check;
 use crate::leader::{Leader, NotLeader};
+use crate::refusals::refuse;
 use crate::settings::RegionSettings;
 use crate::store::Store;
 use badgerramp_channel::regions::{to_coordinator, to_participant};
-use badgerramp_channel::wire::{self, refusal, reply, request, Refusal};
+use badgerramp_channel::wire::{self, refusal, reply, request};
 use badgerramp_channel::{Client, Fault, Secret};
 use badgerramp_policy::regions::participant::{OnCommit, OnPrepare};
 use badgerramp_policy::regions::{coordinator, participant, Commit, Prepare, Region, Regions, VoteReply};
@@ -229,14 +230,10 @@
         let text = format!(
             "this is a message for region {to:?}, and this replica is of region \"{own}\": see [regions]"
         );
-        Some(refusal(refusal::Code::OtherRegion, text))
+        Some(refuse(refusal::Code::OtherRegion, text))
     }
 }
 
 fn malformed() -> reply::What {
-    refusal(refusal::Code::Bad, "no message between regions that this version knows")
-}
-
-fn refusal(code: refusal::Code, text: impl Into<String>) -> reply::What {
-    reply::What::Refusal(Refusal { code: code.into(), text: text.into(), ..Refusal::default() })
+    refuse(refusal::Code::Bad, "no message between regions that this version knows")
 }
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -3,13 +3,14 @@
 use crate::check;
 use crate::leader::{Leader, NotLeader};
 use crate::network::{self, Network, MESSAGE_MOST};
+use crate::refusals::{denied, elsewhere, not_coordinator, not_logged, refuse};
 use crate::regions::{Carrier, Responder};
 use crate::settings::{RegionSettings, Settings};
 use crate::status::View;
 use crate::store::{Store, Types};
 use badgerramp_channel::wire::control_server::{Control, ControlServer};
-use badgerramp_channel::wire::{self, refusal, reply, request, Refusal, Reply, Request, Sealed};
-use badgerramp_channel::{digest, Purpose, SealFault, Secret};
+use badgerramp_channel::wire::{self, refusal, reply, request, Reply, Request, Sealed};
+use badgerramp_channel::{digest, Purpose, Secret};
 use badgerramp_policy::regions::{AllRegions, ChangeId};
 use badgerramp_policy::{Command, Generation, Grant, Identity, Lent, Mode, Outcome, Refused, Stale};
 use openraft::{BasicNode, Config, Raft, SnapshotPolicy};
@@ -21,7 +22,7 @@
 use tokio::net::TcpListener;
 use tokio_stream::wrappers::WatchStream;
 use tokio_stream::{Stream, StreamExt};
-use tonic::{Code, Response, Status};
+use tonic::{Response, Status};
 use tracing::{info, warn};
 
 /// Entries of the log after which a snapshot is taken.
@@ -37,55 +38,6 @@
     responder: Option<Responder>,
 }
 
-fn refuse(code: refusal::Code, text: impl Into<String>) -> reply::What {
-    reply::What::Refusal(Refusal { code: code.into(), text: text.into(), ..Refusal::default() })
-}
-
-fn elsewhere(fault: NotLeader) -> reply::What {
-    reply::What::Refusal(Refusal {
-        code: refusal::Code::NotLeader.into(),
-        text: fault.why,
-        leader: fault.leader.unwrap_or_default(),
-        ..Refusal::default()
-    })
-}
-
-fn denied(fault: &SealFault) -> Status {
-    let code = match fault {
-        SealFault::Version(_) => Code::FailedPrecondition,
-        SealFault::Forged => Code::PermissionDenied,
-        SealFault::TooLarge(_) | SealFault::Malformed(_) => Code::InvalidArgument,
-    };
-    Status::new(code, fault.to_string())
-}
-
-/// What is told of a command that had no effect.
-fn not_logged(refused: &Refused) -> reply::What {
-    match refused {
-        Refused::UnderWay(generation) => {
-            refuse(refusal::Code::UnderWay, format!("the change to {generation} is under way"))
-        }
-        Refused::AcrossRegions { generation, id, waits_for } => {
-            let names: Vec<&str> = waits_for.iter().map(|region| region.as_str()).collect();
-            let waits_for = match names.is_empty() {
-                true => "proxies of this region".to_owned(),
-                false => format!("region {}", names.join(", ")),
-            };
-            let text = format!(
-                "the change of all regions {id}, to {generation}, is under way: it waits for {waits_for}"
-            );
-            refuse(refusal::Code::UnderWay, text)
-        }
-        Refused::AwaitsDecision { coordinator } => {
-            let text = format!(
-                "this region has voted for a change of all regions: only region {coordinator} can end it"
-            );
-            refuse(refusal::Code::UnderWay, text)
-        }
-        _ => refuse(refusal::Code::Moved, "something else came in between: look again"),
-    }
-}
-
 impl Service {
     async fn answer(&self, what: request::What) -> reply::What {
         match self.respond(what).await {
@@ -193,13 +145,7 @@
             return Ok(refuse(refusal::Code::OtherRegion, text));
         };
         if let Some(replicas) = settings.coordinator_replicas() {
-            let coordinator = settings.regions.coordinator();
-            return Ok(reply::What::Refusal(Refusal {
-                code: refusal::Code::NotCoordinator.into(),
-                text: format!("region {coordinator} coordinates changes of all regions: publish there"),
-                replicas: replicas.iter().map(ToString::to_string).collect(),
-                ..Refusal::default()
-            }));
+            return Ok(not_coordinator(settings.regions.coordinator(), replicas));
         }
         let all = AllRegions {
             id: ChangeId(rand::random()),
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -1,13 +1,16 @@
 //! The file of a replica.
 
 use badgerramp_channel::Secret;
-use badgerramp_policy::regions::{Region, Regions};
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+mod regions;
+
+pub use regions::RegionSettings;
+
 /// What a file says.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -38,9 +41,6 @@
     replicas: Vec<SocketAddr>,
 }
 
-/// Longest wait for the votes of the other regions, if the file does not say.
-const REGIONS_WAIT_MS: u64 = 10_000;
-
 fn lease_ms() -> u64 {
     10_000
 }
@@ -83,91 +83,6 @@
     pub regions: Option<RegionSettings>,
 }
 
-/// Control as one of several regions.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RegionSettings {
-    /// Their names.
-    pub regions: Regions,
-    /// Where the replicas of each other region are reached.
-    pub replicas: BTreeMap<Region, Vec<SocketAddr>>,
-    /// A change of all regions that lacks a region's vote by then comes to nothing.
-    pub wait: Duration,
-}
-
-impl RegionSettings {
-    /// Reads the keys of regions; `None` if the file has none of them. `own` is where the own replicas are reached.
-    fn of(file: &str, draft: &Draft, own: &BTreeMap<u64, SocketAddr>) -> Result<Option<Self>, String> {
-        let Some(name) = &draft.region else { return without_region(file, draft).map(|()| None) };
-        let region = region_name(file, "region", name)?;
-        if draft.regions.is_empty() {
-            return Err(format!(
-                "{file}: regions: found none, allowed is a table [regions.NAME] for each other region"
-            ));
-        }
-        let mut taken: BTreeMap<SocketAddr, String> =
-            own.iter().map(|(number, address)| (*address, format!("replicas.{number}"))).collect();
-        let mut replicas = BTreeMap::new();
-        for (name, other) in &draft.regions {
-            let key = format!("regions.{name}");
-            let other_region = region_name(file, &key, name)?;
-            if other_region == region {
-                return Err(format!(
-                    "{file}: {key}: found {name:?}, allowed are names of regions other than `region`"
-                ));
-            }
-            replicas_of_region(file, &key, &other.replicas, &mut taken)?;
-            replicas.insert(other_region, other.replicas.clone());
-        }
-        let wait = draft.regions_wait_ms.unwrap_or(REGIONS_WAIT_MS);
-        let wait = range(file, "regions_wait_ms", wait, 200..=86_400_000)?;
-        Ok(Some(RegionSettings {
-            regions: Regions::new(region, replicas.keys().cloned()),
-            replicas,
-            wait: Duration::from_millis(wait),
-        }))
-    }
-
-    /// Where the region is that coordinates changes of all regions; `None`: it is this one.
-    pub fn coordinator_replicas(&self) -> Option<&[SocketAddr]> {
-        self.replicas.get(self.regions.coordinator()).map(Vec::as_slice)
-    }
-}
-
-/// Without a name for its own region a replica has no use for the other keys.
-fn without_region(file: &str, draft: &Draft) -> Result<(), String> {
-    let allowed = "allowed only beside `region`, the name of this replica's region";
-    if let Some(name) = draft.regions.keys().next() {
-        return Err(format!("{file}: regions.{name}: found a region, {allowed}"));
-    }
-    match draft.regions_wait_ms {
-        Some(found) => Err(format!("{file}: regions_wait_ms: found {found}, {allowed}")),
-        None => Ok(()),
-    }
-}
-
-fn region_name(file: &str, key: &str, name: &str) -> Result<Region, String> {
-    name.parse().map_err(|fault| format!("{file}: {key}: found {fault}"))
-}
-
-/// Checks where the replicas of another region are reached. `taken` are the addresses of all others, with their keys.
-fn replicas_of_region(
-    file: &str,
-    key: &str,
-    replicas: &[SocketAddr],
-    taken: &mut BTreeMap<SocketAddr, String>,
-) -> Result<(), String> {
-    if !REPLICA_COUNTS.contains(&replicas.len()) {
-        return Err(format!("{file}: {key}.replicas: found {}, allowed are 1, 3 or 5", replicas.len()));
-    }
-    for (place, address) in replicas.iter().enumerate() {
-        let key = format!("{key}.replicas[{place}]");
-        if let Some(other) = taken.insert(*address, key.clone()) {
-            return Err(format!("{file}: {key}: found {address}, which is that of {other} already"));
-        }
-    }
-    Ok(())
-}
-
 /// How many replicas may keep one record.
 const REPLICA_COUNTS: [usize; 3] = [1, 3, 5];
 
--- a/crates/control/tests/regions.rs
+++ b/crates/control/tests/regions.rs
@@ -353,7 +353,7 @@
     assert_eq!(refusal.code(), refusal::Code::UnderWay);
     assert!(refusal.text.contains("waits for region norte"), "{}", refusal.text);
     let fault = world.control(SUR).abort("by hand").await.expect_err("not its to end");
-    assert!(fault.contains("only region norte can end it"), "{fault}");
+    assert!(fault.contains("region norte decides how it ends"), "{fault}");
     // The other region goes on.
     let done = world.publish(NORTE, Scope::Region, 4).await;
     assert_eq!((done.outcome, done.generation), (Outcome::InForce, Some(3)), "{}", done.why);
