--- a/crates/channel/src/convert.rs
+++ b/crates/channel/src/convert.rs
@@ -1,6 +1,7 @@
 //! Between what travels and what the decisions know.
 
 use crate::wire;
+use badgerramp_policy::regions::Region;
 use badgerramp_policy::{Ask, CutOff, Generation, Grant, Identity, Mode, Unread};
 
 impl From<Identity> for wire::Identity {
@@ -48,9 +49,16 @@
             unread: own.unread.map(|u| wire::Unread { generation: u.generation.0, reason: u.reason }),
             cut_off: wire::CutOff::from(own.cut_off).into(),
             application: application.to_owned(),
+            region: String::new(),
         }
     }
 
+    /// The same question, for the control of this region only.
+    #[must_use]
+    pub fn in_region(self, region: Option<&Region>) -> Self {
+        wire::Ask { region: region.map(Region::to_string).unwrap_or_default(), ..self }
+    }
+
     /// What the decisions take; `None` if a part is missing or out of its range.
     pub fn read(&self) -> Option<Ask> {
         let cut_off = match self.cut_off() {
--- a/crates/config/src/policy.rs
+++ b/crates/config/src/policy.rs
@@ -1,12 +1,15 @@
 //! `[policy]`: where the policy of the fleet is controlled, who this proxy is to control, and what it does when it is
 //! cut off from it.
 
+use badgerramp_policy::regions::Region;
 use badgerramp_policy::CutOff;
 use badgerramp_reading::{show, Notes, Section};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-const KEYS: [&str; 7] = ["control", "secret", "application", "name", "cut_off", "floor", "state"];
+const KEYS: [&str; 8] = ["control", "secret", "application", "name", "region", "cut_off", "floor", "state"];
+/// What a region may be called, for people. [`Region`] decides.
+const REGION_NAMES: &str = "1 to 63 of a-z, 0-9, '-' and '_', the first one a letter";
 /// Replicas of control at the most.
 const REPLICAS: usize = 5;
 
@@ -21,6 +24,8 @@
     pub application: String,
     /// The proxy's name; `None`: its machine's.
     pub name: Option<String>,
+    /// The region of its control; `None`: whatever that of `control` is.
+    pub region: Option<Region>,
     /// What it does when its lease has run out.
     pub cut_off: CutOff,
     /// The classes whose calls go on where `cut_off` is `narrow`.
@@ -39,6 +44,7 @@
     let secret = section.text(notes, "secret");
     let application = section.text(notes, "application");
     let name = section.text(notes, "name").map(|n| n.value);
+    let region = region(notes, &section);
     let words = [("refuse", CutOff::Refuse), ("narrow", CutOff::Narrow), ("keep", CutOff::Keep)];
     let cut_off = section.word(notes, "cut_off", &words);
     let state = section.text(notes, "state").map(|s| PathBuf::from(s.value));
@@ -62,12 +68,19 @@
         secret: PathBuf::from(secret?.value),
         application: application?.value,
         name,
+        region,
         cut_off: cut_off.map_or(CutOff::Refuse, |c| c.value),
         floor,
         state,
     })
 }
 
+fn region(notes: &mut Notes, section: &Section<'_>) -> Option<Region> {
+    let wording = ("this is no name of a region", REGION_NAMES);
+    let name = section.read(notes, "region", wording, |value| value.as_str().and_then(|n| n.parse().ok()));
+    name.map(|set| set.value)
+}
+
 fn addresses(notes: &mut Notes, section: &Section<'_>) -> Option<Vec<SocketAddr>> {
     let list = section.list(notes, "control", "addresses, like \"127.0.0.1:7400\"")?;
     let mut all = Vec::new();
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -7,6 +7,10 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+mod regions;
+
+pub use regions::RegionSettings;
+
 /// What a file says.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -24,6 +28,17 @@
     wait_ms: u64,
     #[serde(default = "election_ms")]
     election_ms: u64,
+    region: Option<String>,
+    #[serde(default)]
+    regions: BTreeMap<String, RegionDraft>,
+    regions_wait_ms: Option<u64>,
+}
+
+/// What a file says of another region.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RegionDraft {
+    replicas: Vec<SocketAddr>,
 }
 
 fn lease_ms() -> u64 {
@@ -64,8 +79,13 @@
     pub wait: Duration,
     /// A leader that is silent for this long is replaced, at the least.
     pub election: Duration,
+    /// This region and the other ones; `None`: there are no regions.
+    pub regions: Option<RegionSettings>,
 }
 
+/// How many replicas may keep one record.
+const REPLICA_COUNTS: [usize; 3] = [1, 3, 5];
+
 fn range(file: &str, key: &str, found: u64, allowed: std::ops::RangeInclusive<u64>) -> Result<u64, String> {
     match allowed.contains(&found) {
         true => Ok(found),
@@ -99,7 +119,7 @@
             }
             replicas.insert(number(name)?, *address);
         }
-        if !matches!(replicas.len(), 1 | 3 | 5) {
+        if !REPLICA_COUNTS.contains(&replicas.len()) {
             return Err(format!("{file}: replicas: found {}, allowed are 1, 3 or 5", replicas.len()));
         }
         let Some(&reached) = replicas.get(&draft.replica) else {
@@ -108,6 +128,7 @@
                 draft.replica
             ));
         };
+        let regions = RegionSettings::of(&file, &draft, &replicas)?;
         let beside = |other: PathBuf| match path.parent() {
             Some(folder) if other.is_relative() => folder.join(other),
             _ => other,
@@ -130,6 +151,7 @@
             drift: Duration::from_micros(lease * drift / 1_000 + 1_000),
             wait: Duration::from_millis(wait),
             election: Duration::from_millis(election),
+            regions,
         })
     }
 }
