Peers in virtual time: what is sent in each second is counted by kind of message

A play told only the messages of its last second, so that the traffic of a start could not be told apart from that of calm, nor what grows in it. Played::sent now counts messages and bytes of every second by kind (probe, gossip, announce, status, list). The course of a play does not change.

--- a/crates/peers/src/play.rs
+++ b/crates/peers/src/play.rs
@@ -11,6 +11,9 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::net::{Ipv4Addr, SocketAddr};
+use traffic::Traffic;
+
+pub mod traffic;
 
 /// What goes wrong.
 #[derive(Clone, Debug, PartialEq)]
@@ -117,6 +120,8 @@
     pub sent_most: u64,
     /// Messages that all sent in the last second, for each proxy.
     pub sent_calm: f64,
+    /// What all sent in each second, by kind of message.
+    pub sent: Vec<Traffic>,
     /// Proxies that ask in the end.
     pub asking: usize,
     /// Proxies that each proxy thinks alive in the end: the least and the most.
@@ -283,6 +288,11 @@
             (proxy.second, proxy.sent) = (now / 1_000_000, 0);
         }
         proxy.sent += 1;
+        let second = (now / 1_000_000) as usize;
+        if self.played.sent.len() <= second {
+            self.played.sent.resize(second + 1, Traffic::default());
+        }
+        self.played.sent[second].count(&bytes);
         self.played.sent_most = self.played.sent_most.max(proxy.sent);
         if now + 1_000_000 >= self.world.until {
             self.last_second += 1;
