--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -7,7 +7,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-const REQUEST: &[u8] =
+/// The request that is sent.
+pub const REQUEST: &[u8] =
     b"GET /safe/member?id=7 HTTP/1.1\r\nHost: service.internal\r\nUser-Agent: bench\r\nAccept: */*\r\nX-Timeout: 9000m\r\n\r\n";
 
 const LENGTH: &[u8] = b"content-length:";
@@ -39,7 +40,8 @@
     Ok(whole)
 }
 
-fn histogram() -> Histogram<u64> {
+/// For times in microseconds.
+pub fn histogram() -> Histogram<u64> {
     Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds that fit")
 }
 
@@ -68,7 +70,7 @@
 }
 
 /// Is this an answer with all of its body? They all tell their length.
-fn whole(answer: &[u8]) -> bool {
+pub fn whole(answer: &[u8]) -> bool {
     let Some(head) = answer.windows(4).position(|w| w == b"\r\n\r\n") else { return false };
     let length = answer[..head].split(|&b| b == b'\n').find_map(|line| {
         let (name, value) = line.split_at_checked(LENGTH.len())?;
--- a/crates/bench/src/plain.rs
+++ b/crates/bench/src/plain.rs
@@ -1,6 +1,7 @@
 //! The measure: a pass-through of hyper's parts that takes the next host in turn and keeps connections. It decides
 //! nothing and knows no deadlines.
 
+use crate::Fault;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -18,12 +19,21 @@
 
 type Sender = client::SendRequest<Full<Bytes>>;
 
-struct Pool {
+/// Connections to hosts, kept for the next request.
+pub struct Pool {
     addresses: Vec<SocketAddr>,
     idle: Vec<RefCell<Vec<Sender>>>,
     next: Cell<usize>,
 }
 
+impl Pool {
+    /// One without connections yet.
+    pub fn new(addresses: Vec<SocketAddr>) -> Self {
+        let idle = addresses.iter().map(|_| RefCell::default()).collect();
+        Pool { addresses, idle, next: Cell::new(0) }
+    }
+}
+
 /// An answer with this body.
 pub fn answer(body: Bytes) -> Response<Full<Bytes>> {
     Response::new(Full::new(body))
@@ -32,11 +42,7 @@
 /// Serves until it is ended. Prints where it listens.
 pub fn serve(endpoints: usize, ports: &[u16]) -> io::Result<()> {
     let addresses = (0..endpoints).map(|n| SocketAddr::from(([127, 0, 0, 1], ports[n % ports.len()])));
-    let pool = Rc::new(Pool {
-        addresses: addresses.collect(),
-        idle: (0..endpoints).map(|_| RefCell::default()).collect(),
-        next: Cell::new(0),
-    });
+    let pool = Rc::new(Pool::new(addresses.collect()));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
@@ -54,25 +60,28 @@
     })
 }
 
-async fn pass(pool: &Pool, request: Request<Incoming>) -> Response<Full<Bytes>> {
+/// Passes a request to the next host in turn; 502 if that fails.
+pub async fn pass(pool: &Pool, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let place = pool.next.get();
     pool.next.set((place + 1) % pool.addresses.len());
-    exchange(pool, place, request).await.unwrap_or_else(|_| {
+    let (parts, body) = request.into_parts();
+    let passed = async {
+        let body = body.collect().await?.to_bytes();
+        exchange(pool, place, Request::from_parts(parts, Full::new(body))).await
+    };
+    passed.await.unwrap_or_else(|_| {
         let mut failed = answer(Bytes::new());
         *failed.status_mut() = StatusCode::BAD_GATEWAY;
         failed
     })
 }
 
-type Fault = Box<dyn std::error::Error>;
-
-async fn exchange(
+/// Sends a request to the host of this place and reads its whole answer.
+pub async fn exchange(
     pool: &Pool,
     place: usize,
-    request: Request<Incoming>,
+    request: Request<Full<Bytes>>,
 ) -> Result<Response<Full<Bytes>>, Fault> {
-    let (parts, body) = request.into_parts();
-    let body = body.collect().await?.to_bytes();
     let kept = pool.idle[place].borrow_mut().pop().filter(|s| s.is_ready());
     let mut sender = match kept {
         Some(sender) => sender,
@@ -84,7 +93,7 @@
             sender
         }
     };
-    let answer = sender.send_request(Request::from_parts(parts, Full::new(body))).await?;
+    let answer = sender.send_request(request).await?;
     let (parts, body) = answer.into_parts();
     let body = body.collect().await?.to_bytes();
     pool.idle[place].borrow_mut().push(sender);
