Proxy: the policy client has its name, and its copy on disk and its rules are modules

`Fleet` was a client of control; it is `PolicyClient` now, in policy_client.rs. Its 70-line `set` is split: reading a policy into rules and merged settings is policy_rules.rs, the copy on disk is policy_copy.rs.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -3,11 +3,13 @@
 #![forbid(unsafe_code)]
 
 pub mod cli;
-mod fleet;
 pub mod log;
 mod look;
 pub mod net;
 mod places;
 mod platform;
+mod policy_client;
+mod policy_copy;
+mod policy_rules;
 pub mod program;
 pub mod sidecar;
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/policy_client.rs
@@ -1,24 +1,20 @@
 //! `[policy]`: the way to the fleet's control. Questions, answers and the rules that come of them; what may begin is
 //! decided by [`badgerramp_policy::Holder`].
 
-use crate::net::admit::{Floor, Middle, Rules, Sidecar};
 use crate::net::driver::Driver;
 use crate::net::front::Front;
 use crate::net::gate::Gate;
 use crate::places::{seed, Places};
+use crate::policy_copy::{self, PolicyCopy};
+use crate::policy_rules::{floor_rules, mode_rules, Combined, MergedSettings, Read};
 use crate::program::Running;
 use badgerramp_channel::wire::{self, refusal, reply, request};
 use badgerramp_channel::{clock, digest, Client, Fault, Secret};
 use badgerramp_config::{Config, PolicyTerms, Use};
 use badgerramp_decisions::ClassId;
 use badgerramp_policy::{Answered, CutOff, Generation, Holder, HolderTerms, Identity, Mode};
-use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
-use std::fs::{self, File};
-use std::io::{self, Write};
-use std::os::unix::fs::OpenOptionsExt;
-use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -34,24 +30,8 @@
 /// Longest sleep at a time: the timers of the runtime stand still while the machine sleeps, leases don't.
 const NAP: Duration = Duration::from_millis(500);
 
-/// A generation that was read and found good.
-struct Read {
-    text: String,
-    /// Taken by the rules once they are made.
-    config: Option<Config>,
-    rules: Option<Rc<Rules>>,
-}
-
-/// What of the policy is kept on disk: so that it need not be sent again, and as no licence to serve.
-#[derive(Serialize, Deserialize)]
-struct OnDisk {
-    version: u32,
-    application: String,
-    texts: BTreeMap<u64, String>,
-}
-
-/// The proxy's part in the fleet's policy.
-pub struct Fleet {
+/// Asks control for a lease of the policy and installs the rules that are lent.
+pub struct PolicyClient {
     gate: Rc<Gate>,
     identity: Identity,
     terms: PolicyTerms,
@@ -70,7 +50,7 @@
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
 
-impl Fleet {
+impl PolicyClient {
     /// The part of a proxy with this file of its own, whose classes have these places.
     ///
     /// # Errors
@@ -82,14 +62,13 @@
         let host = || rustix::system::uname().nodename().to_string_lossy().into_owned();
         let name = terms.name.clone().unwrap_or_else(host);
         let identity = Identity { name, incarnation: seed() };
-        let kept = terms.state.as_deref().map(|folder| load(folder, &terms.application));
+        let kept = terms.state.as_deref().map(|folder| policy_copy::load(folder, &terms.application));
         let mut read = BTreeMap::new();
         match kept {
             Some(Ok(Some(kept))) => {
-                for (generation, text) in kept.texts {
+                for (generation, text) in kept.into_texts() {
                     if let Ok(config) = parse(&text, &local) {
-                        let config = Some(config);
-                        read.insert(Generation(generation), Read { text, config, rules: None });
+                        read.insert(Generation(generation), Read::new(text, config));
                     }
                 }
             }
@@ -101,7 +80,7 @@
         let has = read.keys().copied().collect();
         let gate = Gate::new(Holder::new(identity.clone(), holder, has));
         info!("policy from control, as {identity}");
-        Ok(Rc::new(Fleet {
+        Ok(Rc::new(PolicyClient {
             gate,
             identity,
             terms,
@@ -250,8 +229,7 @@
         let text = text.files.get(application);
         let text = text.ok_or_else(|| format!("it has no file for application {application:?}"))?;
         let config = parse(text, &self.local.borrow())?;
-        let read = Read { text: text.clone(), config: Some(config), rules: None };
-        self.read.borrow_mut().insert(generation, read);
+        self.read.borrow_mut().insert(generation, Read::new(text.clone(), config));
         Ok(())
     }
 
@@ -259,77 +237,51 @@
     fn set(&self, mode: Mode, driver: &Driver, front: &Front) {
         let mut read = self.read.borrow_mut();
         read.retain(|&g, _| g == mode.old || g == mode.new);
-        // A class keeps its number while it stays as it is: in the middle each generation has its own.
-        let key = |class: &badgerramp_config::Class| format!("{} {:?}", class.name, class.class);
-        let keys = |read: &Read| -> Vec<String> {
-            let of = |config: &Config| config.classes.iter().map(key).collect();
-            match (&read.config, read.rules.as_deref()) {
-                (Some(config), _) => of(config),
-                (None, Some(Rules::Sidecar(sidecar))) => of(sidecar.config()),
-                _ => Vec::new(),
-            }
-        };
-        let each: Vec<Vec<String>> = read.values().map(keys).collect();
-        let all: BTreeSet<&str> = each.iter().flatten().map(String::as_str).collect();
-        let all: Vec<&str> = all.into_iter().collect();
+        let Some(combined) = self.combine(&mut read, driver) else { return };
+        let rules_of = |generation: Generation| read.get(&generation).and_then(Read::rules);
+        let (Some(old), Some(new)) = (rules_of(mode.old), rules_of(mode.new)) else { return };
+        let Combined { settings, fresh, open_calls, retry_after } = combined;
+        driver.reconfigure(settings, fresh, open_calls);
+        front.advice.set(retry_after);
+        let floor = floor_rules(&old);
+        let Some(rules) = mode_rules(mode, old, new) else { return };
+        self.gate.install(mode, rules, floor);
+        self.set.set(Some(mode));
+        self.keep_copy(&read);
+    }
+
+    /// Makes the rules of all that was read, and the settings that hold for all of it.
+    fn combine(&self, read: &mut BTreeMap<Generation, Read>, driver: &Driver) -> Option<Combined> {
+        let keys: Vec<Vec<String>> = read.values().map(Read::class_keys).collect();
+        let distinct: BTreeSet<&str> = keys.iter().flatten().map(String::as_str).collect();
+        let distinct: Vec<&str> = distinct.into_iter().collect();
         let mut places = self.places.borrow_mut();
-        let (numbers, fresh) = places.assign(&all, |class| driver.in_use(class));
-        let number = |key: &String| all.iter().position(|k| k == key).and_then(|n| numbers.get(n)).copied();
-        let mut settings = None;
-        for (read, keys) in read.values_mut().zip(&each) {
+        let (numbers, fresh) = places.assign(&distinct, |class| driver.in_use(class));
+        let number =
+            |key: &String| distinct.iter().position(|k| k == key).and_then(|n| numbers.get(n)).copied();
+        let mut merged: Option<MergedSettings> = None;
+        for (read, keys) in read.values_mut().zip(&keys) {
             let numbers: Vec<ClassId> = keys.iter().filter_map(number).collect();
-            if let Some(config) = read.config.take() {
-                let sidecar = Sidecar::new(config, numbers.clone(), seed());
-                read.rules = Some(Rc::new(Rules::Sidecar(Box::new(sidecar))));
-            }
-            if let Some(Rules::Sidecar(sidecar)) = read.rules.as_deref() {
-                let (config, own) = (sidecar.config(), sidecar.config().settings());
-                let classes = numbers.into_iter().zip(own.classes.iter().copied());
-                let (base, most, advice, held) = settings.get_or_insert_with(|| {
-                    (own.clone(), config.limits.open_calls, config.limits.retry_after, Vec::new())
-                });
-                base.limits.second_copies |= own.limits.second_copies;
-                base.limits.max_attempts = base.limits.max_attempts.max(own.limits.max_attempts);
-                *most = config.limits.open_calls.min(*most);
-                // Of both the newer: it concerns only those that are refused.
-                *advice = config.limits.retry_after;
-                base.limits.max_retry_after = *advice;
-                held.extend(classes);
-            }
+            read.make_rules(&numbers);
+            let Some(config) = read.own_config() else { continue };
+            merged.get_or_insert_with(|| MergedSettings::of(config)).add(config, numbers);
         }
-        let rules = |g: Generation| read.get(&g).and_then(|r| r.rules.clone());
-        let (Some(old), Some(new), Some((base, most, advice, classes))) =
-            (rules(mode.old), rules(mode.new), settings)
-        else {
-            return;
-        };
-        driver.reconfigure(places.laid_out(base, &classes), fresh, most);
-        front.advice.set(advice);
-        let floor = match &*old {
-            Rules::Sidecar(sidecar) => {
-                let names = sidecar.config().policy.as_ref().map(|p| p.floor.as_slice());
-                sidecar.numbers(names.unwrap_or_default())
+        let MergedSettings { settings, open_calls, retry_after, classes } = merged?;
+        let settings = places.laid_out(settings, &classes);
+        Some(Combined { settings, fresh, open_calls, retry_after })
+    }
+
+    /// Keeps what was read on disk, if the proxy has a folder for it.
+    fn keep_copy(&self, read: &BTreeMap<Generation, Read>) {
+        let Some(folder) = self.terms.state.clone() else { return };
+        let texts = read.iter().map(|(g, r)| (g.0, r.text.clone())).collect();
+        let copy = PolicyCopy::new(self.terms.application.clone(), texts);
+        // A slow disk must not hold calls up.
+        tokio::task::spawn_blocking(move || {
+            if let Err(fault) = policy_copy::save(&folder, &copy) {
+                warn!("{}: the policy could not be kept: {fault}", folder.display());
             }
-            _ => Vec::new(),
-        };
-        let floor = Rc::new(Rules::Floor(Box::new(Floor::of(Rc::clone(&old), floor))));
-        let rules = match mode.is_middle() {
-            false => Some(old),
-            true => Middle::between(old, new).map(|middle| Rc::new(Rules::Middle(Box::new(middle)))),
-        };
-        let Some(rules) = rules else { return };
-        self.gate.install(mode, rules, floor);
-        self.set.set(Some(mode));
-        if let Some(folder) = self.terms.state.clone() {
-            let texts = read.iter().map(|(g, r)| (g.0, r.text.clone())).collect();
-            let kept = OnDisk { version: 1, application: self.terms.application.clone(), texts };
-            // A slow disk must not hold calls up.
-            tokio::task::spawn_blocking(move || {
-                if let Err(fault) = save(&folder, &kept) {
-                    warn!("{}: the policy could not be kept: {fault}", folder.display());
-                }
-            });
-        }
+        });
     }
 
     /// The proxy's own file has changed.
@@ -342,8 +294,8 @@
         }
         let mut anew = BTreeMap::new();
         for (&generation, read) in self.read.borrow().iter() {
-            let config = Some(parse(&read.text, &local).map_err(|e| format!("{generation}: {e}"))?);
-            anew.insert(generation, Read { text: read.text.clone(), config, rules: None });
+            let config = parse(&read.text, &local).map_err(|e| format!("{generation}: {e}"))?;
+            anew.insert(generation, Read::new(read.text.clone(), config));
         }
         *self.local.borrow_mut() = local;
         *self.read.borrow_mut() = anew;
@@ -371,71 +323,3 @@
     }
     Ok(config.beside(local))
 }
-
-fn place(folder: &Path, application: &str) -> PathBuf {
-    folder.join(format!("{application}.policy"))
-}
-
-/// What is on disk; `None`: nothing yet.
-fn load(folder: &Path, application: &str) -> Result<Option<OnDisk>, String> {
-    let path = place(folder, application);
-    let shown = path.display();
-    let bytes = match fs::read(&path) {
-        Ok(bytes) => bytes,
-        Err(fault) if fault.kind() == io::ErrorKind::NotFound => return Ok(None),
-        Err(fault) => return Err(format!("{shown}: {fault}")),
-    };
-    let text = std::str::from_utf8(&bytes).map_err(|_| format!("{shown}: damaged"))?;
-    let (sum, body) = text.split_once('\n').ok_or_else(|| format!("{shown}: torn"))?;
-    if hex(&digest(body)) != sum {
-        return Err(format!("{shown}: damaged or torn: its checksum does not fit"));
-    }
-    let kept: OnDisk = serde_json::from_str(body).map_err(|e| format!("{shown}: {e}"))?;
-    if kept.version != 1 || kept.application != application {
-        return Err(format!("{shown}: of version {}, for {:?}", kept.version, kept.application));
-    }
-    Ok(Some(kept))
-}
-
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|b| format!("{b:02x}")).collect()
-}
-
-/// Whole or not at all, also when the machine stops in between.
-fn save(folder: &Path, kept: &OnDisk) -> io::Result<()> {
-    fs::create_dir_all(folder)?;
-    let body = serde_json::to_string(kept)?;
-    let path = place(folder, &kept.application);
-    let torn = path.with_extension("new");
-    let mut file = File::options().write(true).create(true).truncate(true).mode(0o600).open(&torn)?;
-    write!(file, "{}\n{body}", hex(&digest(&body)))?;
-    file.sync_all()?;
-    fs::rename(&torn, &path)?;
-    File::open(folder)?.sync_all()
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_copy_on_disk_is_whole_or_is_not_used() {
-        let folder = std::env::temp_dir().join(format!("badgerramp-fleet-{}", std::process::id()));
-        assert!(load(&folder, "a").expect("nothing yet").is_none());
-        let texts = BTreeMap::from([(3, "some text".to_owned())]);
-        let kept = OnDisk { version: 1, application: "a".to_owned(), texts: texts.clone() };
-        save(&folder, &kept).expect("written");
-        assert_eq!(load(&folder, "a").expect("good").expect("there").texts, texts);
-        let path = place(&folder, "a");
-        let whole = fs::read(&path).expect("a file");
-        for place in 0..whole.len() {
-            fs::write(&path, &whole[..place]).expect("a file");
-            assert!(load(&folder, "a").is_err(), "cut at {place}");
-            let mut flipped = whole.clone();
-            flipped[place] ^= 1;
-            fs::write(&path, &flipped).expect("a file");
-            assert!(load(&folder, "a").is_err(), "a bit at {place}");
-        }
-        fs::remove_dir_all(&folder).expect("a folder");
-    }
-}
--- a/crates/proxy/src/sidecar.rs
+++ b/crates/proxy/src/sidecar.rs
@@ -1,10 +1,10 @@
 //! The program as a sidecar that stands alone: the operator's file is all it has.
 
-use crate::fleet::Fleet;
 use crate::net::admit::{Rules, Sidecar};
 use crate::net::driver::Endpoint;
 use crate::net::peers;
 use crate::places::{seed, Places};
+use crate::policy_client::PolicyClient;
 use crate::program::{self, Fault, Members, Running, Setup};
 use badgerramp_channel::Secret;
 use badgerramp_config::{Config, PeersTerms, Use};
@@ -178,18 +178,18 @@
     let peers = config.peers.as_ref().map(peers_of).transpose()?;
     let mut setup = setup(config, &mut places, &mut known, seed());
     setup.peers = peers;
-    let fleet = Fleet::new(local, places)?;
-    setup.gate = Some(fleet.gate());
+    let policy_client = PolicyClient::new(local, places)?;
+    setup.gate = Some(policy_client.gate());
     let reload = |running: &Running| {
         let config = reread(&path)?;
-        check_same(&fleet.local(), &config)?;
+        check_same(&policy_client.local(), &config)?;
         let upstream = reread(&path)?;
-        fleet.localize(config, running)?;
+        policy_client.localize(config, running)?;
         follow(&upstream, &mut known, running);
         tracing::info!("the new configuration of this proxy's own holds");
         Ok(())
     };
-    Ok(program::run(setup, reload, |running| fleet.start(running), fleet.leave())?)
+    Ok(program::run(setup, reload, |running| policy_client.start(running), policy_client.leave())?)
 }
 
 fn reread(path: &Path) -> Result<Config, String> {
