Trial scale: a fleet of many proxies on one machine, most of them tasks of few processes

`badgerramp-lab trial scale` starts replicas of control, a list service and some proxies as processes, and the other proxies as tasks of few processes that run the program's own sidecar code (`sidecar::serve`) over real sockets. Links and datagram links count what passes.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,12 @@
 /// The word that starts this very program as a replica of control.
 pub const AS_CONTROL: &str = "as-control";
 
+/// The word that starts this very program as a process with many client proxies.
+pub const AS_HOLLOW_PROXIES: &str = "as-hollow-proxies";
+
+/// The word that starts this very program as a list service.
+pub const AS_LIST_SERVICE: &str = "as-list-service";
+
 pub mod bench;
 pub mod check;
 pub mod cli;
@@ -15,7 +21,9 @@
 pub mod defects;
 pub mod experiment;
 pub mod generate;
+pub mod hollow_proxies;
 pub mod hunt;
+pub mod list_service;
 mod only;
 pub mod operator;
 pub mod play;
@@ -24,4 +32,5 @@
 pub mod sockets;
 pub mod trial;
 mod trial_drains;
+mod trial_scale;
 mod trial_start;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -10,6 +10,8 @@
         Some(badgerramp_lab::AS_CONTROL) => {
             badgerramp_control::cli::main(own.into_iter().chain(arguments.skip(1)))
         }
+        Some(badgerramp_lab::AS_HOLLOW_PROXIES) => badgerramp_lab::hollow_proxies::main(arguments.skip(1)),
+        Some(badgerramp_lab::AS_LIST_SERVICE) => badgerramp_lab::list_service::main(arguments.skip(1)),
         _ => badgerramp_lab::cli::main(std::env::args_os()),
     }
 }
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -22,6 +22,9 @@
     ColdStart(Box<crate::trial_start::ColdStart>),
     /// Hosts leave while the watches of all proxies are silent.
     Drains(crate::trial_drains::Drains),
+    /// A fleet of many proxies, most of which share processes: what control costs there, and whether it holds when
+    /// proxies, machines, racks and zones fail and regions lose each other.
+    Scale(crate::trial_scale::Scale),
 }
 
 /// The fleet, and how many courses.
@@ -81,6 +84,7 @@
         Trial::Policy(terms) => terms,
         Trial::ColdStart(terms) => return crate::trial_start::run(&terms),
         Trial::Drains(terms) => return crate::trial_drains::run(&terms),
+        Trial::Scale(terms) => return crate::trial_scale::run(&terms),
     };
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
     let runtime = runtime.map_err(|e| play::Fault::Other(e.to_string()))?;
--- a/crates/proxy/src/program.rs
+++ b/crates/proxy/src/program.rs
@@ -130,16 +130,7 @@
     // First of all: until then either signal kills.
     let mut hangups = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
-    let bind = |e| format!("listen on {}: {e}", setup.listen);
-    let socket = if setup.listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
-    let socket = socket.map_err(|e| format!("socket: {e}"))?;
-    socket.set_reuseaddr(true).map_err(bind)?;
-    socket.bind(setup.listen).map_err(bind)?;
-    let listener = socket.listen(BACKLOG).map_err(bind)?;
-    if let Ok(address) = listener.local_addr() {
-        tracing::info!("listening on {address}");
-    }
-    let around = Surroundings { network: Rc::new(Tcp), listener: Rc::new(listener), clock: Clock::start() };
+    let around = Surroundings::of_system(setup.listen)?;
     let hangup = async move || hangups.recv().await.is_some();
     let stop = async move {
         term.recv().await;
@@ -157,6 +148,22 @@
     pub clock: Clock,
 }
 
+impl Surroundings {
+    /// The system, with a listener at this address.
+    pub(crate) fn of_system(listen: SocketAddr) -> Result<Self, String> {
+        let bind = |e| format!("listen on {listen}: {e}");
+        let socket = if listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+        let socket = socket.map_err(|e| format!("socket: {e}"))?;
+        socket.set_reuseaddr(true).map_err(bind)?;
+        socket.bind(listen).map_err(bind)?;
+        let listener = socket.listen(BACKLOG).map_err(bind)?;
+        if let Ok(address) = listener.local_addr() {
+            tracing::info!("listening on {address}");
+        }
+        Ok(Surroundings { network: Rc::new(Tcp), listener: Rc::new(listener), clock: Clock::start() })
+    }
+}
+
 /// Serves within these surroundings until `stop` resolves. Each time `hangup` resolves to true `reload` is called; what
 /// it fails with is logged, and must have changed nothing. `started` is shown what runs, once.
 ///
--- a/crates/proxy/src/sidecar.rs
+++ b/crates/proxy/src/sidecar.rs
@@ -2,6 +2,7 @@
 
 use crate::net::admit::{Rules, Sidecar};
 use crate::net::driver::Endpoint;
+use crate::net::gate::Gate;
 use crate::net::peers;
 use crate::places::{seed, Places};
 use crate::policy_client::PolicyClient;
@@ -11,6 +12,7 @@
 use badgerramp_decisions::settings::{Facts, Transport};
 use badgerramp_decisions::ListKind;
 use std::collections::HashMap;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -171,15 +173,26 @@
     Ok(program::run(setup, reload, |_| {}, async {})?)
 }
 
-/// Runs the program where classes and routes are the fleet's, and the file says what is this proxy's own.
-fn run_in_fleet(path: PathBuf, config: Config) -> Result<(), Fault> {
-    let (mut places, mut known) = (Places::default(), Known::default());
-    let local = load(&path)?;
+/// All that a start needs where classes and routes are the fleet's.
+fn setup_in_fleet(
+    path: &Path,
+    config: Config,
+    known: &mut Known,
+) -> Result<(Setup, Rc<PolicyClient>), Fault> {
+    let mut places = Places::default();
+    let local = load(path)?;
     let peers = config.peers.as_ref().map(peers_of).transpose()?;
-    let mut setup = setup(config, &mut places, &mut known, seed());
+    let mut setup = setup(config, &mut places, known, seed());
     setup.peers = peers;
     let policy_client = PolicyClient::new(local, places)?;
     setup.gate = Some(policy_client.gate());
+    Ok((setup, policy_client))
+}
+
+/// Runs the program where classes and routes are the fleet's, and the file says what is this proxy's own.
+fn run_in_fleet(path: PathBuf, config: Config) -> Result<(), Fault> {
+    let mut known = Known::default();
+    let (setup, policy_client) = setup_in_fleet(&path, config, &mut known)?;
     let reload = |running: &Running| {
         let config = reread(&path)?;
         check_same(&policy_client.local(), &config)?;
@@ -192,6 +205,30 @@
     Ok(program::run(setup, reload, |running| policy_client.start(running), policy_client.leave())?)
 }
 
+/// Serves a file with `[policy]` in the [`LocalSet`](tokio::task::LocalSet) that polls this, until `stop` resolves: as
+/// [`run`] does, where several proxies share a process. The file is read once, signals are not heard, and the descriptors
+/// that it promises are not held against the process's limit. `started` is shown what decides which calls may begin.
+///
+/// # Errors
+/// If the file is not good or has no `[policy]`, or a part ends that must go on.
+pub async fn serve(
+    path: &Path,
+    stop: impl Future<Output = ()>,
+    started: impl FnOnce(Rc<Gate>),
+) -> Result<(), Fault> {
+    let (setup, policy_client) = setup_in_fleet(path, load(path)?, &mut Known::default())?;
+    let around = program::Surroundings::of_system(setup.listen)?;
+    let no_hangup = async || std::future::pending().await;
+    let no_reload = |_: &Running| Ok(());
+    let start = |running: &Running| {
+        policy_client.start(running);
+        started(policy_client.gate());
+    };
+    let served = program::serve_in(setup, around, no_hangup, stop, no_reload, start).await;
+    policy_client.leave().await;
+    Ok(served?)
+}
+
 fn reread(path: &Path) -> Result<Config, String> {
     load(path).map_err(|fault| match fault {
         Fault::Mistakes(mistakes) => mistakes.line(),
--- a/crates/trial/src/datagrams.rs
+++ b/crates/trial/src/datagrams.rs
@@ -5,6 +5,7 @@
 use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -35,12 +36,28 @@
     pub refused: Arc<HashSet<SocketAddr>>,
 }
 
+/// What came to a link on its way forth, whatever became of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sent {
+    /// Bytes of the datagrams, without what the network adds.
+    pub bytes: u64,
+    /// Datagrams.
+    pub datagrams: u64,
+}
+
+#[derive(Default)]
+struct Counters {
+    bytes: AtomicU64,
+    datagrams: AtomicU64,
+}
+
 /// A link for datagrams to one target, wherever that is at the moment; answers go to whom it last heard from. It ends
 /// with its owner.
 pub struct Datagrams {
     /// Where it hears.
     pub address: SocketAddr,
     state: watch::Sender<State>,
+    counters: Arc<Counters>,
     tasks: [AbortHandle; 2],
 }
 
@@ -58,6 +75,8 @@
         let address = near.local_addr()?;
         let (state, _) = watch::channel(State::default());
         let (heard, hears) = watch::channel(None);
+        let counters = Arc::new(Counters::default());
+        let counts = Arc::clone(&counters);
         let forth = {
             let (near, far, state) = (Arc::clone(&near), Arc::clone(&far), state.subscribe());
             tokio::spawn(async move {
@@ -66,6 +85,8 @@
                     // An error tells of an earlier datagram that found nobody.
                     let Ok((count, from)) = near.recv_from(&mut buffer).await else { continue };
                     heard.send_replace(Some(from));
+                    counts.bytes.fetch_add(count as u64, Ordering::Relaxed);
+                    counts.datagrams.fetch_add(1, Ordering::Relaxed);
                     let (pass, refused) = {
                         let state = state.borrow();
                         (state.forth, state.refused.contains(&from))
@@ -103,13 +124,19 @@
                 }
             })
         };
-        Ok(Datagrams { address, state, tasks: [forth.abort_handle(), back.abort_handle()] })
+        Ok(Datagrams { address, state, counters, tasks: [forth.abort_handle(), back.abort_handle()] })
     }
 
     /// Changes how it passes datagrams on.
     pub fn set(&self, change: impl FnOnce(&mut State)) {
         self.state.send_modify(change);
     }
+
+    /// What came to it so far on its way forth.
+    pub fn sent(&self) -> Sent {
+        let Counters { bytes, datagrams } = &*self.counters;
+        Sent { bytes: bytes.load(Ordering::Relaxed), datagrams: datagrams.load(Ordering::Relaxed) }
+    }
 }
 
 impl Drop for Datagrams {
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`judge`]: what broke.
 //! - [`policy`]: the trial of a change of policy.
 //! - [`drains`]: the trial of hosts that leave while watches on the list are silent.
+//! - [`scale`]: the trial of a fleet of many proxies and what control costs there.
 //! - [`start`]: the trial of a start of all proxies together.
 //! - [`report`]: tables and plots.
 #![forbid(unsafe_code)]
@@ -26,6 +27,7 @@
 pub mod policy;
 pub mod process;
 pub mod report;
+pub mod scale;
 pub mod start;
 
 /// The clock of all notes, which is the one that leases run on.
--- a/crates/trial/src/link.rs
+++ b/crates/trial/src/link.rs
@@ -3,6 +3,7 @@
 use socket2::SockRef;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -35,11 +36,27 @@
     pub resets: u64,
 }
 
+/// What has passed a link in both directions.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Passed {
+    /// Bytes of the streams, without what the network adds.
+    pub bytes: u64,
+    /// Pieces in which they were read: about as many as there were messages.
+    pub pieces: u64,
+}
+
+#[derive(Default)]
+struct Counters {
+    bytes: AtomicU64,
+    pieces: AtomicU64,
+}
+
 /// A link. It ends with its owner.
 pub struct Link {
     /// Where it listens.
     pub address: SocketAddr,
     state: watch::Sender<State>,
+    counters: Arc<Counters>,
     listener: AbortHandle,
 }
 
@@ -56,6 +73,8 @@
         let address = listener.local_addr()?;
         let (state, _) = watch::channel(State::default());
         let states = state.clone();
+        let counters = Arc::new(Counters::default());
+        let counts = Arc::clone(&counters);
         let task = tokio::spawn(async move {
             loop {
                 let Ok((near, _)) = listener.accept().await else {
@@ -64,21 +83,28 @@
                     continue;
                 };
                 let (state, target) = (states.subscribe(), *target.borrow());
+                let counts = Arc::clone(&counts);
                 tokio::spawn(async move {
                     let Some(target) = target else { return };
                     if let Ok(far) = TcpStream::connect(target).await {
-                        carry(near, far, state).await;
+                        carry(near, far, state, &counts).await;
                     }
                 });
             }
         });
-        Ok(Link { address, state, listener: task.abort_handle() })
+        Ok(Link { address, state, counters, listener: task.abort_handle() })
     }
 
     /// Changes how it passes bytes on.
     pub fn set(&self, change: impl FnOnce(&mut State)) {
         self.state.send_modify(change);
     }
+
+    /// What has passed it so far.
+    pub fn passed(&self) -> Passed {
+        let Counters { bytes, pieces } = &*self.counters;
+        Passed { bytes: bytes.load(Ordering::Relaxed), pieces: pieces.load(Ordering::Relaxed) }
+    }
 }
 
 impl Drop for Link {
@@ -88,13 +114,13 @@
     }
 }
 
-async fn carry(near: TcpStream, far: TcpStream, mut state: watch::Receiver<State>) {
+async fn carry(near: TcpStream, far: TcpStream, mut state: watch::Receiver<State>, counters: &Counters) {
     let resets = state.borrow().resets;
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
     let (sockets, ways) = ((Arc::new(near), Arc::new(far)), (state.clone(), state.clone()));
     let (a, b) = (Arc::clone(&sockets.0), Arc::clone(&sockets.1));
-    let forth = pass(a, b, ways.0, |s| s.forth);
-    let back = pass(Arc::clone(&sockets.1), Arc::clone(&sockets.0), ways.1, |s| s.back);
+    let forth = pass((a, b), ways.0, |s| s.forth, counters);
+    let back = pass((Arc::clone(&sockets.1), Arc::clone(&sockets.0)), ways.1, |s| s.back, counters);
     let reset = async {
         let _ = state.wait_for(|s| s.resets != resets).await;
     };
@@ -110,10 +136,10 @@
 }
 
 async fn pass(
-    from: Arc<TcpStream>,
-    to: Arc<TcpStream>,
+    (from, to): (Arc<TcpStream>, Arc<TcpStream>),
     mut state: watch::Receiver<State>,
     way: fn(&State) -> Pass,
+    counters: &Counters,
 ) {
     let mut buffer = vec![0; 16 * 1024];
     loop {
@@ -125,6 +151,8 @@
             return;
         };
         let Ok(now) = state.wait_for(|s| way(s) != Pass::Cut).await.map(|s| way(&s)) else { return };
+        counters.bytes.fetch_add(count as u64, Ordering::Relaxed);
+        counters.pieces.fetch_add(1, Ordering::Relaxed);
         let done = match now {
             Pass::Trickle => {
                 let mut done = Ok(());
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -116,17 +116,12 @@
 
     /// CPU time that it has used so far, in microseconds, and memory that it holds, in KiB, as the system counts them.
     pub fn usage(&self) -> Option<(u64, u64)> {
-        let pid = self.child.as_ref()?.1;
-        let own = |file: &str| std::fs::read_to_string(format!("/proc/{}/{file}", pid.as_raw_nonzero())).ok();
-        let stat = own("stat")?;
-        // The name, in brackets, may have blanks of its own.
-        let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
-        let ticks = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
-        let hertz = rustix::param::clock_ticks_per_second();
-        let status = own("status")?;
-        let held = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
-        let held = held.split_whitespace().next()?.parse().ok()?;
-        Some((ticks * 1_000_000 / hertz.max(1), held))
+        usage_of(self.child.as_ref()?.1)
+    }
+
+    /// Its number, while it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref()?.0.id()
     }
 
     /// The lines kept so far.
@@ -147,6 +142,20 @@
     }
 }
 
+/// CPU time that a process has used so far, in microseconds, and memory that it holds, in KiB.
+pub(crate) fn usage_of(pid: Pid) -> Option<(u64, u64)> {
+    let own = |file: &str| std::fs::read_to_string(format!("/proc/{}/{file}", pid.as_raw_nonzero())).ok();
+    let stat = own("stat")?;
+    // The name, in brackets, may have blanks of its own.
+    let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+    let ticks = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+    let hertz = rustix::param::clock_ticks_per_second();
+    let status = own("status")?;
+    let held = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+    let held = held.split_whitespace().next()?.parse().ok()?;
+    Some((ticks * 1_000_000 / hertz.max(1), held))
+}
+
 type Spawned = (Child, Pid, watch::Receiver<Option<SocketAddr>>, tokio::task::JoinHandle<()>);
 
 fn spawn(
@@ -184,7 +193,7 @@
 }
 
 /// The address that follows on these words.
-fn address(line: &str, words: &str) -> Option<SocketAddr> {
+pub(crate) fn address(line: &str, words: &str) -> Option<SocketAddr> {
     let (_, after) = line.split_once(words)?;
     let text: String = after.chars().take_while(|c| c.is_ascii_hexdigit() || ".:[]".contains(*c)).collect();
     text.parse().ok()
