--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -4,10 +4,12 @@
 
 mod class_ids;
 pub mod cli;
-mod fleet;
 pub mod log;
 mod look;
 pub mod net;
 mod platform;
+mod policy_client;
+mod policy_copy;
+mod policy_rules;
 pub mod program;
 pub mod sidecar;
--- a/crates/proxy/src/sidecar.rs
+++ b/crates/proxy/src/sidecar.rs
@@ -1,16 +1,18 @@
 //! The program as a sidecar that stands alone: the operator's file is all it has.
 
 use crate::class_ids::{seed, ClassIds};
-use crate::fleet::Fleet;
+use crate::net::admission_gate::AdmissionGate;
 use crate::net::driver::Endpoint;
 use crate::net::peers;
 use crate::net::rules::{Rules, Sidecar};
+use crate::policy_client::PolicyClient;
 use crate::program::{self, Fault, Members, Running, Setup};
 use badgerramp_channel::Secret;
 use badgerramp_config::{Config, PeersTerms, Use};
 use badgerramp_decisions::settings::{Facts, Transport};
 use badgerramp_decisions::ListKind;
 use std::collections::HashMap;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -171,25 +173,60 @@
     Ok(program::run(setup, reload, |_| {}, async {})?)
 }
 
-/// Runs the program where classes and routes are the fleet's, and the file says what is this proxy's own.
-fn run_in_fleet(path: PathBuf, config: Config) -> Result<(), Fault> {
-    let (mut places, mut known) = (ClassIds::default(), Known::default());
-    let local = load(&path)?;
+/// All that a start needs where classes and routes are the fleet's.
+fn setup_in_fleet(
+    path: &Path,
+    config: Config,
+    known: &mut Known,
+) -> Result<(Setup, Rc<PolicyClient>), Fault> {
+    let mut places = ClassIds::default();
+    let local = load(path)?;
     let peers = config.peers.as_ref().map(peers_of).transpose()?;
-    let mut setup = setup(config, &mut places, &mut known, seed());
+    let mut setup = setup(config, &mut places, known, seed());
     setup.peers = peers;
-    let fleet = Fleet::new(local, places)?;
-    setup.gate = Some(fleet.gate());
+    let policy_client = PolicyClient::new(local, places)?;
+    setup.gate = Some(policy_client.gate());
+    Ok((setup, policy_client))
+}
+
+/// Runs the program where classes and routes are the fleet's, and the file says what is this proxy's own.
+fn run_in_fleet(path: PathBuf, config: Config) -> Result<(), Fault> {
+    let mut known = Known::default();
+    let (setup, policy_client) = setup_in_fleet(&path, config, &mut known)?;
     let reload = |running: &Running| {
         let config = reread(&path)?;
-        check_same(&fleet.local(), &config)?;
+        check_same(&policy_client.local(), &config)?;
         let upstream = reread(&path)?;
-        fleet.localize(config, running)?;
+        policy_client.localize(config, running)?;
         follow(&upstream, &mut known, running);
         tracing::info!("the new configuration of this proxy's own holds");
         Ok(())
     };
-    Ok(program::run(setup, reload, |running| fleet.start(running), fleet.leave())?)
+    Ok(program::run(setup, reload, |running| policy_client.start(running), policy_client.leave())?)
+}
+
+/// Serves a file with `[policy]` in the [`LocalSet`](tokio::task::LocalSet) that polls this, until `stop` resolves: as
+/// [`run`] does, where several proxies share a process. The file is read once, signals are not heard, and the descriptors
+/// that it promises are not held against the process's limit. `started` is shown what decides which calls may begin.
+///
+/// # Errors
+/// If the file is not good or has no `[policy]`, or a part ends that must go on.
+pub async fn serve(
+    path: &Path,
+    stop: impl Future<Output = ()>,
+    started: impl FnOnce(Rc<AdmissionGate>),
+) -> Result<(), Fault> {
+    let (setup, policy_client) = setup_in_fleet(path, load(path)?, &mut Known::default())?;
+    let around = program::Surroundings::of_system(setup.listen)?;
+    let no_hangup = async || std::future::pending().await;
+    let no_reload = |_: &Running| Ok(());
+    let start = |running: &Running| {
+        policy_client.start(running);
+        started(policy_client.gate());
+    };
+    let served = program::serve_in(setup, around, no_hangup, stop, no_reload, start).await;
+    policy_client.leave().await;
+    Ok(served?)
 }
 
 fn reread(path: &Path) -> Result<Config, String> {
