--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -238,8 +238,13 @@
             _ => now,
         };
         held.since = Some((revision, begun));
-        removed::acknowledgement(&record, &self.others)
-            .or_else(|| next_command(&record, &held.leases, now, begun, self.limits))
+        if let Some(command) = removed::acknowledgement(&record, &self.others) {
+            warn!(
+                "a region that this file does not name is not waited for any more, as if it had acknowledged"
+            );
+            return Some(command);
+        }
+        next_command(&record, &held.leases, now, begun, self.limits)
     }
 
     /// Takes changes on, as long as this replica runs.
