Trial scale: refusals by region, limits apart from rules, who opened a connection is looked for again

The system's table of connections is read in parts and changes meanwhile: an owner that was not found closed a replica's connection, and elections followed. It is looked for again.

--- a/crates/lab/src/trial_scale.rs
+++ b/crates/lab/src/trial_scale.rs
@@ -15,7 +15,7 @@
 /// Most processes of a trial that are proxies.
 const REAL_MOST: u64 = 250;
 /// Where a region is cut off for longer than every time of control's, those are shorter than the product's.
-const CUT_TIMES: ControlTimes = ControlTimes { lease_ms: 2_000, wait_ms: 6_000, election_ms: 400 };
+const CUT_TIMES: ControlTimes = ControlTimes { lease_ms: 3_000, wait_ms: 6_000, election_ms: 1_000 };
 
 /// The fleet, and how many courses.
 #[derive(Args)]
@@ -49,7 +49,7 @@
     /// fault needs it.
     #[arg(long, default_value_t = 30, value_parser = clap::value_parser!(u64).range(3..=300))]
     seconds: u64,
-    /// How long control lends a mode, in milliseconds [default: the product's 10000; 2000 where a region is cut off].
+    /// How long control lends a mode, in milliseconds [default: the product's 10000; 3000 where a region is cut off].
     #[arg(long, value_parser = clap::value_parser!(u64).range(500..=60_000))]
     lease_ms: Option<u64>,
     /// A line for each course, as JSON, into this file.
@@ -176,20 +176,20 @@
 fn show(played: &Played, terms: &Scale) {
     let state = if played.held { "held" } else { "BROKE" };
     println!(
-        "course {} ({}): {state}; {} proxies, {} judged, {} calls, {} refused by proxies that were well; in force after {:?} ms, \
+        "course {} ({}): {state}; {} proxies, {} judged, {} calls, {:?} refused by proxies that were well, by region; in force after {:?} ms, \
          {} not in force; ready after {:?} ms",
         played.seed,
         played.fault,
         played.proxies,
         played.begun,
         played.calls,
-        played.refused_well,
+        played.refused_well_by_region,
         played.changes.in_force_ms,
         played.changes.not_in_force,
         played.ready_ms,
     );
     if !played.held {
-        played.broke.iter().chain(&played.first).for_each(|line| println!("  {line}"));
+        played.broke.iter().chain(&played.crossed).chain(&played.first).for_each(|line| println!("  {line}"));
         println!("  again: {}", terms.again(played));
     }
 }
--- a/crates/trial/src/scale/meters.rs
+++ b/crates/trial/src/scale/meters.rs
@@ -37,7 +37,7 @@
     pub datagrams_per_s: f64,
     /// Pieces in which the streams from and to control and list service were read, a second.
     pub pieces_per_s: f64,
-    /// Memory, in KiB.
+    /// Memory of a process with one proxy, in KiB: of a hollow one its share, and what a process holds without any.
     pub memory_kib: f64,
 }
 
@@ -111,8 +111,9 @@
         };
         let memory = |all: &[(u64, u64)]| all.iter().map(|usage| usage.1).sum::<u64>() as f64;
         let real_memory = memory(&self.real);
-        // What a process holds that has no proxies is no proxy's.
-        let hollow_memory = (memory(&self.hollow) - self.empty.1 as f64 * self.hollow.len() as f64).max(0.0);
+        // What a process holds without proxies counts once for each proxy, and not once for each process.
+        let more = hollow as f64 - self.hollow.len() as f64;
+        let hollow_memory = memory(&self.hollow) + self.empty.1 as f64 * more;
         let cost = |count: usize, cpu: f64, memory: f64, now: &Traffic, then: &Traffic| {
             (count > 0).then(|| each(count, (cpu, memory), &traffic_rates(now, then, seconds)))
         };
--- a/crates/trial/src/scale/mod.rs
+++ b/crates/trial/src/scale/mod.rs
@@ -43,7 +43,7 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
-use verdict::Ready;
+use verdict::{Ready, Refused};
 
 /// How the programs are started: each the program, and what stands before its own arguments.
 #[derive(Clone, Debug)]
@@ -76,7 +76,8 @@
     let mut fleet = Fleet::start(programs, size, times, course.seed).await?;
     let mut publisher = Publisher::default();
     if publisher.publish(&fleet).await? != Outcome::InForce {
-        return Err("the first policy did not come into force".to_owned());
+        let why = publisher.heard.last().map_or("", |heard| &heard.why);
+        return Err(format!("the first policy did not come into force: {why}"));
     }
     fleet.start_proxies().await?;
     let leader = fleet.settled(size.proxies).await?;
@@ -117,13 +118,13 @@
     let (lines, closed, ready) = notes(&mut fleet).await?;
     let executed: HashMap<String, u32> = fleet.hosts.executed();
     let well = |proxy: usize, from: Micros, until: Micros| ready.well(proxy, from, until);
-    let verdict = judge(lines, &publisher.heard, &tries, &executed, well, well);
-    let refused_hollow = closed.iter().filter(|c| ready.well(c.0, c.1, c.2)).count();
+    let verdict = judge(lines, &publisher.known_ends(), &tries, &executed, well, well);
+    let refused = Refused::of(&size, &tries, &closed, &ready);
     let why_not_settled = settled.err();
     Ok(Played::new(
         (size, times, course.clone()),
         verdict,
-        (refused_hollow, &ready, why_not_settled),
+        (refused, &ready, why_not_settled),
         Changes::of(&publisher.heard, &publisher.outcomes, last),
         (cost, leader),
     ))
@@ -138,22 +139,35 @@
 }
 
 impl Publisher {
+    /// The changes of which it is known how they ended.
+    fn known_ends(&self) -> Vec<Heard> {
+        let ended = self.heard.iter().zip(&self.outcomes).filter(|(_, o)| **o != Outcome::NotKnown);
+        ended.map(|(heard, _)| heard.clone()).filter(|heard| heard.generation > 0).collect()
+    }
+
+    /// Publishes the next policy and follows it to its end. Control that can't be asked is no fault of the trial's.
     async fn publish(&mut self, fleet: &Fleet) -> Result<Outcome, String> {
         self.number += 1;
         let begun = Instant::now();
         let mut control = fleet.publisher()?;
-        let standing = control.standing().await.map_err(|e| e.to_string())?;
-        let files = HashMap::from([(files::APPLICATION.to_owned(), files::policy(self.number))]);
-        let done = control.publish(&files, standing.revision, |_| {}).await;
-        self.outcomes.push(done.outcome);
+        let (outcome, generation, why) = match control.standing().await {
+            Ok(standing) => {
+                let policy = files::policy(self.number);
+                let files = HashMap::from([(files::APPLICATION.to_owned(), policy)]);
+                let done = control.publish(&files, standing.revision, |_| {}).await;
+                (done.outcome, done.generation.unwrap_or(0), done.why)
+            }
+            Err(fault) => (Outcome::NotKnown, 0, fault.to_string()),
+        };
+        self.outcomes.push(outcome);
         self.heard.push(Heard {
-            generation: done.generation.unwrap_or(0),
+            generation,
             at: now(),
-            in_force: done.outcome == Outcome::InForce,
+            in_force: outcome == Outcome::InForce,
             took_ms: u64::try_from(begun.elapsed().as_millis()).unwrap_or(u64::MAX),
-            why: done.why,
+            why,
         });
-        Ok(done.outcome)
+        Ok(outcome)
     }
 }
 
--- a/crates/trial/src/scale/played.rs
+++ b/crates/trial/src/scale/played.rs
@@ -4,7 +4,7 @@
 use super::files::ControlTimes;
 use super::layout::Size;
 use super::meters::{Cost, ProxyCost};
-use super::verdict::Ready;
+use super::verdict::{Ready, Refused};
 use crate::judge::{Heard, Verdict};
 use badgerramp_config_tool::fleet::Outcome;
 use serde::Serialize;
@@ -56,8 +56,10 @@
 pub struct Played {
     /// Did all hold, and was no limit crossed?
     pub held: bool,
-    /// What did not.
+    /// Rules that broke.
     pub broke: Vec<String>,
+    /// Limits of processor time, memory, bytes and time that were crossed.
+    pub crossed: Vec<String>,
     /// Proxies in all.
     pub proxies: usize,
     /// Those that were processes of their own.
@@ -92,6 +94,8 @@
     pub refused_well: usize,
     /// Those of hollow proxies.
     pub refused_well_hollow: usize,
+    /// All of them by region.
+    pub refused_well_by_region: Vec<usize>,
     /// From publish to in force.
     #[serde(flatten)]
     pub changes: Changes,
@@ -123,18 +127,19 @@
     pub fn new(
         (size, times, course): (Size, ControlTimes, Course),
         verdict: Verdict,
-        (refused_well_hollow, ready, not_settled): (usize, &Ready, Option<String>),
+        (refused, ready, not_settled): (Refused, &Ready, Option<String>),
         changes: Changes,
         (cost, leader): (Cost, Option<usize>),
     ) -> Played {
-        let mut broke = broken_rules(&verdict, refused_well_hollow, ready, &changes);
+        let mut broke = broken_rules(&verdict, refused.hollow, ready, &changes);
         broke.extend(not_settled);
-        broke.extend(crossed_limits(&cost, &changes));
+        let crossed = crossed_limits(&cost, &changes);
         let by_region = |region: usize| size.replica_places().iter().filter(|p| p.region == region).count();
         let of_leader = |all: &[f64]| leader.and_then(|replica| all.get(replica)).copied();
         Played {
-            held: broke.is_empty(),
+            held: broke.is_empty() && crossed.is_empty(),
             broke,
+            crossed,
             proxies: size.proxies,
             real: size.real,
             hollow: size.hollow(),
@@ -150,8 +155,9 @@
             begun: verdict.begun,
             calls: verdict.calls,
             lost: verdict.lost,
-            refused_well: verdict.refused_well + refused_well_hollow,
-            refused_well_hollow,
+            refused_well: refused.by_region.iter().sum(),
+            refused_well_hollow: refused.hollow,
+            refused_well_by_region: refused.by_region,
             changes,
             ready_ms: ready.ready_ms.clone(),
             not_ready: ready.not_ready,
--- a/crates/trial/src/scale/verdict.rs
+++ b/crates/trial/src/scale/verdict.rs
@@ -2,9 +2,14 @@
 
 use super::fleet::{proxy_named, Down};
 use super::hollow::{Admits, Event, Line as LogLine};
+use super::layout::Size;
+use crate::clients::{Ended, Try};
 use crate::judge::Line;
 use badgerramp_policy::{Generation, Micros, Mode};
 
+/// The status of a refusal.
+const SERVICE_UNAVAILABLE: u16 = 503;
+
 /// When a proxy that was started again could take calls, and what kept others.
 #[derive(Clone, Debug, Default)]
 pub struct Ready {
@@ -48,6 +53,31 @@
     }
 }
 
+/// What proxies refused though they were well.
+#[derive(Clone, Debug, Default)]
+pub struct Refused {
+    /// Calls that real proxies refused and spans in which hollow ones admitted nothing, by region.
+    pub by_region: Vec<usize>,
+    /// Those spans.
+    pub hollow: usize,
+}
+
+impl Refused {
+    /// Counts the tries of clients that were refused, and these spans of hollow proxies.
+    pub fn of(size: &Size, tries: &[Try], closed: &[(usize, Micros, Micros)], ready: &Ready) -> Refused {
+        let mut refused = Refused { by_region: vec![0; size.regions], hollow: 0 };
+        let tries = tries.iter().filter(|t| t.ended == Ended::Status(SERVICE_UNAVAILABLE));
+        for done in tries.filter(|t| ready.well(t.proxy, t.from, t.until)) {
+            refused.by_region[size.proxy(done.proxy).region] += 1;
+        }
+        for span in closed.iter().filter(|span| ready.well(span.0, span.1, span.2)) {
+            refused.by_region[size.proxy(span.0).region] += 1;
+            refused.hollow += 1;
+        }
+        refused
+    }
+}
+
 /// When a proxy that started at `from` had both its list and a lease.
 fn ready_at(log: &[LogLine], from: Micros, until: Micros) -> Option<Micros> {
     let first = |words: &str| {
--- a/crates/trial/src/scale/wiring.rs
+++ b/crates/trial/src/scale/wiring.rs
@@ -7,10 +7,15 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 
+/// Looks for who opened a connection, and the pause between them.
+const LOOKS: usize = 20;
+const LOOK_PAUSE: Duration = Duration::from_millis(5);
+
 /// Where something listens at the moment.
 pub type Target = watch::Receiver<Option<SocketAddr>>;
 
@@ -256,7 +261,7 @@
         let between = Arc::clone(&between);
         tokio::spawn(async move {
             let running: Vec<u32> = ids.iter().flatten().copied().collect();
-            let found = tokio::task::spawn_blocking(move || owner(peer, &running)).await.ok().flatten();
+            let found = owner_of(peer, running).await;
             let Some(from) = found.and_then(|id| ids.iter().position(|i| *i == Some(id))) else { return };
             let Some(way) = between.iter().find(|way| way.ends == (from, to)) else { return };
             let Ok(mut far) = TcpStream::connect(way.link.address).await else { return };
@@ -266,3 +271,16 @@
         });
     }
 }
+
+/// Looks again if the connection is not found: the system's table is read in parts, and changes meanwhile.
+async fn owner_of(peer: SocketAddr, running: Vec<u32>) -> Option<u32> {
+    for _ in 0..LOOKS {
+        let running = running.clone();
+        let found = tokio::task::spawn_blocking(move || owner(peer, &running)).await.ok().flatten();
+        if found.is_some() {
+            return found;
+        }
+        tokio::time::sleep(LOOK_PAUSE).await;
+    }
+    None
+}
--- /dev/null
+++ b/crates/trial/tests/scale.rs
@@ -0,0 +1,136 @@
+//! The trial of a fleet of many proxies: where its parts stand, what its notes are judged as, and its fits.
+
+use badgerramp_policy::{Generation, Micros, Mode};
+use badgerramp_trial::clients::{Ended, Try};
+use badgerramp_trial::scale::course::{Course, Kind, KINDS};
+use badgerramp_trial::scale::files::ControlTimes;
+use badgerramp_trial::scale::fleet::Down;
+use badgerramp_trial::scale::hollow::{Admits, Event, Order};
+use badgerramp_trial::scale::layout::Size;
+use badgerramp_trial::scale::owner::owner;
+use badgerramp_trial::scale::report::Fit;
+use badgerramp_trial::scale::verdict::{begun, closed, Ready, Refused};
+use std::net::{TcpListener, TcpStream};
+
+const SIZE: Size = Size { proxies: 80, real: 8, regions: 2, zones: 4, replicas: 3 };
+
+#[test]
+fn zones_are_alike_and_regions_have_zones_of_their_own() {
+    for zone in 0..SIZE.zones {
+        let proxies = SIZE.proxies_in(zone);
+        assert_eq!(proxies.len(), 20);
+        assert_eq!(proxies.iter().filter(|&&proxy| SIZE.is_real(proxy)).count(), 2);
+        assert!(proxies.iter().all(|&proxy| SIZE.proxy(proxy).region == zone / 2));
+        assert!(SIZE.rack(zone).iter().all(|proxy| proxies.contains(proxy)));
+        assert_eq!(SIZE.rack(zone).len(), 4);
+    }
+}
+
+#[test]
+fn the_first_region_has_most_of_the_replicas() {
+    let places = SIZE.replica_places();
+    let regions: Vec<usize> = places.iter().map(|place| place.region).collect();
+    assert_eq!(regions, [0, 0, 0, 1, 1]);
+    let in_zones: Vec<usize> = (0..SIZE.zones).map(|zone| SIZE.replicas_in(zone).len()).collect();
+    assert_eq!(in_zones, [2, 1, 1, 1]);
+}
+
+#[test]
+fn a_seed_draws_one_course_and_hits_what_is_there() {
+    for kind in KINDS.into_iter().map(Some).chain([None]) {
+        for seed in 0..50 {
+            let draw = || Course::draw(seed, kind, &SIZE, ControlTimes::default(), 30);
+            let course = draw();
+            assert_eq!(format!("{course:?}"), format!("{:?}", draw()));
+            assert!(course.proxies.iter().all(|&proxy| proxy < SIZE.proxies));
+            assert!(course.replicas.iter().all(|&replica| replica < 5));
+            assert!(course.from < course.until && course.until <= course.called, "{course:?}");
+        }
+    }
+    assert!(KINDS.into_iter().all(|kind| Kind::named(&kind.name()) == Some(kind)));
+}
+
+#[test]
+fn a_region_is_cut_off_for_longer_than_every_time_of_control() {
+    let times = ControlTimes { lease_ms: 3_000, wait_ms: 6_000, election_ms: 1_000 };
+    let course = Course::draw(1, Some(Kind::CutRegion), &SIZE, times, 10);
+    assert!((course.until - course.from).as_millis() > 3_000 + 6_000 + 1_000);
+}
+
+fn admitted(proxy: &str, admits: Admits, from: Micros, until: Micros) -> Event {
+    Event::Admitted { proxy: proxy.to_owned(), admits, from, until }
+}
+
+#[test]
+fn looks_at_hollow_proxies_are_calls_that_began() {
+    let events = [
+        admitted("p9", Admits::Nothing, 1, 2),
+        admitted("p9", Admits::Under { old: 3, new: 4 }, 5, 8),
+        Event::Told,
+    ];
+    let lines = begun(&events);
+    let mode = Mode { revision: 0, old: Generation(3), new: Generation(4) };
+    assert_eq!(
+        lines.iter().map(|l| (l.at, l.proxy, l.mode)).collect::<Vec<_>>(),
+        [(5, 9, mode), (8, 9, mode)]
+    );
+    assert_eq!(closed(&events), [(9, 1, 2)]);
+}
+
+#[test]
+fn a_proxy_is_ready_with_list_and_lease_of_its_own_start() {
+    let line = |at: Micros, text: &str| (at, format!("{{\"message\":\"{text}\"}}"));
+    let log = [
+        line(10, "policy: generation 1"),
+        line(11, "peers: list 1 of the list service with 4 hosts, 3 ms after the start"),
+        line(5_000, "peers: list 1 of 127.0.0.1:1 with 4 hosts, 3 ms after the start"),
+        line(9_000, "policy: generation 1"),
+    ];
+    let down = |proxy, until| Down { proxy, from: 1_000, until };
+    let downs = [down(1, Some(2_000)), down(2, Some(2_000)), down(3, None)];
+    let ready = Ready::of(&downs, |proxy| if proxy == 1 { log.to_vec() } else { log[..3].to_vec() });
+    assert_eq!((ready.ready_ms.as_slice(), ready.not_ready), (&[7][..], 1));
+    assert!(!ready.well(1, 8_000, 8_001) && ready.well(1, 9_001, 9_002) && ready.well(1, 0, 999));
+    assert!(!ready.well(2, 10_000, 10_001) && !ready.well(3, 10_000, 10_001) && ready.well(4, 0, 10_000));
+}
+
+#[test]
+fn refusals_of_proxies_that_were_well_count_in_their_region() {
+    let attempt =
+        |proxy, status| Try { key: String::new(), proxy, from: 50, until: 60, ended: Ended::Status(status) };
+    let ready = Ready { unwell: vec![(4, 40, 70)], ..Ready::default() };
+    let tries = [attempt(0, 503), attempt(0, 200), attempt(2, 503), attempt(3, 503), attempt(4, 503)];
+    let refused = Refused::of(&SIZE, &tries, &[(11, 1, 2), (4, 41, 42)], &ready);
+    assert_eq!((refused.by_region, refused.hollow), (vec![1, 3], 1));
+}
+
+#[test]
+fn orders_and_events_lead_back() {
+    let order = Order::Kill("p7".to_owned());
+    let text = serde_json::to_string(&order).expect("JSON");
+    assert_eq!(serde_json::from_str::<Order>(&text).expect("an order"), order);
+    let event = admitted("p7", Admits::Under { old: 1, new: 2 }, 3, 4);
+    let text = serde_json::to_string(&event).expect("JSON");
+    assert_eq!(serde_json::from_str::<Event>(&text).expect("an event"), event);
+}
+
+#[test]
+fn a_line_is_found_and_points_beside_it_show_as_error() {
+    let straight = Fit::of(&[(100.0, 7.0), (200.0, 9.0), (400.0, 13.0)]).expect("a line");
+    assert!((straight.constant - 5.0).abs() < 1e-9 && (straight.slope - 0.02).abs() < 1e-9);
+    assert!(straight.residual.expect("three points") < 1e-9);
+    let bent = Fit::of(&[(1.0, 0.0), (2.0, 3.0), (3.0, 0.0)]).expect("a line");
+    assert!((bent.residual.expect("three points") - 6f64.sqrt()).abs() < 1e-9);
+    assert!((bent.slope_error.expect("three points") - 3f64.sqrt()).abs() < 1e-9);
+    assert_eq!(Fit::of(&[(5.0, 1.0), (5.0, 2.0)]), None);
+}
+
+#[test]
+fn the_owner_of_a_connection_is_told() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let stream = TcpStream::connect(listener.local_addr().expect("an address")).expect("it listens");
+    let (_accepted, peer) = listener.accept().expect("a connection");
+    assert_eq!(owner(peer, &[std::process::id()]), Some(std::process::id()));
+    assert_eq!(owner(peer, &[]), None);
+    drop(stream);
+}
