--- a/crates/lab/src/trial_scale.rs
+++ b/crates/lab/src/trial_scale.rs
@@ -11,6 +11,7 @@
 use clap::Args;
 use std::io::Write;
 use std::path::PathBuf;
+use tokio::signal::unix::{signal, SignalKind};
 
 /// Most processes of a trial that are proxies.
 const REAL_MOST: u64 = 250;
@@ -71,7 +72,18 @@
 pub fn run(terms: &Scale) -> Result<bool, play::Fault> {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
     let runtime = runtime.map_err(|e| play::Fault::Other(e.to_string()))?;
-    runtime.block_on(trial(terms)).map_err(play::Fault::Other)
+    runtime.block_on(until_told_to_end(terms)).map_err(play::Fault::Other)
+}
+
+/// Plays until all is played, or SIGTERM or SIGINT comes: its processes end with it in either case.
+async fn until_told_to_end(terms: &Scale) -> Result<bool, String> {
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
+    tokio::select! {
+        played = trial(terms) => played,
+        _ = term.recv() => Err("told to end".to_owned()),
+        _ = interrupt.recv() => Err("told to end".to_owned()),
+    }
 }
 
 fn count(number: u64) -> usize {
