Trial scale: a group of replicas for each region, and changes of all regions judged across them

Need: the trial had one group of replicas over all regions, and found out who connects between replicas by reading the system's table of connections. That loaded the machine (look-ups piled up), so that control lost its leader through the trial's own fault; two tests of the trial failed so.

--- a/crates/trial/src/judge.rs
+++ b/crates/trial/src/judge.rs
@@ -80,6 +80,20 @@
 }
 
 impl Verdict {
+    /// Adds what another part of the fleet came to.
+    pub fn add(&mut self, other: Verdict) {
+        self.calls += other.calls;
+        self.begun += other.begun;
+        self.begun_mixed += other.begun_mixed;
+        self.mixed_ms = self.mixed_ms.max(other.mixed_ms);
+        self.begun_wrong += other.begun_wrong;
+        self.executed_twice += other.executed_twice;
+        self.lost += other.lost;
+        self.refused += other.refused;
+        self.refused_well += other.refused_well;
+        self.first = self.first.take().or(other.first);
+    }
+
     /// Did all hold?
     pub fn held(&self) -> bool {
         self.begun_mixed + self.begun_wrong + self.executed_twice + self.lost == 0
