--- a/crates/lab/src/trial_scale.rs
+++ b/crates/lab/src/trial_scale.rs
@@ -11,6 +11,7 @@
 use clap::Args;
 use std::io::Write;
 use std::path::PathBuf;
+use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
 
 /// Most processes of a trial that are proxies.
@@ -50,6 +51,9 @@
     /// fault needs it.
     #[arg(long, default_value_t = 30, value_parser = clap::value_parser!(u64).range(3..=300))]
     seconds: u64,
+    /// Seconds between the start of the last proxy and the measuring: peers tell each other of a common start for some time.
+    #[arg(long, default_value_t = 0, value_parser = clap::value_parser!(u64).range(0..=600))]
+    settle: u64,
     /// How long control lends a mode, in milliseconds [default: the product's 10000; 3000 where a region is cut off].
     #[arg(long, value_parser = clap::value_parser!(u64).range(500..=60_000))]
     lease_ms: Option<u64>,
@@ -161,7 +165,8 @@
             let seed = terms.seed.saturating_add(number as u64);
             let fault = terms.fault(number);
             let times = terms.times(fault);
-            let course = Course::draw(seed, fault, &size, times, terms.seconds);
+            let settle = Duration::from_secs(terms.settle);
+            let course = Course { settle, ..Course::draw(seed, fault, &size, times, terms.seconds) };
             let played = play_course(&programs, size, times, &course).await;
             let played = played.map_err(|fault| format!("course {seed} could not be played: {fault}"))?;
             if let Some(file) = &mut json {
--- a/crates/trial/src/scale/course.rs
+++ b/crates/trial/src/scale/course.rs
@@ -56,6 +56,8 @@
     pub proxies: Vec<usize>,
     /// Replicas that are hit.
     pub replicas: Vec<usize>,
+    /// Before measuring, so that peers are done with telling each other of the start.
+    pub settle: Duration,
     /// Nothing but publishes happens for so long, while processor time, memory and bytes are measured.
     pub measured: Duration,
     /// Then clients call for so long, and the fault comes.
@@ -95,7 +97,8 @@
         };
         // After a fault there is time to see all come back.
         called = called.max(until + whole / 4);
-        Course { seed, fault, proxies, replicas, measured, called, from, until }
+        let settle = Duration::ZERO;
+        Course { seed, fault, proxies, replicas, settle, measured, called, from, until }
     }
 }
 
--- a/crates/trial/src/scale/mod.rs
+++ b/crates/trial/src/scale/mod.rs
@@ -85,6 +85,7 @@
     fleet.start_proxies().await?;
     let leader = fleet.settled().await?;
 
+    tokio::time::sleep(course.settle).await;
     let before = Reading::take(&fleet).await;
     let end = Instant::now() + course.measured;
     tokio::time::sleep(course.measured / 3).await;
