Trial scale: a hollow proxy that is told to end has ended before it starts again

Need: the restart course at 100 proxies did not end within 150 s. A hollow proxy was started again while the one before was still ending; its end then took the new one's place in the list of those that run. The order to end now waits for the end, as it does for processes, and the course restarts proxies of either kind, which its test said and did not do: it had one proxy, a process.

--- a/crates/lab/src/hollow_proxies.rs
+++ b/crates/lab/src/hollow_proxies.rs
@@ -163,7 +163,7 @@
         proxy.tell_seen(name);
         let why = match result {
             // It was told to.
-            Ok(()) if proxy.stop.is_none() => return,
+            Ok(()) if proxy.stop.is_none() => return tell(&Event::Stopped { proxy: name.to_owned() }),
             Ok(()) => "it ended without being told to".to_owned(),
             Err(fault) => fault,
         };
--- a/crates/lab/tests/trial_scale.rs
+++ b/crates/lab/tests/trial_scale.rs
@@ -49,7 +49,8 @@
 #[test]
 fn proxies_of_either_kind_are_restarted_and_nothing_is_refused() {
     let played = played("restart", "--only restart --seconds 6 --seed 1");
-    assert_eq!(played["ready_ms"].as_array().map(Vec::len), Some(1), "{played}");
+    // One that is a process of its own, and one that is hollow.
+    assert_eq!(played["ready_ms"].as_array().map(Vec::len), Some(2), "{played}");
     assert_eq!((&played["not_ready"], &played["refused_well"]), (&0.into(), &0.into()), "{played}");
 }
 
--- a/crates/trial/src/scale/course.rs
+++ b/crates/trial/src/scale/course.rs
@@ -75,7 +75,7 @@
         let zone = draws.gen_range(0..size.zones);
         let (proxies, replicas) = match fault {
             None | Some(Kind::CutRegion) => (Vec::new(), Vec::new()),
-            Some(Kind::Restart) => (size.rack(zone), Vec::new()),
+            Some(Kind::Restart) => (size.some_of_either_kind(zone), Vec::new()),
             Some(Kind::Machines) => {
                 let machines = [
                     draws.gen_range(0..size.real.max(1)),
--- a/crates/trial/src/scale/fleet.rs
+++ b/crates/trial/src/scale/fleet.rs
@@ -162,7 +162,10 @@
             return self.order_real(proxy, &order(String::new())).await;
         }
         let process = &self.hollow[(proxy - self.size.real) / HOLLOW_EACH];
-        process.lock().await.order(&order(name(proxy))).await
+        match order(name(proxy)) {
+            Order::End(name) => process.lock().await.end(name).await,
+            order => process.lock().await.order(&order).await,
+        }
     }
 
     async fn order_real(&self, proxy: usize, order: &Order) -> Result<(), String> {
--- a/crates/trial/src/scale/hollow.rs
+++ b/crates/trial/src/scale/hollow.rs
@@ -64,6 +64,11 @@
     },
     /// All that was asked for with [`Order::Tell`] has been told.
     Told,
+    /// A proxy ended as it was told to.
+    Stopped {
+        /// The proxy.
+        proxy: String,
+    },
     /// A proxy ended by itself.
     Ended {
         /// The proxy.
@@ -82,6 +87,9 @@
     logs: HashMap<String, Vec<Line>>,
 }
 
+/// Between two looks at whether a proxy has ended.
+const LOOK_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
+
 /// The process.
 pub struct HollowProcess {
     child: Child,
@@ -143,6 +151,25 @@
         self.orders.write_all(line.as_bytes()).await.map_err(|e| format!("hollow proxies: {e}"))
     }
 
+    /// Tells a proxy to end, and waits until it has.
+    ///
+    /// # Errors
+    /// If it does not.
+    pub async fn end(&mut self, proxy: String) -> Result<(), String> {
+        let stopped = Event::Stopped { proxy: proxy.clone() };
+        let count = |heard: &Mutex<Heard>| locked(heard).events.iter().filter(|e| **e == stopped).count();
+        let before = count(&self.heard);
+        self.order(&Order::End(proxy)).await?;
+        let end = tokio::time::Instant::now() + LONG;
+        while count(&self.heard) == before {
+            if tokio::time::Instant::now() >= end {
+                return Err("a hollow proxy does not end".to_owned());
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+        Ok(())
+    }
+
     /// Waits until each proxy's admission has been told up to now.
     ///
     /// # Errors
--- a/crates/trial/src/scale/layout.rs
+++ b/crates/trial/src/scale/layout.rs
@@ -75,6 +75,14 @@
         self.proxies_in(zone).into_iter().take(count).collect()
     }
 
+    /// The proxies of a rack in this zone, and the zone's last one, which is hollow if any is.
+    pub fn some_of_either_kind(&self, zone: usize) -> Vec<usize> {
+        let mut proxies = self.rack(zone);
+        let last = self.proxies_in(zone).last().copied();
+        proxies.extend(last.filter(|last| !proxies.contains(last)));
+        proxies
+    }
+
     /// The proxies of a zone.
     pub fn proxies_in(&self, zone: usize) -> Vec<usize> {
         (0..self.proxies).filter(|&proxy| self.proxy(proxy).zone == zone).collect()
