--- a/crates/lab/tests/trial_scale.rs
+++ b/crates/lab/tests/trial_scale.rs
@@ -84,8 +84,6 @@
         assert_eq!(output.status.code(), Some(2), "{}", told(&output));
         assert!(told(&output).contains(words), "{}", told(&output));
     }
-    for (arguments, words) in [("--only cut-region", "allowed is 2")] {
-        let output = scale(arguments);
-        assert!(!output.status.success() && told(&output).contains(words), "{}", told(&output));
-    }
+    let output = scale("--only cut-region");
+    assert!(!output.status.success() && told(&output).contains("allowed is 2"), "{}", told(&output));
 }
