Proxy: open calls are limited, not connections that have no request

Seen by callers: a request on a new connection was refused (503) while the calls in flight were few or none, as clients that had connected less than 100 ms before, and sent nothing yet, held the served places.

Cause: net/server/connection.rs, spawn_connection, marked a connection as over capacity at accept, by the number of connections, before anything was known of its request.

Change: the driver's limit of open calls is also bound to the descriptors (as the operator's file has it already), and a request beyond it is refused when it has come. Connections in excess of that number are still taken, idle ones evicted for them as before. A connection without a descriptor is still marked at accept.

Test: a_request_is_served_while_clients_without_requests_hold_the_other_places (time stands still in it); before the change 503 for 200.

Test replaced: with_few_descriptors_clients_are_rejected_and_the_proxy_goes_on wanted one rejection at least of calls that come one after the other, that is the fault itself (after the change: "at least one rejection", none comes). It now holds 38 calls of 80 open with 128 descriptors, and wants the 42 others rejected, each with Retry-After and close, no more and no fewer, the 38 served afterwards, and the next call too.

--- a/crates/proxy/src/net/server/accept.rs
+++ b/crates/proxy/src/net/server/accept.rs
@@ -37,8 +37,7 @@
             };
             // At capacity, clients wait in the listener's queue. A place becomes free soon, as rejected and evicted
             // connections are closed.
-            let has_capacity =
-                self.clients.count() < self.max_connections + self.max_excess_connections;
+            let has_capacity = self.clients.count() < self.max_connections;
             if !has_capacity && self.clients.evicting() == 0 {
                 self.clients.evict_idle(self.driver.clock().now());
             }
@@ -85,7 +84,7 @@
         shutdown: &watch::Receiver<ShutdownDeadline>,
     ) {
         tokio::task::yield_now().await;
-        while self.clients.count() < self.max_connections + self.max_excess_connections {
+        while self.clients.count() < self.max_connections {
             let accepted = poll_fn(|cx| Poll::Ready(listener.poll_accept(cx))).await;
             let Poll::Ready(Ok(stream)) = accepted else {
                 return;
--- a/crates/proxy/src/net/server/connection.rs
+++ b/crates/proxy/src/net/server/connection.rs
@@ -34,20 +34,21 @@
         shutdown: watch::Receiver<ShutdownDeadline>,
     ) {
         let clock = self.driver.clock();
-        let remaining = self.clients.count() - self.clients.evicting();
-        let at_capacity =
-            remaining >= self.max_connections && !self.clients.evict_idle(clock.now());
+        if self.clients.count() - self.clients.evicting() >= self.max_kept_connections {
+            self.clients.evict_idle(clock.now());
+        }
         let descriptor = self.descriptors.acquire().or_else(|| {
             self.pool.evict_idle();
             self.descriptors.acquire()
         });
-        let over_capacity = at_capacity || descriptor.is_none();
+        let over_capacity = descriptor.is_none();
         let client = self.clients.register(stream, descriptor, clock);
         debug!(target: CLIENTS, connection = client.id(), open = self.clients.count(), over_capacity, "client connected");
         tokio::task::spawn_local(Rc::clone(self).serve_connection(client, shutdown, over_capacity));
     }
 
-    /// Serves a connection until it is closed. If it is over capacity, its first request is rejected and it is closed.
+    /// Serves a connection until it is closed. If there is no descriptor for it, its first request is rejected and it is
+    /// closed.
     async fn serve_connection(
         self: Rc<Self>,
         client: Rc<ClientConnection>,
--- a/crates/proxy/src/net/server/mod.rs
+++ b/crates/proxy/src/net/server/mod.rs
@@ -57,9 +57,10 @@
     pub in_flight_ids: RefCell<HashSet<HeaderValue>>,
     /// The `Retry-After` of rejections for which the balancer gives none, in microseconds; 0 omits the header.
     pub default_retry_after: Cell<Micros>,
-    /// The maximum number of connections that are served. At most a third of the descriptors may be used for clients:
-    /// with more idle clients, there would be none left for connections to endpoints, and requests could not be served.
+    /// The maximum number of connections. It is larger than the maximum number of open calls, so that requests beyond
+    /// that can be rejected. At most a third of the descriptors may be used for clients: with more, there would be none
+    /// left for connections to endpoints, and requests could not be served.
     pub max_connections: usize,
-    /// The maximum number of further connections, which are accepted only to reject their requests.
-    pub max_excess_connections: usize,
+    /// The number of connections beyond which idle connections are closed, and others after a rejection.
+    pub max_kept_connections: usize,
 }
--- a/crates/proxy/src/net/server/request.rs
+++ b/crates/proxy/src/net/server/request.rs
@@ -104,7 +104,7 @@
         let (call, answer) = self
             .driver
             .start_call(new_call, request)
-            .ok_or(RequestError::Shed)?;
+            .ok_or(RequestError::AtCapacity)?;
         let _disconnect_guard = DisconnectGuard {
             driver: &self.driver,
             call,
--- a/crates/proxy/src/net/server/request_error.rs
+++ b/crates/proxy/src/net/server/request_error.rs
@@ -4,8 +4,8 @@
 use hyper::StatusCode;
 use thiserror::Error;
 
-/// Why no call is started for a request. [`RequestError::Rejected`] and [`RequestError::Shed`] have their own
-/// responses; the display text of any other error is the body of its response.
+/// Why no call is started for a request. [`RequestError::Rejected`], [`RequestError::Shed`] and
+/// [`RequestError::AtCapacity`] have their own responses; the display text of any other error is the body of its response.
 #[derive(Debug, Error)]
 pub(super) enum RequestError {
     /// The rules do not admit the request.
@@ -14,6 +14,9 @@
     /// No call may start now. The client may retry.
     #[error("refused")]
     Shed,
+    /// The maximum number of calls is open. The client may retry.
+    #[error("refused")]
+    AtCapacity,
     /// Another request with the same id is in flight.
     #[error("a request with this X-Request-ID is open")]
     DuplicateId,
@@ -36,7 +39,7 @@
     pub(super) fn status(&self) -> StatusCode {
         match self {
             RequestError::Rejected(rejection) => rejection.status,
-            RequestError::Shed => StatusCode::SERVICE_UNAVAILABLE,
+            RequestError::Shed | RequestError::AtCapacity => StatusCode::SERVICE_UNAVAILABLE,
             RequestError::DuplicateId => StatusCode::CONFLICT,
             RequestError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             RequestError::BodyBroken | RequestError::ExcessData => StatusCode::BAD_REQUEST,
--- a/crates/proxy/src/net/server/response.rs
+++ b/crates/proxy/src/net/server/response.rs
@@ -21,6 +21,13 @@
         match error {
             RequestError::Rejected(rejection) => self.rejection(rejection),
             RequestError::Shed => self.shed(0),
+            RequestError::AtCapacity => {
+                let mut response = self.shed(0);
+                if self.clients.count() > self.max_kept_connections {
+                    set_connection_close(&mut response);
+                }
+                response
+            }
             error => bad_request(error.status(), error.to_string()),
         }
     }
--- a/crates/proxy/src/program.rs
+++ b/crates/proxy/src/program.rs
@@ -32,6 +32,9 @@
 /// Backlog of the listener: connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
+/// The least number of client connections beyond the maximum number of open calls, whose requests are rejected.
+const MIN_REJECTING_CONNECTIONS: usize = 2;
+
 /// Interval at which overdue connections are closed while the proxy has connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval of the same sweep while the proxy has no connections.
@@ -201,7 +204,7 @@
 /// # Errors
 /// If the timer task or the discovery task ends: without them calls would stay unanswered.
 pub async fn serve_in(
-    setup: Setup,
+    mut setup: Setup,
     environment: Environment,
     mut hangup: impl AsyncFnMut() -> bool,
     stop: impl Future<Output = ()>,
@@ -218,6 +221,10 @@
         .saturating_sub(RESERVED_DESCRIPTORS)
         .max(8);
     let descriptors = Descriptors::new(available_descriptors);
+    // Each open call holds the connection of its client.
+    let max_open_calls = max_client_connections(setup.descriptors);
+    let transport = &mut setup.platform_settings.transport;
+    transport.max_open = transport.max_open.min(max_open_calls);
     // The other three quarters are for buffers, which are bounded by the number of connections.
     let memory_budget = MemoryBudget::new(setup.memory_bytes / 4);
     let idle_limits = match setup.subset {
@@ -313,8 +320,8 @@
         memory_budget,
         in_flight_ids: RefCell::default(),
         default_retry_after: Cell::new(setup.default_retry_after),
-        max_connections: max_client_connections(setup.descriptors),
-        max_excess_connections: (setup.descriptors / 40).max(2),
+        max_kept_connections: max_open_calls,
+        max_connections: max_open_calls + (setup.descriptors / 40).max(MIN_REJECTING_CONNECTIONS),
     });
     let running = Running {
         driver,
--- a/crates/proxy/tests/proxy.rs
+++ b/crates/proxy/tests/proxy.rs
@@ -3,7 +3,7 @@
 use badgerramp_testkit::*;
 use std::io::{Read, Write};
 use std::sync::mpsc::channel;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// The program under test.
@@ -776,34 +776,57 @@
     assert_eq!(restarted.call("safe", "2000m").status(), 200);
 }
 
+/// Each call holds a connection of a client, so that calls beyond a share of the descriptors are rejected: no fewer and no
+/// more than the descriptors require.
 #[test]
 fn with_few_descriptors_clients_are_rejected_and_the_proxy_goes_on() {
-    let (discovery, host) = (Discovery::start(), Host::serving("ok"));
-    let listen = "127.0.0.1:0".parse().expect("an address");
-    let proxy = Proxy::with_config(
-        PROGRAM,
-        &config(listen, discovery.address, 64, &[up("s-1", &host)]),
-    );
-    let mut clients: Vec<Client> = (0..40).map(|_| proxy.client()).collect();
-    let answers: Vec<Message> = clients
-        .iter_mut()
-        .map(|c| c.call("safe", "2000m"))
+    /// The calls that may be open with 128 descriptors.
+    const MAX_OPEN_CALLS: usize = 38;
+    const CLIENTS: usize = 80;
+    let gate = Arc::new(Mutex::new(()));
+    let closed = gate.lock().expect("no panic");
+    let discovery = Discovery::start();
+    // As many hosts as calls, so that none waits for another.
+    let hosts: Vec<Host> = (0..MAX_OPEN_CALLS)
+        .map(|_| {
+            let gate = Arc::clone(&gate);
+            Host::start(move |_| {
+                drop(gate.lock());
+                Reply::Write(answer("200 OK", "", "ok"))
+            })
+        })
         .collect();
-    assert_eq!(answers[0].status(), 200);
-    assert!(answers.iter().all(|a| [200, 503].contains(&a.status())));
-    let refused = answers
-        .iter()
-        .find(|a| a.status() == 503)
-        .expect("at least one rejection");
-    assert!(
-        refused.header("retry-after").is_some() && refused.header("connection") == Some("close")
-    );
-    drop(clients);
-    // Descriptors become available as connections close.
-    let started = Instant::now();
-    while proxy.call("safe", "2000m").status() != 200 {
-        assert!(started.elapsed() < EVENT_TIMEOUT);
+    let entries: Vec<String> = (1..)
+        .zip(&hosts)
+        .map(|(number, host)| up(&format!("s-{number}"), host))
+        .collect();
+    let listen = "127.0.0.1:0".parse().expect("an address");
+    let proxy = Proxy::with_config(PROGRAM, &config(listen, discovery.address, 128, &entries));
+    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| proxy.client()).collect();
+    clients.iter_mut().for_each(|c| c.send("safe", "3000m"));
+    let (answers, rejected) = channel();
+    for (number, mut client) in clients.into_iter().enumerate() {
+        let answers = answers.clone();
+        std::thread::spawn(move || answers.send((number, client.answer())));
+    }
+    for _ in MAX_OPEN_CALLS..CLIENTS {
+        let (number, rejection) = rejected.recv_timeout(EVENT_TIMEOUT).expect("a rejection");
+        let rejection = rejection.unwrap_or_else(|| panic!("client {number} got no answer"));
+        assert_eq!(rejection.status(), 503);
+        assert!(rejection.header("retry-after").is_some());
+        assert_eq!(
+            rejection.header("connection"),
+            Some("close"),
+            "{number}: {}",
+            rejection.head
+        );
+    }
+    drop(closed);
+    for _ in 0..MAX_OPEN_CALLS {
+        let (_, served) = rejected.recv_timeout(EVENT_TIMEOUT).expect("an answer");
+        assert_eq!(served.expect("an answer").status(), 200);
     }
+    assert_eq!(proxy.call("safe", "2000m").status(), 200);
 }
 
 #[test]
--- a/crates/proxy/tests/race_conditions/in_process.rs
+++ b/crates/proxy/tests/race_conditions/in_process.rs
@@ -12,6 +12,7 @@
 use std::io::{self, BufReader};
 use std::net::{IpAddr, SocketAddr, TcpStream};
 use std::rc::{Rc, Weak};
+use std::sync::mpsc;
 use std::task::{ready, Context, Poll, Waker};
 use std::thread;
 use std::time::Instant;
@@ -99,6 +100,13 @@
         }
     }
 
+    /// Waits until the program has accepted the connection of a client.
+    pub(crate) async fn wait_until_accepted(&self, connection: usize) {
+        while self.accepted.borrow().len() <= connection {
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Waits until the program has read all bytes that were received on a connection.
     pub(crate) async fn wait_until_read(&self, connection: usize) {
         let unread = || match self
@@ -111,7 +119,7 @@
             None => true,
         };
         while unread() {
-            tokio::time::sleep(QUIET_PERIOD / 300).await;
+            tokio::task::yield_now().await;
         }
     }
 
@@ -323,6 +331,21 @@
     }
 }
 
+/// The runtime's time while only the test advances it.
+pub(crate) struct FrozenTime {
+    /// Ends the blocking task, beside which the runtime does not advance its time by itself.
+    _end: mpsc::Sender<()>,
+}
+
+impl FrozenTime {
+    pub(crate) fn start() -> FrozenTime {
+        tokio::time::pause();
+        let (end, ended) = mpsc::channel::<()>();
+        tokio::task::spawn_blocking(move || ended.recv());
+        FrozenTime { _end: end }
+    }
+}
+
 /// Runs a test on the runtime on which the program runs as well.
 pub(crate) fn run_local(test: impl AsyncFnOnce()) {
     let runtime = tokio::runtime::Builder::new_current_thread()
--- a/crates/proxy/tests/race_conditions/main.rs
+++ b/crates/proxy/tests/race_conditions/main.rs
@@ -2,6 +2,7 @@
 //! race is forced. Races inside the program are forced by hooks on its sockets, with the program running in this process;
 //! the others by running it as a process and stopping it with SIGSTOP.
 
+mod capacity;
 mod in_process;
 
 use badgerramp_testkit::*;
