Proxy: clients that stop in a request no longer keep all others waiting

With all places taken the server does not accept, and the others' requests wait in the listener's queue, written to a connection that the machine accepted but unread. Evidence, from the log of a traced run: 82 connections open at 27.778 s (the three usual ones evicted for the last of them), the next accept at 30.255 s, right after 82 lines "close requested", and no line at all in between; three requests that their clients count as broken are received then, 2.3 to 2.4 s after they were written and 0.9 to 1.1 s after their clients had given up. Ruled out: rejections at capacity (one 503 in the run) and calls in flight (no line of a call in that time).

Fix: an incomplete head or body is a class of evictable connections, after closing and idle ones, the one that has waited longest first. Its request gets 503, as nothing of it was sent on, and a close; what arrives in that moment is served or answered 503, and its connection ends in order. A head that is not complete in time gets 408, as a body did, in place of a bare close.

--- a/crates/proxy/src/net/client_connection/mod.rs
+++ b/crates/proxy/src/net/client_connection/mod.rs
@@ -27,12 +27,12 @@
 use std::io;
 use std::net::IpAddr;
 use std::rc::Rc;
+use std::task::Poll;
 use tokio::io::ReadBuf;
 use tokio::sync::Notify;
 
-/// How long a new connection without a request is protected from eviction, in microseconds. Clients send their first
-/// request as soon as they are connected.
-const FIRST_REQUEST_GRACE: Micros = 100_000;
+/// How long a client that has connected, or has begun to send a request, is protected from eviction, in microseconds.
+pub const INCOMPLETE_REQUEST_GRACE: Micros = 100_000;
 /// The time limit for receiving a request completely, in microseconds. For the first request of a connection, it starts
 /// when the client connects.
 pub const REQUEST_TIMEOUT: Micros = 2_300_000;
@@ -52,7 +52,9 @@
     Idle,
     /// The head of a request is being received.
     ReadingHead,
-    /// A request is in flight: its body is being received, or its response is awaited.
+    /// The body of a request is being received.
+    ReadingBody,
+    /// A request is in flight: it has been received, and its response is awaited.
     InFlight,
     /// The response is being written.
     Responding,
@@ -60,6 +62,17 @@
     Closing,
 }
 
+/// Which connections are evicted first: those whose clients lose least.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum EvictionClass {
+    /// All responses have been written, and no further request is read.
+    Closing,
+    /// The client has no request in flight.
+    Idle,
+    /// The client has just connected, or its request is incomplete. It is told that its request was not executed.
+    IncompleteRequest,
+}
+
 /// One connection of a client.
 pub struct ClientConnection {
     id: u64,
@@ -80,10 +93,12 @@
     /// Data that was read from the socket before hyper requested it.
     read_ahead: RefCell<Vec<u8>>,
     close_signal: Notify,
+    /// Requests the request whose body is being received to be rejected.
+    rejection_signal: Notify,
     /// Whether the connection has been requested to close.
     close_pending: Cell<bool>,
-    /// Whether the connection has been requested to close to free its descriptor for another.
-    evicted: Cell<bool>,
+    /// Set if the connection has been requested to close to free its descriptor for another.
+    evicted: Cell<Option<EvictionClass>>,
     /// Whether the next response closes the connection.
     close_after_response: Cell<bool>,
 }
@@ -104,8 +119,9 @@
             body_len: Cell::new(u64::MAX),
             read_ahead: RefCell::default(),
             close_signal: Notify::new(),
+            rejection_signal: Notify::new(),
             close_pending: Cell::new(false),
-            evicted: Cell::new(false),
+            evicted: Cell::new(None),
             close_after_response: Cell::new(false),
         }
     }
@@ -133,6 +149,31 @@
         self.phase_since.get()
     }
 
+    /// Records that the body of the request is being received.
+    pub fn start_body(&self) {
+        self.phase.set(Phase::ReadingBody);
+    }
+
+    /// Records that the request has been received completely.
+    pub fn request_received(&self) {
+        self.phase.set(Phase::InFlight);
+    }
+
+    /// Whether the body of a request is being received.
+    pub fn is_reading_body(&self) -> bool {
+        self.phase.get() == Phase::ReadingBody
+    }
+
+    /// Requests the request whose body is being received to be rejected.
+    pub fn reject_body(&self) {
+        self.rejection_signal.notify_one();
+    }
+
+    /// Resolves when the request whose body is being received is to be rejected.
+    pub async fn body_rejected(&self) {
+        self.rejection_signal.notified().await;
+    }
+
     /// Records that the response is about to be written.
     pub fn response_ready(&self) {
         self.phase.set(Phase::Responding);
@@ -178,9 +219,17 @@
     /// Whether no byte of a request has been received, including bytes that have not been read from the socket. Only
     /// then may the connection be closed between requests.
     pub fn is_idle(&self) -> bool {
-        self.phase.get() == Phase::Idle
-            && self.read_ahead.borrow().is_empty()
-            && self.stream.nothing_to_read()
+        self.phase.get() == Phase::Idle && self.has_nothing_unread()
+    }
+
+    /// Whether the head of a request has been received in part, and nothing more has arrived.
+    pub fn has_incomplete_head(&self) -> bool {
+        self.phase.get() == Phase::ReadingHead && self.has_nothing_unread()
+    }
+
+    /// Whether no received data is left to read, including data that has not been read from the socket.
+    fn has_nothing_unread(&self) -> bool {
+        self.read_ahead.borrow().is_empty() && self.stream.nothing_to_read()
     }
 
     /// Whether the client has just connected and no request has been received yet.
@@ -193,7 +242,7 @@
     pub fn owes_response(&self) -> bool {
         let within = |timeout| self.phase_since.get() + timeout > self.clock.now();
         match self.phase.get() {
-            Phase::InFlight => true,
+            Phase::ReadingBody | Phase::InFlight => true,
             Phase::Responding => within(IDLE_TIMEOUT),
             Phase::ReadingHead => within(REQUEST_TIMEOUT),
             Phase::Idle => !self.is_idle(),
@@ -203,7 +252,12 @@
 
     /// Whether the connection is evicted. The proxy then does not wait for the client to close it.
     pub fn is_evicted(&self) -> bool {
-        self.evicted.get()
+        self.evicted.get().is_some()
+    }
+
+    /// Whether the request that is being received is to be rejected, as its connection is evicted.
+    pub fn is_rejected(&self) -> bool {
+        self.evicted.get() == Some(EvictionClass::IncompleteRequest)
     }
 
     /// Shuts the write side down, and reads and discards data until the client has closed its side as well. Closing
@@ -244,17 +298,57 @@
             .set(self.bytes_after_head.get() + rest.len() as u64);
     }
 
-    /// Whether the connection may be closed to free its descriptor for another: not while a request is being received
-    /// or answered. Once a request has been answered it may be closed at once, as many clients that send one request
-    /// and stay connected would otherwise keep all others out.
-    fn is_evictable(&self, now: Micros) -> bool {
-        let grace = if self.has_requested.get() {
-            0
-        } else {
-            FIRST_REQUEST_GRACE
-        };
-        let idle = || self.phase_since.get() + grace <= now && self.is_idle();
-        !self.close_pending.get() && (self.phase.get() == Phase::Closing || idle())
+    /// Writes the beginning of a response, as far as the socket takes it without waiting. Only for a connection that is
+    /// closed afterwards, and on which no other response is being written.
+    pub async fn write_without_waiting(&self, bytes: &[u8]) {
+        poll_fn(|cx| {
+            // A client that does not take a short response has not read the earlier ones either.
+            let _ = self.stream.poll_write(cx, bytes);
+            Poll::Ready(())
+        })
+        .await;
+    }
+
+    /// Which of the connections that may be evicted this one is, or `None` if it may not be evicted: while a response is
+    /// owed, while the client is within `grace` of its connect or of the first byte of its request, or if it has been
+    /// requested to close already. Does not check for unread data.
+    fn eviction_class(&self, now: Micros, grace: Micros) -> Option<EvictionClass> {
+        if self.is_evicted() {
+            return None;
+        }
+        let waited = now.saturating_sub(self.phase_since.get());
+        // Once a request has been answered the connection may be closed at once, as many clients that send one request
+        // and stay connected would otherwise keep all others out.
+        let has_rested = self.has_requested.get() || waited >= INCOMPLETE_REQUEST_GRACE;
+        match self.phase.get() {
+            Phase::Closing => Some(EvictionClass::Closing),
+            _ if self.close_pending.get() => None,
+            Phase::Idle if has_rested => Some(EvictionClass::Idle),
+            Phase::Idle | Phase::ReadingHead | Phase::ReadingBody if waited >= grace => {
+                Some(EvictionClass::IncompleteRequest)
+            }
+            _ => None,
+        }
+    }
+
+    /// Whether nothing has arrived that the program would have to process before it evicts the connection.
+    fn can_be_evicted_now(&self) -> bool {
+        self.phase.get() == Phase::Closing || self.has_nothing_unread()
+    }
+
+    /// Requests the connection to close, to free its descriptor for another.
+    fn evict(&self, class: EvictionClass) {
+        self.evicted.set(Some(class));
+        self.request_close();
+    }
+
+    /// Revokes an eviction, as data has arrived meanwhile. Returns false if the connection was not evicted.
+    fn cancel_eviction(&self) -> bool {
+        let was_evicted = self.evicted.take().is_some();
+        if was_evicted {
+            self.close_pending.set(false);
+        }
+        was_evicted
     }
 
     /// Whether a timeout of the connection has expired: for receiving a request, for writing the response or for being
@@ -264,7 +358,7 @@
             Phase::Idle if self.has_requested.get() => IDLE_TIMEOUT,
             Phase::Responding => IDLE_TIMEOUT,
             Phase::Idle | Phase::ReadingHead => REQUEST_TIMEOUT,
-            Phase::InFlight | Phase::Closing => return false,
+            Phase::ReadingBody | Phase::InFlight | Phase::Closing => return false,
         };
         !self.close_pending.get()
             && self.phase_since.get() + timeout <= now
--- a/crates/proxy/src/net/client_connection/registry.rs
+++ b/crates/proxy/src/net/client_connection/registry.rs
@@ -1,6 +1,7 @@
 //! The registry of client connections, which closes idle and overdue ones.
 
 use super::{ClientConnection, Phase};
+use crate::log::CLIENTS;
 use crate::net::clock::Clock;
 use crate::net::socket::Stream;
 use crate::net::Descriptor;
@@ -9,6 +10,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use tokio::sync::Notify;
+use tracing::debug;
 
 /// The registry of client connections.
 #[derive(Default)]
@@ -36,7 +38,7 @@
     pub fn has_pending(&self, include_incoming: bool) -> bool {
         let is_pending = |connection: &Rc<ClientConnection>| match connection.phase.get() {
             Phase::Closing => true,
-            Phase::InFlight | Phase::Responding => connection.owes_response(),
+            Phase::ReadingBody | Phase::InFlight | Phase::Responding => connection.owes_response(),
             Phase::ReadingHead | Phase::Idle => {
                 include_incoming
                     && (connection.owes_response() || connection.awaits_first_request())
@@ -74,25 +76,38 @@
         self.closed.notify_one();
     }
 
-    /// Evicts the connection that has been idle longest. Returns false if no connection may be evicted.
+    /// Evicts the connection that has been idle longest. Returns false if no connection is idle.
     pub fn evict_idle(&self, now: Micros) -> bool {
+        self.evict(now, Micros::MAX)
+    }
+
+    /// Evicts the connection whose client loses least by it, and of several such the one that has waited longest. `grace`
+    /// protects clients that have just connected or begun a request. Returns false if no connection may be evicted.
+    pub fn evict(&self, now: Micros, grace: Micros) -> bool {
         let connections = self.connections.borrow();
-        let longest_idle = connections
-            .values()
-            .filter(|connection| connection.is_evictable(now))
-            .min_by_key(|connection| connection.phase_since.get());
-        longest_idle.inspect(|connection| {
-            connection.evicted.set(true);
-            self.evicted.set(self.evicted.get() + 1);
-            connection.request_close();
-        });
-        longest_idle.is_some()
+        let candidate = |connection: &Rc<ClientConnection>| {
+            let class = connection.eviction_class(now, grace)?;
+            Some((class, connection.phase_since.get(), Rc::clone(connection)))
+        };
+        let mut candidates: Vec<_> = connections.values().filter_map(candidate).collect();
+        candidates.sort_unstable_by_key(|&(class, since, _)| (class, since));
+        // Sockets are checked only as far as needed, as each check is a system call.
+        let victim = candidates
+            .iter()
+            .find(|(.., connection)| connection.can_be_evicted_now());
+        let Some((class, since, connection)) = victim else {
+            return false;
+        };
+        debug!(target: CLIENTS, connection = connection.id(), ?class, since, "connection evicted");
+        self.evicted.set(self.evicted.get() + 1);
+        connection.evict(*class);
+        true
     }
 
-    /// Revokes the eviction of a connection on which a request has arrived meanwhile.
+    /// Revokes the eviction of a connection on which data has arrived meanwhile.
     pub fn cancel_eviction(&self, connection: &ClientConnection) {
         self.evicted
-            .set(self.evicted.get() - usize::from(connection.evicted.replace(false)));
+            .set(self.evicted.get() - usize::from(connection.cancel_eviction()));
     }
 
     /// Closes connections with an expired timeout.
--- a/crates/proxy/src/net/server/connection.rs
+++ b/crates/proxy/src/net/server/connection.rs
@@ -1,6 +1,7 @@
 //! One connection of a client, from accept to close.
 
-use super::response::set_connection_close;
+use super::request_error::RequestError;
+use super::response::{encode_final, set_connection_close};
 use super::{Server, ShutdownDeadline};
 use crate::log::CLIENTS;
 use crate::net::client_connection::{ClientConnection, ObservedStream};
@@ -26,6 +27,15 @@
 /// How long a client may take to close a connection after the proxy has shut down its side.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// How a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectionEnd {
+    /// Between requests, after its last response, or with an error.
+    Done,
+    /// With a request that has been received in part. The request is still to be rejected.
+    IncompleteRequest,
+}
+
 impl Server {
     /// Registers an accepted connection and starts its task.
     pub(super) fn spawn_connection(
@@ -85,21 +95,39 @@
             .max_buf_size(MAX_HEAD_LEN)
             .keep_alive(!over_capacity && shutdown.borrow().is_none())
             .serve_connection(TokioIo::new(ObservedStream::new(&client)), service);
-        self.drive_connection(connection, &client, shutdown).await;
+        if self.drive_connection(connection, &client, shutdown).await
+            == ConnectionEnd::IncompleteRequest
+        {
+            self.reject_incomplete(&client).await;
+        }
         // An evicted connection does not wait for its client: its descriptor is needed.
-        let linger_timeout = if client.is_evicted() {
-            Duration::ZERO
-        } else {
-            LINGER_TIMEOUT
+        let linger_end = async {
+            if !client.is_evicted() {
+                tokio::time::sleep(LINGER_TIMEOUT).await;
+            }
         };
         tokio::select! {
-            _ = tokio::time::timeout(linger_timeout, client.linger()) => {}
+            biased;
+            () = client.linger() => {}
+            () = linger_end => {}
             () = client.close_requested() => {}
         }
         debug!(target: CLIENTS, connection = client.id(), "connection closed");
         self.clients.unregister(&client);
     }
 
+    /// Responds to a request whose head has been received in part, before its connection is closed.
+    async fn reject_incomplete(&self, client: &ClientConnection) {
+        let error = if client.is_rejected() {
+            RequestError::Shed
+        } else {
+            RequestError::HeadTimeout
+        };
+        debug!(target: CLIENTS, connection = client.id(), %error, "incomplete request rejected");
+        let response = encode_final(self.error_response(error)).await;
+        client.write_without_waiting(&response).await;
+    }
+
     /// Drives a connection to its end. If it is to be closed, this happens between requests only if no byte of a
     /// request has arrived, including bytes that have not been read from the socket; otherwise its next response closes
     /// it.
@@ -108,7 +136,8 @@
         connection: http1::Connection<TokioIo<ObservedStream>, S>,
         client: &ClientConnection,
         mut shutdown: watch::Receiver<ShutdownDeadline>,
-    ) where
+    ) -> ConnectionEnd
+    where
         S: HttpService<Incoming, ResBody = Full<Bytes>, Error = Infallible>,
     {
         let mut connection = pin!(connection);
@@ -124,18 +153,28 @@
             tokio::select! {
                 biased;
                 // Errors of the connection need no handling: its request is dropped together with it.
-                _ = connection.as_mut() => return,
+                _ = connection.as_mut() => return ConnectionEnd::Done,
                 () = client.close_requested() => {
                     debug!(target: CLIENTS, connection = client.id(), "close requested");
-                    if !client.is_idle() {
+                    if client.is_rejected() && client.has_incomplete_head() {
+                        return ConnectionEnd::IncompleteRequest;
+                    }
+                    if client.is_rejected() && client.is_reading_body() {
+                        client.reject_body();
+                    } else if !client.is_idle() {
                         self.clients.cancel_eviction(client);
                     }
                     check_at = Some(Instant::now() + CLOSE_RECHECK_INTERVAL);
                 }
                 // A request that arrived just before the connection was to be closed is answered first.
                 () = next_check => {
-                    if !client.owes_response() {
-                        return;
+                    // A client that does not take the rejection of its request is not waited for.
+                    if client.is_rejected() || !client.owes_response() {
+                        return if client.has_incomplete_head() {
+                            ConnectionEnd::IncompleteRequest
+                        } else {
+                            ConnectionEnd::Done
+                        };
                     }
                     check_at = Some(Instant::now() + CLOSE_RECHECK_INTERVAL);
                     continue;
--- a/crates/proxy/src/net/server/mod.rs
+++ b/crates/proxy/src/net/server/mod.rs
@@ -16,6 +16,8 @@
 mod request_error;
 mod response;
 
+pub use accept::LISTEN_BACKLOG;
+
 use super::admission_gate::AdmissionGate;
 use super::client_connection::ClientConnections;
 use super::driver::Driver;
--- a/crates/proxy/src/net/server/request.rs
+++ b/crates/proxy/src/net/server/request.rs
@@ -74,7 +74,9 @@
             .ok_or(RequestError::Shed)?;
         let clock = self.driver.clock();
         let deadline = clock.instant(received_at.saturating_add(REQUEST_TIMEOUT));
-        let body = read_body(body, admitted.max_body_len, deadline).await?;
+        let body = self
+            .receive_body(body, admitted.max_body_len, deadline, client)
+            .await?;
         self.check_excess_data(&admitted, client)?;
         let is_retry = parts
             .headers
@@ -112,6 +114,29 @@
         Ok(self.answer_response(answer.await))
     }
 
+    /// Receives the body of a request, unless the place of its connection is needed for another client.
+    async fn receive_body(
+        &self,
+        body: Incoming,
+        max_body_len: usize,
+        deadline: Instant,
+        client: &ClientConnection,
+    ) -> Result<Bytes, RequestError> {
+        if body.is_end_stream() {
+            return Ok(Bytes::new());
+        }
+        client.start_body();
+        let body = tokio::select! {
+            biased;
+            body = read_body(body, max_body_len, deadline) => body?,
+            () = client.body_rejected() => return Err(RequestError::Shed),
+        };
+        // A request that was completed just before its rejection is served, and its response closes the connection.
+        self.clients.cancel_eviction(client);
+        client.request_received();
+        Ok(body)
+    }
+
     /// The rules for a request that arrives now, and the admission to confirm before its call starts.
     fn current_rules(
         &self,
@@ -186,9 +211,6 @@
     max_body_len: usize,
     deadline: Instant,
 ) -> Result<Bytes, RequestError> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
     let body = Box::pin(Limited::new(body, max_body_len).collect());
     match tokio::time::timeout_at(deadline, body).await {
         Ok(Ok(body)) => Ok(Collected::to_bytes(body)),
--- a/crates/proxy/src/net/server/request_error.rs
+++ b/crates/proxy/src/net/server/request_error.rs
@@ -20,6 +20,9 @@
     /// Another request with the same id is in flight.
     #[error("a request with this X-Request-ID is open")]
     DuplicateId,
+    /// The head was not received completely in time.
+    #[error("the head did not come in time")]
+    HeadTimeout,
     /// The body is larger than allowed.
     #[error("the body is too large")]
     BodyTooLarge,
@@ -43,7 +46,7 @@
             RequestError::DuplicateId => StatusCode::CONFLICT,
             RequestError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             RequestError::BodyBroken | RequestError::ExcessData => StatusCode::BAD_REQUEST,
-            RequestError::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            RequestError::HeadTimeout | RequestError::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
         }
     }
 }
--- a/crates/proxy/src/net/server/response.rs
+++ b/crates/proxy/src/net/server/response.rs
@@ -8,7 +8,7 @@
 use crate::net::upstream::{self, UpstreamResponse};
 use badgerramp_decisions::Micros;
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Collected, Full};
 use hyper::body::Body;
 use hyper::header::{self, HeaderValue};
 use hyper::{Response, StatusCode};
@@ -153,3 +153,24 @@
         .headers_mut()
         .insert(header::CONNECTION, HeaderValue::from_static("close"));
 }
+
+/// Encodes a response that closes the connection, for a request that the HTTP library has not received completely.
+pub(super) async fn encode_final(mut response: Response<Full<Bytes>>) -> Vec<u8> {
+    set_connection_close(&mut response);
+    let (head, body) = response.into_parts();
+    let body = body
+        .collect()
+        .await
+        .map(Collected::to_bytes)
+        .unwrap_or_default();
+    let mut bytes = format!("HTTP/1.1 {}\r\n", head.status).into_bytes();
+    for (name, value) in &head.headers {
+        bytes.extend_from_slice(name.as_str().as_bytes());
+        bytes.extend_from_slice(b": ");
+        bytes.extend_from_slice(value.as_bytes());
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes.extend_from_slice(format!("content-length: {}\r\n\r\n", body.len()).as_bytes());
+    bytes.extend_from_slice(&body);
+    bytes
+}
--- a/crates/proxy/src/program.rs
+++ b/crates/proxy/src/program.rs
@@ -7,7 +7,7 @@
 use crate::net::driver::{Driver, Endpoint};
 use crate::net::peers;
 use crate::net::rules::Rules;
-use crate::net::server::Server;
+use crate::net::server::{Server, LISTEN_BACKLOG};
 use crate::net::socket::{Listener, Network, Tcp};
 use crate::net::upstream::{ConnectionPool, IdleLimits};
 use crate::net::{Descriptors, MemoryBudget};
@@ -29,9 +29,6 @@
 use tokio::sync::{watch, Notify};
 use tokio::task::JoinHandle;
 
-/// Backlog of the listener: connections that wait to be accepted.
-const BACKLOG: u32 = 1_024;
-
 /// The least number of client connections beyond the maximum number of open calls, whose requests are rejected.
 const MIN_REJECTING_CONNECTIONS: usize = 2;
 
@@ -186,7 +183,7 @@
         let socket = socket.map_err(|e| format!("socket: {e}"))?;
         socket.set_reuseaddr(true).map_err(bind_error)?;
         socket.bind(listen).map_err(bind_error)?;
-        let listener = socket.listen(BACKLOG).map_err(bind_error)?;
+        let listener = socket.listen(LISTEN_BACKLOG).map_err(bind_error)?;
         if let Ok(address) = listener.local_addr() {
             tracing::info!("listening on {address}");
         }
--- a/crates/proxy/tests/race_conditions/in_process.rs
+++ b/crates/proxy/tests/race_conditions/in_process.rs
@@ -15,7 +15,7 @@
 use std::sync::mpsc;
 use std::task::{ready, Context, Poll, Waker};
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::io::ReadBuf;
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, Notify};
@@ -344,6 +344,19 @@
         tokio::task::spawn_blocking(move || ended.recv());
         FrozenTime { _end: end }
     }
+
+    pub(crate) async fn advance(&self, time: Duration) {
+        tokio::time::advance(time).await;
+    }
+}
+
+/// Whether the program has neither written to this client nor closed its connection.
+pub(crate) fn is_open(client: &Client) -> bool {
+    let stream = client.stream.get_ref();
+    stream.set_nonblocking(true).expect("a socket");
+    let peeked = stream.peek(&mut [0]);
+    stream.set_nonblocking(false).expect("a socket");
+    peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
 }
 
 /// Runs a test on the runtime on which the program runs as well.
--- a/crates/proxy/tests/race_conditions/main.rs
+++ b/crates/proxy/tests/race_conditions/main.rs
@@ -4,6 +4,7 @@
 
 mod capacity;
 mod in_process;
+mod incomplete_requests;
 
 use badgerramp_testkit::*;
 use in_process::*;
