Proxy: a request keeps the class of its head across a reload, also while its body comes

A reload in between changes that. Ruled out: the control plane's policy, where `confirm` admits such a request again, and calls that had started, which keep a copy of their class. Zones and endpoints have ids that are never given to others; platform settings never change.

--- a/crates/adapter/src/instance.rs
+++ b/crates/adapter/src/instance.rs
@@ -86,6 +86,7 @@
         Ok(Event::Request {
             call,
             class: ClassId(position(&self.classes, class).unwrap_or(usize::MAX)),
+            definition: None,
             tenant: tenant
                 .and_then(|name| position(&self.tenants, name))
                 .map(TenantId),
--- a/crates/decisions/src/api/event.rs
+++ b/crates/decisions/src/api/event.rs
@@ -1,6 +1,6 @@
 //! Events that the proxy reports to the balancer.
 
-use super::call_class::CallPolicy;
+use super::call_class::{CallPolicy, Class};
 use super::endpoint_list::{EndpointEntry, ListUpdateKind};
 use super::ids::{CallId, ClassId, EndpointId, Micros, TenantId};
 use super::settings::Settings;
@@ -69,6 +69,9 @@
         call: CallId,
         /// The class of the call.
         class: ClassId,
+        /// The definition of the class when the call was admitted, if the settings may have
+        /// changed since then; `None`: that of the settings.
+        definition: Option<Class>,
         /// The tenant that the call belongs to.
         tenant: Option<TenantId>,
         /// Time until the client's deadline, in microseconds.
--- a/crates/decisions/src/balancer/admission.rs
+++ b/crates/decisions/src/balancer/admission.rs
@@ -22,6 +22,8 @@
 pub(super) struct NewCall {
     pub(super) id: CallId,
     pub(super) class: ClassId,
+    /// The definition that the call was admitted under, if it may differ from that of the settings.
+    pub(super) definition: Option<Class>,
     pub(super) time_left: Micros,
     pub(super) is_retry: bool,
     pub(super) policy: CallPolicy,
@@ -88,8 +90,8 @@
         }
     }
 
-    /// Returns the class of a call. A class that the settings do not define is treated as not
-    /// idempotent.
+    /// Returns the class of a call: the definition that it was admitted under, or else that of the
+    /// settings. A class that the settings do not define is treated as not idempotent.
     fn resolve_class(&self, new: &NewCall) -> Class {
         let unknown = Class {
             latency_objective: new.time_left,
@@ -97,7 +99,7 @@
             ..Class::default()
         };
         let known = self.settings.classes.get(new.class.0);
-        let mut class = known.copied().unwrap_or(unknown);
+        let mut class = new.definition.or(known.copied()).unwrap_or(unknown);
         if new.policy.non_idempotent {
             class.idempotency = Idempotency::NonIdempotent;
         }
--- a/crates/decisions/src/balancer/mod.rs
+++ b/crates/decisions/src/balancer/mod.rs
@@ -150,6 +150,7 @@
             Event::Request {
                 call: id,
                 class,
+                definition,
                 time_left,
                 is_retry,
                 policy,
@@ -158,6 +159,7 @@
                 let new = NewCall {
                     id,
                     class,
+                    definition,
                     time_left,
                     is_retry,
                     policy,
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -28,6 +28,7 @@
 //! let event = Event::Request {
 //!     call: CallId(1),
 //!     class: ClassId(0),
+//!     definition: None,
 //!     tenant: None,
 //!     time_left: 500_000,
 //!     is_retry: false,
--- a/crates/decisions/tests/call_policy.rs
+++ b/crates/decisions/tests/call_policy.rs
@@ -24,6 +24,7 @@
         proxy.event(Event::Request {
             call,
             class,
+            definition: None,
             tenant: None,
             time_left,
             is_retry: false,
@@ -401,6 +402,53 @@
     );
 }
 
+/// A call that was admitted before the settings changed starts after that. It was handled as what its class id meant then,
+/// which could be another class.
+#[test]
+fn a_call_follows_the_definition_that_it_was_admitted_under() {
+    for admitted_as in [
+        Idempotency::NonIdempotent,
+        Idempotency::Keyed {
+            scope: DedupScope::Zone,
+            window: 800 * MS,
+        },
+    ] {
+        let mut proxy = Proxy::new(settings(admitted_as), 0);
+        let zones = [1, 2, 3].map(|zone| EndpointEntry {
+            zone: ZoneId(zone),
+            ..ready(zone)
+        });
+        proxy.update_list(ListUpdateKind::Full, zones.to_vec());
+        let definition = settings(admitted_as).classes[0];
+        proxy.event(Event::Reconfigure {
+            settings: Box::new(settings(Idempotency::Idempotent)),
+            redefined_classes: vec![ClassId(0)],
+        });
+        let call = CallId(1_000);
+        let actions = proxy.event(Event::Request {
+            call,
+            class: ClassId(0),
+            definition: Some(definition),
+            tenant: None,
+            time_left: 1_200 * MS,
+            is_retry: false,
+            policy: CallPolicy::default(),
+        });
+        let first = sent(&actions)[0].1;
+        let actions = proxy.end_attempt(call, 0, Outcome::Error, 1);
+        assert!(!rejected(&actions, call), "{admitted_as:?}");
+        // Each endpoint has a zone of its own, so that a repeat can go to the same endpoint at most.
+        let is_repeated = sent(&actions).iter().any(|send| send.1 == first);
+        let is_elsewhere = sent(&actions).iter().any(|send| send.1 != first);
+        let is_keyed = admitted_as != Idempotency::NonIdempotent;
+        assert_eq!(
+            (is_repeated, is_elsewhere),
+            (is_keyed, false),
+            "{admitted_as:?}"
+        );
+    }
+}
+
 /// Opening a connection may take longer than the endpoints keep the idempotency key, so the action
 /// of a retry carries the latest time at which it may start.
 #[test]
--- a/crates/decisions/tests/call_rules.rs
+++ b/crates/decisions/tests/call_rules.rs
@@ -602,6 +602,7 @@
     let event = Event::Request {
         call,
         class: ClassId(0),
+        definition: None,
         tenant: None,
         time_left,
         is_retry: false,
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -81,6 +81,7 @@
         let event = Event::Request {
             call,
             class,
+            definition: None,
             tenant: None,
             time_left: 1_200 * MS,
             is_retry: false,
--- a/crates/decisions/tests/many_balancers.rs
+++ b/crates/decisions/tests/many_balancers.rs
@@ -330,6 +330,7 @@
         let event = Event::Request {
             call,
             class,
+            definition: None,
             tenant: None,
             time_left: 900 * MS,
             is_retry: false,
@@ -359,6 +360,7 @@
             let event = Event::Request {
                 call,
                 class,
+                definition: None,
                 tenant: None,
                 time_left: 900 * MS,
                 is_retry,
--- a/crates/decisions/tests/random_events.rs
+++ b/crates/decisions/tests/random_events.rs
@@ -333,6 +333,7 @@
             let event = Event::Request {
                 call,
                 class,
+                definition: None,
                 tenant,
                 time_left,
                 is_retry: true,
--- a/crates/decisions/tests/slow_start.rs
+++ b/crates/decisions/tests/slow_start.rs
@@ -421,6 +421,7 @@
                         Event::Request {
                             call,
                             class,
+                            definition: None,
                             tenant: None,
                             time_left: DEADLINE,
                             is_retry,
--- a/crates/proxy/src/net/driver/calls.rs
+++ b/crates/proxy/src/net/driver/calls.rs
@@ -5,7 +5,8 @@
 use super::{Core, Driver};
 use crate::log::CALLS;
 use crate::net::upstream::{Client, Request, UpstreamResponse};
-use badgerramp_decisions::{CallId, CallPolicy, ClassId, Event, Micros, TenantId};
+use badgerramp_decisions::{CallId, CallPolicy, Class, ClassId, Event, Micros, TenantId};
+use std::collections::hash_map::Entry;
 use std::rc::Rc;
 use tokio::sync::oneshot;
 use tracing::debug;
@@ -16,6 +17,8 @@
     pub client: Rc<dyn Client>,
     /// The class of the call.
     pub class: ClassId,
+    /// The definition of the class that the request was admitted under, if a reload may have changed it.
+    pub definition: Option<Class>,
     /// The name of the tenant, if the request names one. Unknown tenants are ignored.
     pub tenant: Option<String>,
     /// When the call must have ended, on the driver's clock.
@@ -78,6 +81,25 @@
     }
 }
 
+/// Keeps the id of a class in use until it is dropped, so that a reload assigns it to no other class.
+pub struct ClassReservation {
+    driver: Driver,
+    class: ClassId,
+}
+
+impl Drop for ClassReservation {
+    fn drop(&mut self) {
+        let mut core = self.driver.core.borrow_mut();
+        let Entry::Occupied(mut count) = core.reserved_classes.entry(self.class) else {
+            return;
+        };
+        *count.get_mut() -= 1;
+        if *count.get() == 0 {
+            count.remove();
+        }
+    }
+}
+
 impl Driver {
     /// The number of calls without a final answer.
     pub fn open_calls(&self) -> usize {
@@ -89,9 +111,21 @@
         self.core.borrow().calls.len()
     }
 
-    /// Whether any call in memory is of this class.
+    /// Whether any call in memory is of this class, or any request that is being received.
     pub fn in_use(&self, class: ClassId) -> bool {
-        self.core.borrow().calls.values().any(|c| c.class == class)
+        let core = self.core.borrow();
+        core.reserved_classes.contains_key(&class)
+            || core.calls.values().any(|call| call.class == class)
+    }
+
+    /// Reserves the id of a class for a request that has been admitted and whose call has not started.
+    pub fn reserve_class(&self, class: ClassId) -> ClassReservation {
+        let mut core = self.core.borrow_mut();
+        *core.reserved_classes.entry(class).or_default() += 1;
+        ClassReservation {
+            driver: self.clone(),
+            class,
+        }
     }
 
     /// Starts the call of a request. Returns `None` if the maximum number of calls is open.
@@ -135,6 +169,7 @@
         let event = Event::Request {
             call,
             class: new_call.class,
+            definition: new_call.definition,
             tenant: tenant.map(TenantId),
             time_left: deadline.saturating_sub(self.clock.now()),
             is_retry: new_call.is_retry,
--- a/crates/proxy/src/net/driver/mod.rs
+++ b/crates/proxy/src/net/driver/mod.rs
@@ -19,14 +19,15 @@
 mod tests;
 mod timers;
 
-pub use calls::{Answer, NewCall};
+pub use calls::{Answer, ClassReservation, NewCall};
 pub use membership::{Endpoint, List};
 
 use super::clock::Clock;
 use super::upstream::ConnectionPool;
 use badgerramp_decisions::settings::PlatformSettings;
 use badgerramp_decisions::{
-    Action, Balancer, CallId, EndpointId, Event, LoadReport, LogEvent, Micros, Outcome, Settings,
+    Action, Balancer, CallId, ClassId, EndpointId, Event, LoadReport, LogEvent, Micros, Outcome,
+    Settings,
 };
 use badgerramp_endpoint_watch::StallDetector;
 use badgerramp_subset::Subset;
@@ -48,6 +49,8 @@
     forward_errors: bool,
     calls: HashMap<CallId, Call>,
     open_calls: usize,
+    /// The classes of requests that are being received, with the number of these requests.
+    reserved_classes: HashMap<ClassId, usize>,
     next_call_id: u64,
     /// Ids of the listed endpoints by name. The id of a removed endpoint is never reused, so that the outcome of an
     /// attempt that is still in flight there is not attributed to another endpoint.
@@ -113,6 +116,7 @@
             forward_errors,
             calls: HashMap::new(),
             open_calls: 0,
+            reserved_classes: HashMap::new(),
             next_call_id: 0,
             endpoint_ids: BTreeMap::new(),
             endpoints: HashMap::new(),
--- a/crates/proxy/src/net/driver/tests.rs
+++ b/crates/proxy/src/net/driver/tests.rs
@@ -230,6 +230,7 @@
     let new_call = || NewCall {
         client: Rc::new(ConnectedClient),
         class: ClassId(0),
+        definition: None,
         tenant: None,
         deadline: driver.clock.now() + 60_000_000,
         is_retry: false,
@@ -246,3 +247,17 @@
     driver.client_disconnected(open_calls[3].0);
     assert!(driver.start_call(new_call(), request()).is_some());
 }
+
+/// A reload assigned the id of a class that was gone to another class while a request of the old class was being received,
+/// as only the classes of calls that had started counted as in use.
+#[tokio::test(flavor = "current_thread")]
+async fn a_class_is_in_use_while_any_request_of_it_is_being_received() {
+    let driver = driver();
+    assert!(!driver.in_use(ClassId(0)));
+    let reservations = [0, 0, 1].map(|class| driver.reserve_class(ClassId(class)));
+    let [first, second, other] = reservations;
+    drop((first, other));
+    assert!(driver.in_use(ClassId(0)) && !driver.in_use(ClassId(1)));
+    drop(second);
+    assert!(!driver.in_use(ClassId(0)));
+}
--- a/crates/proxy/src/net/rules/mod.rs
+++ b/crates/proxy/src/net/rules/mod.rs
@@ -13,7 +13,7 @@
 pub use transition::{FallbackRules, TransitionRules};
 
 use super::upstream::AttemptOptions;
-use badgerramp_decisions::{CallPolicy, ClassId, Micros};
+use badgerramp_decisions::{CallPolicy, Class, ClassId, Micros};
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use hyper::StatusCode;
@@ -26,6 +26,8 @@
 pub struct Admitted {
     /// The class of the call.
     pub class: ClassId,
+    /// The definition of the class in the rules that admitted the request, if a reload may change it.
+    pub definition: Option<Class>,
     /// The name of the tenant, if the request names one.
     pub tenant: Option<String>,
     /// The request id, if ids must be unique among the requests in flight.
--- a/crates/proxy/src/net/rules/platform.rs
+++ b/crates/proxy/src/net/rules/platform.rs
@@ -150,6 +150,7 @@
         let limits = self.limits(index, parts, client);
         Ok(Admitted {
             class: ClassId(index),
+            definition: None,
             tenant: headers
                 .get("x-tenant-id")
                 .and_then(|v| v.to_str().ok())
--- a/crates/proxy/src/net/rules/sidecar.rs
+++ b/crates/proxy/src/net/rules/sidecar.rs
@@ -139,6 +139,7 @@
         let lacks_key = is_keyed && key.is_none();
         let admitted = Admitted {
             class: self.class_ids[route.class],
+            definition: Some(*class),
             tenant: route
                 .tenant
                 .as_ref()
--- a/crates/proxy/src/net/server/request.rs
+++ b/crates/proxy/src/net/server/request.rs
@@ -74,9 +74,7 @@
             .ok_or(RequestError::Shed)?;
         let clock = self.driver.clock();
         let deadline = clock.instant(received_at.saturating_add(REQUEST_TIMEOUT));
-        let body = self
-            .receive_body(body, admitted.max_body_len, deadline, client)
-            .await?;
+        let body = self.receive_body(body, &admitted, deadline, client).await?;
         self.check_excess_data(&admitted, client)?;
         let is_retry = parts
             .headers
@@ -87,6 +85,7 @@
         let new_call = NewCall {
             client: call_client,
             class: admitted.class,
+            definition: admitted.definition,
             tenant: admitted.tenant,
             deadline: started_at + admitted.timeout,
             is_retry,
@@ -118,17 +117,18 @@
     async fn receive_body(
         &self,
         body: Incoming,
-        max_body_len: usize,
+        admitted: &Admitted,
         deadline: Instant,
         client: &ClientConnection,
     ) -> Result<Bytes, RequestError> {
         if body.is_end_stream() {
             return Ok(Bytes::new());
         }
+        let _class_reservation = self.driver.reserve_class(admitted.class);
         client.start_body();
         let body = tokio::select! {
             biased;
-            body = read_body(body, max_body_len, deadline) => body?,
+            body = read_body(body, admitted.max_body_len, deadline) => body?,
             () = client.body_rejected() => return Err(RequestError::Shed),
         };
         // A request that was completed just before its rejection is served, and its response closes the connection.
--- a/crates/simulator/src/check.rs
+++ b/crates/simulator/src/check.rs
@@ -387,6 +387,7 @@
                     Event::Request {
                         call: CallId(index as u64),
                         class: ClassId(index),
+                        definition: None,
                         tenant: None,
                         time_left: DEADLINE,
                         is_retry: false,
--- a/crates/simulator/src/simulation/virtual_time.rs
+++ b/crates/simulator/src/simulation/virtual_time.rs
@@ -724,6 +724,7 @@
         let event = Event::Request {
             call,
             class: route.class,
+            definition: None,
             tenant: None,
             time_left,
             is_retry: request.try_number > 0,
--- a/crates/testkit/src/decision_driver.rs
+++ b/crates/testkit/src/decision_driver.rs
@@ -152,6 +152,7 @@
         self.handle(Event::Request {
             call,
             class,
+            definition: None,
             tenant: None,
             time_left,
             is_retry: false,
