Proxy: clients that do not read their responses no longer keep all others waiting

Fix: a response that has not been written half a second after its client's deadline (for an error, after it was ready) makes its connection evictable, as the last class; the client can tell by the length that it is not whole.

Test: a_request_is_served_while_clients_with_overdue_unread_responses_hold_all_places; before the fix the eleventh request does not come to the host. The harness's write budget holds connections of clients alone now, as its tests mean: the request to the host counted too, so that an_unread_response_delays_shutdown_by_a_minute_at_most waited with an unsent request in place of an unread response; it passes in either form. Time is advanced in small steps, as the program takes a long one for a stall.

--- a/crates/proxy/src/net/client_connection/mod.rs
+++ b/crates/proxy/src/net/client_connection/mod.rs
@@ -38,6 +38,9 @@
 pub const REQUEST_TIMEOUT: Micros = 2_300_000;
 /// The time after which a connection is closed if it is idle or its client does not read the response, in microseconds.
 const IDLE_TIMEOUT: Micros = 60_000_000;
+/// How long after its client's deadline a response counts as overdue, in microseconds: then the client no longer relies on
+/// it.
+const RESPONSE_GRACE: Micros = 500_000;
 /// The maximum number of bytes that are read ahead of hyper to detect whether the client is still connected.
 const MAX_READ_AHEAD: usize = 32 * 1024;
 /// The maximum number of bytes that are read and discarded for the same purpose at once.
@@ -71,6 +74,8 @@
     Idle,
     /// The client has just connected, or its request is incomplete. It is told that its request was not executed.
     IncompleteRequest,
+    /// The client has not read its response in time, which it can tell is incomplete.
+    OverdueResponse,
 }
 
 /// One connection of a client.
@@ -85,6 +90,8 @@
     phase_since: Cell<Micros>,
     /// Whether the head of a request has been received on this connection.
     has_requested: Cell<bool>,
+    /// When the client stops waiting for the response to the request in flight; 0 if that is not known.
+    deadline: Cell<Micros>,
     head_scan: Cell<HeadScan>,
     /// Bytes received after the head.
     bytes_after_head: Cell<u64>,
@@ -114,6 +121,7 @@
             phase: Cell::new(Phase::Idle),
             phase_since: Cell::new(clock.now()),
             has_requested: Cell::new(false),
+            deadline: Cell::new(0),
             head_scan: Cell::new(HeadScan::Before),
             bytes_after_head: Cell::new(0),
             body_len: Cell::new(u64::MAX),
@@ -146,6 +154,7 @@
     pub fn start_request(&self) -> Micros {
         self.phase.set(Phase::InFlight);
         self.has_requested.set(true);
+        self.deadline.set(0);
         self.phase_since.get()
     }
 
@@ -159,6 +168,11 @@
         self.phase.set(Phase::InFlight);
     }
 
+    /// Records when the client stops waiting for the response to the request in flight.
+    pub fn set_deadline(&self, deadline: Micros) {
+        self.deadline.set(deadline);
+    }
+
     /// Whether the body of a request is being received.
     pub fn is_reading_body(&self) -> bool {
         self.phase.get() == Phase::ReadingBody
@@ -309,6 +323,12 @@
         .await;
     }
 
+    /// Whether the client has not read its response, and no longer relies on it.
+    pub fn has_overdue_response(&self) -> bool {
+        let expected_by = self.deadline.get().max(self.phase_since.get());
+        self.phase.get() == Phase::Responding && expected_by + RESPONSE_GRACE <= self.clock.now()
+    }
+
     /// Which of the connections that may be evicted this one is, or `None` if it may not be evicted: while a response is
     /// owed, while the client is within `grace` of its connect or of the first byte of its request, or if it has been
     /// requested to close already. Does not check for unread data.
@@ -327,13 +347,16 @@
             Phase::Idle | Phase::ReadingHead | Phase::ReadingBody if waited >= grace => {
                 Some(EvictionClass::IncompleteRequest)
             }
+            Phase::Responding if self.has_overdue_response() => {
+                Some(EvictionClass::OverdueResponse)
+            }
             _ => None,
         }
     }
 
     /// Whether nothing has arrived that the program would have to process before it evicts the connection.
     fn can_be_evicted_now(&self) -> bool {
-        self.phase.get() == Phase::Closing || self.has_nothing_unread()
+        matches!(self.phase.get(), Phase::Closing | Phase::Responding) || self.has_nothing_unread()
     }
 
     /// Requests the connection to close, to free its descriptor for another.
--- a/crates/proxy/src/net/client_connection/registry.rs
+++ b/crates/proxy/src/net/client_connection/registry.rs
@@ -1,6 +1,6 @@
 //! The registry of client connections, which closes idle and overdue ones.
 
-use super::{ClientConnection, Phase};
+use super::{ClientConnection, EvictionClass, Phase};
 use crate::log::CLIENTS;
 use crate::net::clock::Clock;
 use crate::net::socket::Stream;
@@ -78,15 +78,22 @@
 
     /// Evicts the connection that has been idle longest. Returns false if no connection is idle.
     pub fn evict_idle(&self, now: Micros) -> bool {
-        self.evict(now, Micros::MAX)
+        self.evict_up_to(EvictionClass::Idle, now, 0)
     }
 
-    /// Evicts the connection whose client loses least by it, and of several such the one that has waited longest. `grace`
-    /// protects clients that have just connected or begun a request. Returns false if no connection may be evicted.
+    /// Evicts the connection whose client loses least by it. `grace` protects clients that have just connected or begun a
+    /// request. Returns false if no connection may be evicted.
     pub fn evict(&self, now: Micros, grace: Micros) -> bool {
+        self.evict_up_to(EvictionClass::OverdueResponse, now, grace)
+    }
+
+    /// Evicts the connection of the lowest class, and of several such the one that has waited longest.
+    fn evict_up_to(&self, last_class: EvictionClass, now: Micros, grace: Micros) -> bool {
         let connections = self.connections.borrow();
         let candidate = |connection: &Rc<ClientConnection>| {
-            let class = connection.eviction_class(now, grace)?;
+            let class = connection
+                .eviction_class(now, grace)
+                .filter(|&class| class <= last_class)?;
             Some((class, connection.phase_since.get(), Rc::clone(connection)))
         };
         let mut candidates: Vec<_> = connections.values().filter_map(candidate).collect();
--- a/crates/proxy/src/net/server/connection.rs
+++ b/crates/proxy/src/net/server/connection.rs
@@ -159,6 +159,9 @@
                     if client.is_rejected() && client.has_incomplete_head() {
                         return ConnectionEnd::IncompleteRequest;
                     }
+                    if client.is_evicted() && client.has_overdue_response() {
+                        return ConnectionEnd::Done;
+                    }
                     if client.is_rejected() && client.is_reading_body() {
                         client.reject_body();
                     } else if !client.is_idle() {
--- a/crates/proxy/src/net/server/request.rs
+++ b/crates/proxy/src/net/server/request.rs
@@ -81,13 +81,15 @@
             .get("x-retried")
             .is_some_and(|v| v.as_bytes() == b"1");
         let started_at = self.confirm(pending, &mut parts, &mut admitted, body.len(), client)?;
+        let deadline = started_at + admitted.timeout;
+        client.set_deadline(deadline);
         let call_client: Rc<dyn Client> = Rc::<ClientConnection>::clone(client);
         let new_call = NewCall {
             client: call_client,
             class: admitted.class,
             definition: admitted.definition,
             tenant: admitted.tenant,
-            deadline: started_at + admitted.timeout,
+            deadline,
             is_retry,
             policy: admitted.policy,
         };
--- a/crates/proxy/tests/race_conditions/capacity.rs
+++ b/crates/proxy/tests/race_conditions/capacity.rs
@@ -2,6 +2,7 @@
 
 use crate::in_process::*;
 use badgerramp_testkit::*;
+use std::time::Duration;
 
 /// A client that came when the places for served connections were taken was rejected, though the connections that took them
 /// had no request: their clients had only just connected.
@@ -19,3 +20,50 @@
         drop(silent);
     });
 }
+
+/// Clients that did not read their responses kept their places for a minute each. With all places taken, no other client was
+/// accepted in that time.
+#[test]
+fn a_request_is_served_while_clients_with_overdue_unread_responses_hold_all_places() {
+    /// The connections that the program holds with 64 descriptors.
+    const PLACES: usize = 10;
+    /// Longer than the clients wait for their responses, and shorter than an idle connection is kept.
+    const OVERDUE: Duration = Duration::from_secs(4);
+    run_local(async || {
+        let body = "x".repeat(60_000);
+        let host = Host::start(move |_| Reply::Write(answer("200 OK", "", &body)));
+        let program = InProcessProxy::start(64, &host).await;
+        let time = FrozenTime::start();
+        program.hooks.write_budget.set(Some(1_000));
+        let mut unread = Vec::new();
+        for number in 1..=PLACES {
+            let mut client = program.client();
+            client.send("unsafe", "3000m");
+            unread.push(client);
+            while program.hooks.blocked_writers.borrow().len() < number {
+                tokio::task::yield_now().await;
+            }
+        }
+        time.advance(OVERDUE).await;
+        let mut client = program.client();
+        client.send("unsafe", "900m");
+        let requests = PLACES + 1;
+        let received = tokio::task::spawn_blocking(move || {
+            (0..requests).for_each(|_| drop(host.request()));
+        });
+        received.await.expect("the request at the host");
+        program.hooks.unblock_writes();
+        let (_, answer) = on_client_thread(client, read_answer).await;
+        assert_eq!(answer.map(|a| a.status()), Some(200));
+        // The client that has waited longest has made room. It can tell that its response is incomplete.
+        let first = unread.remove(0);
+        let (_, response) = on_client_thread(first, read_answer).await;
+        assert!(response.is_none());
+        let (_, response) = on_client_thread(unread.remove(0), read_answer).await;
+        assert_eq!(
+            response.map(|a| a.status()),
+            Some(200),
+            "no more than needed"
+        );
+    });
+}
--- a/crates/proxy/tests/race_conditions/in_process.rs
+++ b/crates/proxy/tests/race_conditions/in_process.rs
@@ -9,6 +9,7 @@
 use badgerramp_testkit::*;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::io::{self, BufReader};
 use std::net::{IpAddr, SocketAddr, TcpStream};
 use std::rc::{Rc, Weak};
@@ -44,10 +45,10 @@
 #[derive(Default)]
 pub(crate) struct Hooks {
     pub(crate) pending: RefCell<Option<PendingHook>>,
-    /// Bytes that may still be written to connections, where that is limited.
+    /// Bytes that may still be written to connections of clients, where that is limited.
     pub(crate) write_budget: Cell<Option<usize>>,
-    /// Tasks that wait until they may write more.
-    pub(crate) blocked_writers: RefCell<Vec<Waker>>,
+    /// Tasks that wait until they may write more, by the numbers of their connections.
+    pub(crate) blocked_writers: RefCell<BTreeMap<usize, Waker>>,
     /// The accepted connections of clients.
     pub(crate) accepted: RefCell<Vec<Weak<tokio::net::TcpStream>>>,
     /// Number of connections that were closed while they had unread bytes.
@@ -125,10 +126,8 @@
 
     pub(crate) fn unblock_writes(&self) {
         self.write_budget.set(None);
-        self.blocked_writers
-            .borrow_mut()
-            .drain(..)
-            .for_each(Waker::wake);
+        let blocked_writers = std::mem::take(&mut *self.blocked_writers.borrow_mut());
+        blocked_writers.into_values().for_each(Waker::wake);
     }
 }
 
@@ -149,14 +148,15 @@
     }
 
     fn poll_write(&self, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let Some(left) = self.hooks.write_budget.get() else {
+        let is_client = self.number < FIRST_UPSTREAM_CONNECTION;
+        let Some(left) = self.hooks.write_budget.get().filter(|_| is_client) else {
             return Stream::poll_write(&*self.stream, cx, buf);
         };
         if left == 0 {
             self.hooks
                 .blocked_writers
                 .borrow_mut()
-                .push(cx.waker().clone());
+                .insert(self.number, cx.waker().clone());
             return Poll::Pending;
         }
         let written = ready!(Stream::poll_write(
@@ -345,8 +345,15 @@
         FrozenTime { _end: end }
     }
 
+    /// Advances the time in small steps: the program takes a large one for a stall of its process.
     pub(crate) async fn advance(&self, time: Duration) {
-        tokio::time::advance(time).await;
+        const STEP: Duration = Duration::from_millis(50);
+        let mut left = time;
+        while !left.is_zero() {
+            let step = left.min(STEP);
+            tokio::time::advance(step).await;
+            left -= step;
+        }
     }
 }
 
