--- a/crates/testkit/src/client.rs
+++ b/crates/testkit/src/client.rs
@@ -1,9 +1,11 @@
 //! A client that sends the bytes that a test specifies.
 
 use crate::message::{read, read_head, Message};
+use socket2::SockRef;
 use std::io::{BufReader, Write};
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 /// Number of request ids that this process has used.
 static IDS: AtomicUsize = AtomicUsize::new(0);
@@ -66,3 +68,35 @@
         self.answer().expect("a final answer")
     }
 }
+
+/// How a client leaves.
+#[derive(Clone, Copy, Debug)]
+pub enum Departure {
+    /// The client closes its connection.
+    Close,
+    /// The client resets its connection.
+    Reset,
+    /// The client closes only its sending side.
+    HalfClose,
+}
+
+impl Departure {
+    /// Makes a client leave. Returns the client if it still holds its connection.
+    ///
+    /// # Panics
+    /// If the connection has been closed by the other side.
+    pub fn leave(self, client: Client) -> Option<Client> {
+        let stream = client.stream.get_ref();
+        match self {
+            Departure::Close => {}
+            Departure::Reset => SockRef::from(stream)
+                .set_linger(Some(Duration::ZERO))
+                .expect("a socket"),
+            Departure::HalfClose => {
+                stream.shutdown(Shutdown::Write).expect("a socket");
+                return Some(client);
+            }
+        }
+        None
+    }
+}
