--- a/crates/fault-injection/src/drains/checker.rs
+++ b/crates/fault-injection/src/drains/checker.rs
@@ -14,6 +14,15 @@
 /// After the client has closed its connection, a request sent for it may begin only within this time.
 const MAX_AFTER_DISCONNECT: Micros = 100_000;
 
+/// The start of a process that takes the place of an earlier one of the same proxy.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Restart {
+    /// When the process was started.
+    pub at: Micros,
+    /// Index of the proxy.
+    pub proxy: usize,
+}
+
 /// The history records of a run.
 pub(super) struct Histories<'a> {
     /// Records of the list service.
@@ -28,6 +37,8 @@
     pub pushed: bool,
     /// Time spans in which the service was down.
     pub outages: &'a [(Micros, Micros)],
+    /// The restarts of proxies, in order.
+    pub restarts: &'a [Restart],
     /// For each client that did not wait for its answer, when it closed its connection, by request id.
     pub disconnected_at: &'a HashMap<String, Micros>,
 }
@@ -51,54 +62,124 @@
 }
 
 impl Histories<'_> {
-    /// When this version counts as notified to this proxy.
-    fn notified_at(&self, proxy: usize, version: u64) -> Micros {
+    /// When the process of this proxy that runs at `at` was started; 0 for the first one.
+    fn process_start(&self, proxy: usize, at: Micros) -> Micros {
+        let restart = self
+            .restarts
+            .iter()
+            .rev()
+            .find(|restart| restart.proxy == proxy && restart.at <= at);
+        restart.map_or(0, |restart| restart.at)
+    }
+
+    /// When this version counts as notified to the process of this proxy that was started at `process_start`. A new
+    /// process starts from nothing: what an earlier one was told does not count.
+    fn notified_at(&self, proxy: usize, process_start: Micros, version: u64) -> Micros {
         let changed_at = self.changes[version as usize - 1].0;
-        let own_records = || self.records.iter().filter(|n| n.proxy == proxy);
+        let own_records = || {
+            self.records
+                .iter()
+                .filter(|n| n.proxy == proxy && n.at >= process_start)
+        };
         let answered = own_records().filter(|n| {
             n.at >= changed_at
                 && matches!(n.event, Event::Answered { version: v, .. } if v >= version)
         });
         let answered = answered.map(|n| n.at).next().unwrap_or(Micros::MAX);
-        // The watch that was silent when this version was published, if there was one.
+        let missed = self.missed_change_notified_at(&own_records, changed_at);
+        let agent = match missed {
+            None if self.pushed => self.reachable_from(changed_at).max(process_start),
+            _ => Micros::MAX,
+        };
+        // A change from before the process started needs no watch of this process to be notified.
+        let earlier = if changed_at < process_start {
+            self.reachable_throughout_from(changed_at) + MAX_AFTER_SILENCE
+        } else {
+            Micros::MAX
+        };
+        answered
+            .min(missed.unwrap_or(Micros::MAX))
+            .min(agent)
+            .min(earlier.max(process_start))
+    }
+
+    /// From when on the service could tell a change: the end of the outage in which it was made, or the change itself.
+    fn reachable_from(&self, changed_at: Micros) -> Micros {
+        let outage = self
+            .outages
+            .iter()
+            .find(|outage| outage.0 <= changed_at && changed_at < outage.1);
+        outage.map_or(changed_at, |outage| outage.1)
+    }
+
+    /// The same for a change that is notified after [`MAX_AFTER_SILENCE`]: no outage may interrupt that time.
+    fn reachable_throughout_from(&self, changed_at: Micros) -> Micros {
+        let interrupting = self
+            .outages
+            .iter()
+            .filter(|outage| outage.0 < changed_at + MAX_AFTER_SILENCE && changed_at < outage.1);
+        interrupting
+            .map(|outage| outage.1)
+            .max()
+            .unwrap_or(changed_at)
+    }
+
+    /// When a change counts as notified that was made while the watch of these records was silent; `None` if there was no
+    /// silent watch.
+    fn missed_change_notified_at<'a, R>(
+        &self,
+        own_records: &impl Fn() -> R,
+        changed_at: Micros,
+    ) -> Option<Micros>
+    where
+        R: Iterator<Item = &'a ServiceRecord>,
+    {
         let silent = own_records().filter_map(|n| match n.event {
             Event::Silenced { connection } if n.at <= changed_at => Some((n.at, connection)),
             _ => None,
         });
-        let silent = silent.max().map(|(since, connection)| {
-            let polls = own_records().filter_map(|n| match n.event {
-                Event::Polled {
-                    connection: c,
-                    wait,
-                } if c == connection && n.at <= since => Some(n.at + wait),
-                _ => None,
-            });
-            let wait_end = polls.max().unwrap_or(since);
-            let notified_at = (since + MAX_AFTER_SILENCE).max(wait_end + MAX_AFTER_WAIT);
-            // A service that goes down closes its watches, including silent ones. After that, only an answer notifies
-            // the proxy.
-            if !self.pushed
-                && self
-                    .outages
-                    .iter()
-                    .any(|d| since < d.1 && d.0 < notified_at)
-            {
-                Micros::MAX
-            } else {
-                notified_at
-            }
+        let (since, connection) = silent.max()?;
+        let polls = own_records().filter_map(|n| match n.event {
+            Event::Polled {
+                connection: c,
+                wait,
+            } if c == connection && n.at <= since => Some(n.at + wait),
+            _ => None,
         });
-        let agent = match silent {
-            None if self.pushed => {
-                let outage = self
-                    .outages
-                    .iter()
-                    .find(|d| d.0 <= changed_at && changed_at < d.1);
-                outage.map_or(changed_at, |d| d.1)
-            }
-            _ => Micros::MAX,
-        };
-        answered.min(silent.unwrap_or(Micros::MAX)).min(agent)
+        let wait_end = polls.max().unwrap_or(since);
+        let notified_at = (since + MAX_AFTER_SILENCE).max(wait_end + MAX_AFTER_WAIT);
+        // A service that goes down closes its watches, including silent ones. After that, only an answer notifies the
+        // proxy.
+        let is_closed = !self.pushed
+            && self
+                .outages
+                .iter()
+                .any(|outage| since < outage.1 && outage.0 < notified_at);
+        Some(if is_closed { Micros::MAX } else { notified_at })
+    }
+
+    /// Describes a request that reached a draining host too late.
+    fn describe_late(&self, arrival: &Arrival, proxy: usize, notified_at: Micros) -> String {
+        let Arrival { request, host, at } = arrival;
+        let after = (at - notified_at) / 1_000;
+        let mut text = format!("request {request} reached host {host} {after} ms after proxy {proxy} was notified of its drain");
+        let process_start = self.process_start(proxy, *at);
+        if process_start > 0 {
+            let since = |moment: Micros| (moment - process_start) / 1_000;
+            let answered = self.records.iter().find(|record| {
+                record.proxy == proxy
+                    && record.at >= process_start
+                    && matches!(record.event, Event::Answered { .. })
+            });
+            let answered = answered.map_or("none".to_owned(), |record| {
+                format!("{} ms", since(record.at))
+            });
+            text += &format!(
+                ", {} ms after the start of its process; its first answer: {answered} after that",
+                since(*at)
+            );
+        }
+        text
     }
 
     /// Checks the records. `slack` is an allowance for delays on a busy machine.
@@ -109,7 +190,7 @@
         };
         let polls = |n: &&ServiceRecord| matches!(n.event, Event::Polled { .. });
         verdict.questions = self.records.iter().filter(polls).count();
-        let mut notified: HashMap<(usize, u64), Micros> = HashMap::new();
+        let mut notified: HashMap<(usize, Micros, u64), Micros> = HashMap::new();
         for arrival in self.arrivals {
             let disconnected_at = self
                 .disconnected_at
@@ -129,7 +210,8 @@
                 .strip_prefix('p')
                 .and_then(|r| r.split('-').next()?.parse().ok());
             let Some(proxy) = proxy else { continue };
-            // When the proxy was notified of the current drain of the host, and when the drain began.
+            let process_start = self.process_start(proxy, arrival.at);
+            // When the process was notified of the current drain of the host, and when the drain began.
             let mut draining: Option<(Micros, Micros)> = None;
             for (index, (changed_at, host, status)) in self.changes.iter().enumerate() {
                 if *host != arrival.host || *changed_at > arrival.at {
@@ -140,8 +222,8 @@
                     Status::Up(_) => draining = None,
                     Status::Draining => {
                         let notified_at = *notified
-                            .entry((proxy, version))
-                            .or_insert_with(|| self.notified_at(proxy, version));
+                            .entry((proxy, process_start, version))
+                            .or_insert_with(|| self.notified_at(proxy, process_start, version));
                         draining = Some((notified_at, *changed_at));
                     }
                 }
@@ -152,11 +234,9 @@
             verdict.last_ms = verdict.last_ms.max((arrival.at - changed_at) / 1_000);
             if arrival.at > notified_at.saturating_add(self.drain_grace + slack) {
                 verdict.late += 1;
-                verdict.first.get_or_insert_with(|| {
-                    let after = (arrival.at - notified_at) / 1_000;
-                    let Arrival { request, host, .. } = arrival;
-                    format!("request {request} reached host {host} {after} ms after proxy {proxy} was notified of its drain")
-                });
+                verdict
+                    .first
+                    .get_or_insert_with(|| self.describe_late(arrival, proxy, notified_at));
             }
         }
         verdict
@@ -164,124 +244,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const S: Micros = 1_000_000;
-
-    fn record(at: Micros, event: Event) -> ServiceRecord {
-        ServiceRecord {
-            at,
-            proxy: 0,
-            event,
-        }
-    }
-
-    fn late_requests(
-        records: &[ServiceRecord],
-        pushed: bool,
-        outages: &[(Micros, Micros)],
-        at: Micros,
-    ) -> usize {
-        let changes = [(0, 0, Status::Up(0)), (2 * S, 0, Status::Draining)];
-        let arrivals = [Arrival {
-            at,
-            host: 0,
-            request: "p0-1".to_owned(),
-        }];
-        let disconnected_at = HashMap::new();
-        let histories = Histories {
-            records,
-            changes: &changes,
-            arrivals: &arrivals,
-            drain_grace: S,
-            pushed,
-            outages,
-            disconnected_at: &disconnected_at,
-        };
-        histories.check(0).late
-    }
-
-    #[test]
-    fn requests_begin_at_most_100_ms_after_their_client_disconnected() {
-        let disconnected_at = HashMap::from([("p0-1".to_owned(), S)]);
-        let after_disconnect = |request: &str, at| {
-            let arrivals = [Arrival {
-                at,
-                host: 0,
-                request: request.to_owned(),
-            }];
-            let (records, changes, outages) = (&[], &[], &[]);
-            Histories {
-                records,
-                changes,
-                arrivals: &arrivals,
-                drain_grace: S,
-                pushed: false,
-                outages,
-                disconnected_at: &disconnected_at,
-            }
-            .check(0)
-            .gone
-        };
-        assert_eq!(
-            [
-                after_disconnect("p0-1", S + 100_000),
-                after_disconnect("p0-1", S + 100_001),
-                after_disconnect("p0-2", 9 * S)
-            ],
-            [0, 1, 0]
-        );
-    }
-
-    #[test]
-    fn notification_follows_from_answers_silence_and_the_agent() {
-        let answered = [record(
-            3 * S,
-            Event::Answered {
-                connection: 1,
-                version: 2,
-            },
-        )];
-        assert_eq!(
-            [4 * S, 4 * S + 1].map(|at| late_requests(&answered, false, &[], at)),
-            [0, 1]
-        );
-        let silent = |wait| {
-            [
-                record(
-                    S,
-                    Event::Polled {
-                        connection: 1,
-                        wait,
-                    },
-                ),
-                record(S + 5, Event::Silenced { connection: 1 }),
-            ]
-        };
-        assert_eq!(
-            [8 * S + 5, 8 * S + 6].map(|at| late_requests(&silent(2 * S), false, &[], at)),
-            [0, 1]
-        );
-        assert_eq!(
-            [14 * S, 14 * S + 1].map(|at| late_requests(&silent(10 * S), false, &[], at)),
-            [0, 1]
-        );
-        let outages = [(S, 5 * S)];
-        assert_eq!(
-            late_requests(&silent(2 * S), false, &outages, 99 * S),
-            0,
-            "the outage closed the silent watch"
-        );
-        // The agent is silent while the service is down, and gets the changes it missed when the service is back.
-        assert_eq!(
-            [6 * S, 6 * S + 1].map(|at| late_requests(&[], true, &outages, at)),
-            [0, 1]
-        );
-        assert_eq!(
-            late_requests(&[], false, &[], 99 * S),
-            0,
-            "a proxy that was not notified violates nothing"
-        );
-    }
-}
+mod tests;
--- a/crates/fault-injection/src/drains/mod.rs
+++ b/crates/fault-injection/src/drains/mod.rs
@@ -14,7 +14,7 @@
 use crate::now;
 use crate::process::{Folder, Process, ProcessSpec};
 use badgerramp_policy::Micros;
-use checker::Histories;
+use checker::{Histories, Restart};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use rustix::process::Signal;
@@ -152,7 +152,11 @@
         schedule.clone(),
         Arc::clone(&disconnected_at),
     ));
-    let AppliedSteps { outages, signals } = apply_schedule(
+    let AppliedSteps {
+        outages,
+        signals,
+        restarts,
+    } = apply_schedule(
         schedule,
         &folder,
         &mut service,
@@ -171,6 +175,7 @@
         drain_grace,
         pushed: schedule.pushed,
         outages: &outages,
+        restarts: &restarts,
         disconnected_at: &disconnected_at
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
@@ -234,6 +239,8 @@
     outages: Vec<(Micros, Micros)>,
     /// The signals sent: time, proxy and signal.
     signals: Vec<(Micros, usize, Signal)>,
+    /// The processes that took the place of earlier ones.
+    restarts: Vec<Restart>,
 }
 
 /// Carries out the fault schedule.
@@ -310,6 +317,7 @@
     let AppliedSteps {
         mut outages,
         mut signals,
+        mut restarts,
     } = AppliedSteps::default();
     for (at, step) in steps {
         tokio::time::sleep_until(start + at).await;
@@ -363,6 +371,7 @@
                 } else {
                     proxies[proxy].terminate().await?;
                 }
+                restarts.push(Restart { at: now(), proxy });
                 proxies[proxy].spawn()?;
                 let address = proxies[proxy].listen_address().await?;
                 if let Ok(mut all) = addresses.write() {
@@ -372,7 +381,11 @@
         }
     }
     tokio::time::sleep_until(start + schedule.length).await;
-    Ok(AppliedSteps { outages, signals })
+    Ok(AppliedSteps {
+        outages,
+        signals,
+        restarts,
+    })
 }
 
 /// One action of a fault schedule.
