Proxy: eviction has a module of its own, the end of a shutdown a function

The wait for requests at a shutdown is a function of accept.rs. The checker's tests share the making of a history.

Measured: all tests of the proxy and of the checker pass.

--- a/crates/fault-injection/src/drains/checker/tests.rs
+++ b/crates/fault-injection/src/drains/checker/tests.rs
@@ -17,6 +17,16 @@
     pushed: bool,
     outages: &[(Micros, Micros)],
     at: Micros,
+) -> usize {
+    late_requests_after(&[], records, pushed, outages, at)
+}
+
+fn late_requests_after(
+    restarts: &[Restart],
+    records: &[ServiceRecord],
+    pushed: bool,
+    outages: &[(Micros, Micros)],
+    at: Micros,
 ) -> usize {
     let changes = [(0, 0, Status::Up(0)), (2 * S, 0, Status::Draining)];
     let arrivals = [Arrival {
@@ -32,7 +42,7 @@
         drain_grace: S,
         pushed,
         outages,
-        restarts: &[],
+        restarts,
         disconnected_at: &disconnected_at,
     };
     histories.check(0).late
@@ -136,29 +146,12 @@
             },
         )
     };
+    let restarts = [Restart {
+        at: RESTARTED_AT,
+        proxy: 0,
+    }];
     let late = |records: &[ServiceRecord], pushed, at| {
-        let changes = [(0, 0, Status::Up(0)), (2 * S, 0, Status::Draining)];
-        let arrivals = [Arrival {
-            at,
-            host: 0,
-            request: "p0-1".to_owned(),
-        }];
-        let disconnected_at = HashMap::new();
-        let restarts = [Restart {
-            at: RESTARTED_AT,
-            proxy: 0,
-        }];
-        let histories = Histories {
-            records,
-            changes: &changes,
-            arrivals: &arrivals,
-            drain_grace: S,
-            pushed,
-            outages: &[],
-            restarts: &restarts,
-            disconnected_at: &disconnected_at,
-        };
-        histories.check(0).late
+        late_requests_after(&restarts, records, pushed, &[], at)
     };
     // The earlier process was told at once.
     let told_before = [answer(2 * S)];
--- a/crates/proxy/src/net/client_connection/mod.rs
+++ b/crates/proxy/src/net/client_connection/mod.rs
@@ -3,16 +3,19 @@
 //! This module observes the data of each connection, as hyper reports a request only once its head is complete. It
 //! reads no requests and writes no responses.
 //!
+//! - `eviction`: which connections may be closed for others, and in which order.
 //! - `head_scan`: detection of the end of a request head.
 //! - `observed_stream`: the stream that hyper reads and writes.
 //! - `registry`: all connections, with eviction and timeouts.
 
+mod eviction;
 mod head_scan;
 mod observed_stream;
 mod registry;
 #[cfg(test)]
 mod tests;
 
+pub use eviction::INCOMPLETE_REQUEST_GRACE;
 pub use observed_stream::ObservedStream;
 pub use registry::ClientConnections;
 
@@ -21,6 +24,7 @@
 use super::upstream::Client;
 use super::Descriptor;
 use badgerramp_decisions::Micros;
+use eviction::EvictionClass;
 use head_scan::HeadScan;
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
@@ -31,16 +35,11 @@
 use tokio::io::ReadBuf;
 use tokio::sync::Notify;
 
-/// How long a client that has connected, or has begun to send a request, is protected from eviction, in microseconds.
-pub const INCOMPLETE_REQUEST_GRACE: Micros = 100_000;
 /// The time limit for receiving a request completely, in microseconds. For the first request of a connection, it starts
 /// when the client connects.
 pub const REQUEST_TIMEOUT: Micros = 2_300_000;
 /// The time after which a connection is closed if it is idle or its client does not read the response, in microseconds.
 const IDLE_TIMEOUT: Micros = 60_000_000;
-/// How long after its client's deadline a response counts as overdue, in microseconds: then the client no longer relies on
-/// it.
-const RESPONSE_GRACE: Micros = 500_000;
 /// The maximum number of bytes that are read ahead of hyper to detect whether the client is still connected.
 const MAX_READ_AHEAD: usize = 32 * 1024;
 /// The maximum number of bytes that are read and discarded for the same purpose at once.
@@ -65,19 +64,6 @@
     Closing,
 }
 
-/// Which connections are evicted first: those whose clients lose least.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum EvictionClass {
-    /// All responses have been written, and no further request is read.
-    Closing,
-    /// The client has no request in flight.
-    Idle,
-    /// The client has just connected, or its request is incomplete. It is told that its request was not executed.
-    IncompleteRequest,
-    /// The client has not read its response in time, which it can tell is incomplete.
-    OverdueResponse,
-}
-
 /// One connection of a client.
 pub struct ClientConnection {
     id: u64,
@@ -264,16 +250,6 @@
         }
     }
 
-    /// Whether the connection is evicted. The proxy then does not wait for the client to close it.
-    pub fn is_evicted(&self) -> bool {
-        self.evicted.get().is_some()
-    }
-
-    /// Whether the request that is being received is to be rejected, as its connection is evicted.
-    pub fn is_rejected(&self) -> bool {
-        self.evicted.get() == Some(EvictionClass::IncompleteRequest)
-    }
-
     /// Shuts the write side down, and reads and discards data until the client has closed its side as well. Closing
     /// with unread data would reset the connection, and the client could lose the response before reading it (RFC 9112,
     /// 9.6).
@@ -323,57 +299,6 @@
         .await;
     }
 
-    /// Whether the client has not read its response, and no longer relies on it.
-    pub fn has_overdue_response(&self) -> bool {
-        let expected_by = self.deadline.get().max(self.phase_since.get());
-        self.phase.get() == Phase::Responding && expected_by + RESPONSE_GRACE <= self.clock.now()
-    }
-
-    /// Which of the connections that may be evicted this one is, or `None` if it may not be evicted: while a response is
-    /// owed, while the client is within `grace` of its connect or of the first byte of its request, or if it has been
-    /// requested to close already. Does not check for unread data.
-    fn eviction_class(&self, now: Micros, grace: Micros) -> Option<EvictionClass> {
-        if self.is_evicted() {
-            return None;
-        }
-        let waited = now.saturating_sub(self.phase_since.get());
-        // Once a request has been answered the connection may be closed at once, as many clients that send one request
-        // and stay connected would otherwise keep all others out.
-        let has_rested = self.has_requested.get() || waited >= INCOMPLETE_REQUEST_GRACE;
-        match self.phase.get() {
-            Phase::Closing => Some(EvictionClass::Closing),
-            _ if self.close_pending.get() => None,
-            Phase::Idle if has_rested => Some(EvictionClass::Idle),
-            Phase::Idle | Phase::ReadingHead | Phase::ReadingBody if waited >= grace => {
-                Some(EvictionClass::IncompleteRequest)
-            }
-            Phase::Responding if self.has_overdue_response() => {
-                Some(EvictionClass::OverdueResponse)
-            }
-            _ => None,
-        }
-    }
-
-    /// Whether nothing has arrived that the program would have to process before it evicts the connection.
-    fn can_be_evicted_now(&self) -> bool {
-        matches!(self.phase.get(), Phase::Closing | Phase::Responding) || self.has_nothing_unread()
-    }
-
-    /// Requests the connection to close, to free its descriptor for another.
-    fn evict(&self, class: EvictionClass) {
-        self.evicted.set(Some(class));
-        self.request_close();
-    }
-
-    /// Revokes an eviction, as data has arrived meanwhile. Returns false if the connection was not evicted.
-    fn cancel_eviction(&self) -> bool {
-        let was_evicted = self.evicted.take().is_some();
-        if was_evicted {
-            self.close_pending.set(false);
-        }
-        was_evicted
-    }
-
     /// Whether a timeout of the connection has expired: for receiving a request, for writing the response or for being
     /// idle.
     fn is_overdue(&self, now: Micros) -> bool {
--- a/crates/proxy/src/net/client_connection/registry.rs
+++ b/crates/proxy/src/net/client_connection/registry.rs
@@ -1,6 +1,7 @@
 //! The registry of client connections, which closes idle and overdue ones.
 
-use super::{ClientConnection, EvictionClass, Phase};
+use super::eviction::EvictionClass;
+use super::{ClientConnection, Phase};
 use crate::log::CLIENTS;
 use crate::net::clock::Clock;
 use crate::net::socket::Stream;
--- a/crates/proxy/src/net/server/accept.rs
+++ b/crates/proxy/src/net/server/accept.rs
@@ -86,10 +86,16 @@
         }
         self.accept_queued(&*listener, &shutdown).await;
         drop(listener);
+        let requests_until = *shutdown.borrow();
+        self.finish_requests(requests_until.unwrap_or_else(Instant::now))
+            .await;
+    }
+
+    /// Waits until the requests in flight are answered, and until `requests_until` also for those that are being received.
+    async fn finish_requests(&self, requests_until: Instant) {
         // A connection with an incomplete request may stay open indefinitely, and must not delay the shutdown until the
         // process is killed.
         let mut busy_at = Instant::now();
-        let requests_until = shutdown.borrow().unwrap_or(busy_at);
         while self.clients.count() > 0 && busy_at.elapsed() < SHUTDOWN_QUIET_TIME {
             tokio::time::sleep(SHUTDOWN_QUIET_TIME / 10).await;
             if self.clients.has_pending(Instant::now() < requests_until) {
