--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -10,6 +10,7 @@
 )]
 
 mod client;
+pub mod crowd;
 pub mod decision_driver;
 mod discovery;
 mod fleet;
@@ -18,6 +19,7 @@
 mod load;
 mod message;
 mod program;
+mod resource_usage;
 
 pub use client::*;
 pub use discovery::*;
@@ -27,6 +29,7 @@
 pub use load::{run as load, LoadPlan, RequestKind, Result as LoadResult, Totals};
 pub use message::{read, read_head, Message};
 pub use program::*;
+pub use resource_usage::{open_descriptors, peak_anonymous_memory, peak_memory, resident_memory};
 
 use std::time::Duration;
 
