--- a/crates/proxy/src/net/client_connection/observed_stream.rs
+++ b/crates/proxy/src/net/client_connection/observed_stream.rs
@@ -2,7 +2,7 @@
 
 use super::ClientConnection;
 use crate::net::socket::Socket;
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -54,6 +54,18 @@
         Pin::new(&mut self.socket).poll_write(cx, buf)
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.socket.is_write_vectored()
+    }
+
     // hyper flushes once it has nothing left to write.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.connection.response_written();
--- a/crates/proxy/src/net/socket.rs
+++ b/crates/proxy/src/net/socket.rs
@@ -4,15 +4,19 @@
 
 use socket2::SockRef;
 use std::future::Future;
-use std::io::{self, Read};
+use std::io::{self, IoSlice, Read};
 use std::mem::MaybeUninit;
 use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
-use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, Interest, ReadBuf, Take};
 use tokio::net::{TcpListener, TcpStream};
 
+/// The maximum number of bytes that the HTTP library reads at once. It starts with a buffer that is one byte larger, and
+/// would double the buffer after each read that fills it, and keep it for as long as the connection is open.
+const MAX_READ_LEN: u64 = 8 * 1024 - 1;
+
 /// A bidirectional byte stream. It is used through a shared reference, as several parts of the program share it.
 pub trait Stream {
     /// Reads received data, as [`AsyncRead::poll_read`] does.
@@ -21,6 +25,16 @@
     /// Writes data, as [`AsyncWrite::poll_write`] does. The written bytes have been handed to the operating system.
     fn poll_write(&self, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>>;
 
+    /// Writes several buffers at once, as [`AsyncWrite::poll_write_vectored`] does.
+    fn poll_write_vectored(
+        &self,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let joined: Vec<u8> = bufs.iter().flat_map(|buf| buf.iter()).copied().collect();
+        self.poll_write(cx, &joined)
+    }
+
     /// Shuts down the write side.
     fn shutdown(&self);
 
@@ -99,6 +113,21 @@
         }
     }
 
+    fn poll_write_vectored(
+        &self,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            match self.try_write_vectored(bufs) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    ready!(self.poll_write_ready(cx))?;
+                }
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
     fn shutdown(&self) {
         // This fails if the connection has been closed by the other side, which is not an error here.
         let _ = SockRef::from(self).shutdown(std::net::Shutdown::Write);
@@ -141,23 +170,29 @@
     }
 }
 
-/// Adapts a [`Stream`] to the traits that the HTTP library uses.
-pub struct Socket(Rc<dyn Stream>);
+/// Adapts a [`Stream`] to the traits that the HTTP library uses, so that the library's buffers stay small: it reads a
+/// limited number of bytes at once, and writes bodies from where they are in place of copying them into its own buffer.
+pub struct Socket(Take<SharedStream>);
 
 impl Socket {
     /// Creates an adapter of a shared stream.
     pub fn new(stream: &Rc<dyn Stream>) -> Self {
-        Socket(Rc::clone(stream))
+        Socket(SharedStream(Rc::clone(stream)).take(MAX_READ_LEN))
+    }
+
+    fn stream(&self) -> &dyn Stream {
+        &*self.0.get_ref().0
     }
 }
 
 impl AsyncRead for Socket {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.0.poll_read(cx, buf)
+        self.0.set_limit(MAX_READ_LEN);
+        Pin::new(&mut self.0).poll_read(cx, buf)
     }
 }
 
@@ -167,7 +202,19 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.0.poll_write(cx, buf)
+        self.stream().poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.stream().poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -175,7 +222,20 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.0.shutdown();
+        self.stream().shutdown();
         Poll::Ready(Ok(()))
     }
 }
+
+/// The read side of a shared stream.
+struct SharedStream(Rc<dyn Stream>);
+
+impl AsyncRead for SharedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.0.poll_read(cx, buf)
+    }
+}
--- a/crates/proxy/src/net/upstream/write_tracking.rs
+++ b/crates/proxy/src/net/upstream/write_tracking.rs
@@ -2,7 +2,7 @@
 
 use crate::net::socket::Socket;
 use std::cell::Cell;
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -26,7 +26,6 @@
 }
 
 impl AsyncWrite for WriteTrackingStream {
-    // There is no vectored write, so that hyper copies head and body into one buffer and writes both at once.
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -39,6 +38,24 @@
         written
     }
 
+    // hyper queues head and body before it writes, and passes all that is queued.
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.socket).poll_write_vectored(cx, bufs);
+        if let Poll::Ready(Ok(count)) = written {
+            let length: usize = bufs.iter().map(|buf| buf.len()).sum();
+            self.all_written.set(count == length);
+        }
+        written
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.socket.is_write_vectored()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.socket).poll_flush(cx)
     }
--- a/crates/proxy/tests/memory.rs
+++ b/crates/proxy/tests/memory.rs
@@ -21,6 +21,10 @@
 /// How long a crowd stays: longer than the time limit of a request.
 const CROWD_TIME: Duration = Duration::from_secs(5);
 
+/// Lengths of fields, in bytes: of the shorter ones there are soon more than a head may have.
+const SHORT_FIELD: usize = 1;
+const LONG_FIELD: usize = 8_000;
+
 /// What a crowd did to the program.
 #[derive(Debug)]
 struct Observed {
@@ -115,9 +119,12 @@
 
 #[test]
 fn memory_limit_is_kept_under_heads_without_end() {
-    let endless = Behavior::EndlessHead {
-        length: 32_000,
-        piece: 2_000,
-    };
-    assert_limit_is_kept(LEAST_MEMORY_MB, &[(endless, CROWD)]);
+    for field in [SHORT_FIELD, LONG_FIELD] {
+        let endless = Behavior::EndlessHead {
+            length: 32_000,
+            field,
+            piece: 2_000,
+        };
+        assert_limit_is_kept(LEAST_MEMORY_MB, &[(endless, CROWD)]);
+    }
 }
--- a/crates/testkit/src/crowd/behavior.rs
+++ b/crates/testkit/src/crowd/behavior.rs
@@ -37,10 +37,12 @@
         /// Mean pause between two requests, in milliseconds.
         pause: u64,
     },
-    /// Sends a head of short fields up to this length, which never ends, and stays.
+    /// Sends a head of fields up to this length, which never ends, and stays.
     EndlessHead {
         /// Length at which the client stops.
         length: usize,
+        /// Length of each field.
+        field: usize,
         /// Length of the pieces.
         piece: usize,
     },
@@ -123,11 +125,18 @@
                     message.resize(message.len() + request, b'b');
                     stream.get_mut().write_all(&message).await?;
                 }
-                Behavior::EndlessHead { length, piece } => {
+                Behavior::EndlessHead {
+                    length,
+                    field,
+                    piece,
+                } => {
                     let mut head = b"GET /safe HTTP/1.1\r\n".to_vec();
                     while head.len() < length {
-                        head.extend_from_slice(b"a:b\r\n");
+                        head.extend_from_slice(b"a:");
+                        head.resize(head.len() + field, b'b');
+                        head.extend_from_slice(b"\r\n");
                     }
+                    head.truncate(length);
                     let pause = Duration::from_millis(random.gen_range(1..10));
                     write_slowly(&mut stream, &head, piece, pause).await?;
                 }
--- a/crates/testkit/src/crowd/hosts.rs
+++ b/crates/testkit/src/crowd/hosts.rs
@@ -14,7 +14,10 @@
 /// Name of the query parameter with the work of the request, in milliseconds.
 const WORK_PARAMETER: &str = "work=";
 
-/// How often each request was executed, by its id.
+/// Start of requests that must not be repeated.
+const UNSAFE_START: &str = "POST /unsafe";
+
+/// How often each request of the class `unsafe` was executed, by its id.
 #[derive(Clone, Debug, Default)]
 pub struct ExecutionRecord(Arc<Mutex<HashMap<String, u32>>>);
 
@@ -62,7 +65,7 @@
             .collect();
         let executions = ExecutionRecord::default();
         let record = executions.clone();
-        thread::spawn(move || serve_all(listeners, record));
+        thread::spawn(move || serve_all(listeners, &record));
         SizedHosts {
             addresses,
             executions,
@@ -70,7 +73,7 @@
     }
 }
 
-fn serve_all(listeners: Vec<std::net::TcpListener>, record: ExecutionRecord) {
+fn serve_all(listeners: Vec<std::net::TcpListener>, record: &ExecutionRecord) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -99,7 +102,9 @@
         let length = field(&head, "content-length").map_or(0, |length| length.parse().unwrap_or(0));
         let mut body = vec![0; length];
         stream.read_exact(&mut body).await.ok()?;
-        record.add(field(&head, "x-request-id").unwrap_or_default());
+        if head.starts_with(UNSAFE_START) {
+            record.add(field(&head, "x-request-id").unwrap_or_default());
+        }
         let work = parameter(&head, WORK_PARAMETER).unwrap_or(2);
         tokio::time::sleep(Duration::from_millis(work as u64)).await;
         let answer = vec![b'a'; parameter(&head, ANSWER_PARAMETER).unwrap_or(2)];
--- a/crates/testkit/src/crowd/usual.rs
+++ b/crates/testkit/src/crowd/usual.rs
@@ -30,6 +30,8 @@
     /// Requests with no final answer half a second after their time, or whose connection was closed after they had
     /// been sent on a new one.
     pub lost: usize,
+    /// The longest time that a request took to be answered.
+    pub slowest: Duration,
 }
 
 /// Usual clients.
@@ -68,6 +70,7 @@
             totals.failed += client.failed;
             totals.late += client.late;
             totals.lost += client.lost;
+            totals.slowest = totals.slowest.max(client.slowest);
         }
         totals
     }
@@ -82,6 +85,7 @@
         sequence += 1;
         let id = format!("usual-{:x}-{number}-{sequence}", clients.seed);
         let request = request_text(&id, sequence);
+        let started = Instant::now();
         let ended = send_request(&mut connection, clients.target, &request).await;
         let Some(ended) = ended else {
             // Nobody accepted the connection, so that nothing was taken.
@@ -89,6 +93,7 @@
             continue;
         };
         totals.sent += 1;
+        totals.slowest = totals.slowest.max(started.elapsed());
         match ended {
             Ended::Answered(200) => totals.served += 1,
             Ended::Answered(429 | 503) => totals.refused += 1,
@@ -102,14 +107,15 @@
     totals
 }
 
-/// A small request; one of two is safe to repeat.
+/// A small request of one of the three classes.
 fn request_text(id: &str, sequence: usize) -> String {
     let time = REQUEST_TIME.as_millis();
     let common = format!("Host: service.internal\r\nX-Request-ID: {id}\r\nX-Timeout: {time}m\r\n");
-    if sequence % 2 == 0 {
-        format!("GET /safe?answer=200 HTTP/1.1\r\n{common}\r\n")
-    } else {
-        format!("POST /keyed?answer=200 HTTP/1.1\r\n{common}Idempotency-Key: {id}\r\nContent-Length: 4\r\n\r\nbody")
+    let body = "Content-Length: 4\r\n\r\nbody";
+    match sequence % 3 {
+        0 => format!("GET /safe?answer=200 HTTP/1.1\r\n{common}\r\n"),
+        1 => format!("POST /keyed?answer=200 HTTP/1.1\r\n{common}Idempotency-Key: {id}\r\n{body}"),
+        _ => format!("POST /unsafe?answer=200 HTTP/1.1\r\n{common}{body}"),
     }
 }
 
