--- a/crates/proxy/src/net/mod.rs
+++ b/crates/proxy/src/net/mod.rs
@@ -2,6 +2,7 @@
 //! I/O.
 
 pub mod admission_gate;
+mod body;
 pub mod client_connection;
 pub mod clock;
 mod descriptors;
--- a/crates/proxy/src/net/server/request.rs
+++ b/crates/proxy/src/net/server/request.rs
@@ -4,13 +4,14 @@
 use super::request_error::RequestError;
 use super::Server;
 use crate::net::admission_gate::{AdmissionGate, ProvisionalAdmission};
+use crate::net::body::{self, CollectError};
 use crate::net::client_connection::{ClientConnection, REQUEST_TIMEOUT};
 use crate::net::driver::NewCall;
 use crate::net::rules::{Admitted, Rules};
 use crate::net::upstream::{self, Client, Request};
 use badgerramp_decisions::Micros;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Collected, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::http::request::Parts;
 use hyper::{Method, Response};
@@ -130,7 +131,7 @@
         client.start_body();
         let body = tokio::select! {
             biased;
-            body = read_body(body, admitted.max_body_len, deadline) => body?,
+            body = read_body(body, admitted, deadline) => body?,
             () = client.body_rejected() => return Err(RequestError::Shed),
         };
         // A request that was completed just before its rejection is served, and its response closes the connection.
@@ -210,14 +211,15 @@
 /// Reads the body of a request, which must be complete before `deadline`.
 async fn read_body(
     body: Incoming,
-    max_body_len: usize,
+    admitted: &Admitted,
     deadline: Instant,
 ) -> Result<Bytes, RequestError> {
-    let body = Box::pin(Limited::new(body, max_body_len).collect());
+    let expected_len = admitted.body_len.unwrap_or_default();
+    let body = Box::pin(body::collect(body, expected_len, admitted.max_body_len));
     match tokio::time::timeout_at(deadline, body).await {
-        Ok(Ok(body)) => Ok(Collected::to_bytes(body)),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RequestError::BodyTooLarge),
-        Ok(Err(_)) => Err(RequestError::BodyBroken),
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(CollectError::TooLong)) => Err(RequestError::BodyTooLarge),
+        Ok(Err(CollectError::Http(_))) => Err(RequestError::BodyBroken),
         Err(_) => Err(RequestError::BodyTimeout),
     }
 }
--- a/crates/proxy/src/net/upstream/body.rs
+++ b/crates/proxy/src/net/upstream/body.rs
@@ -1,9 +1,9 @@
 //! Reading of response bodies. Only bodies that are provably complete are accepted.
 
 use super::connection::ExchangeError;
+use crate::net::body::{self, CollectError};
 use crate::net::MemoryBudget;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap};
 use std::error::Error;
@@ -46,22 +46,20 @@
     let _reservation = memory_budget
         .reserve(expected_len)
         .ok_or(ExchangeError::InvalidResponse)?;
-    match Limited::new(body, max_body_len).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) => Err(read_error(&*error)),
+    let known_len = length.unwrap_or_default();
+    match body::collect(body, known_len, max_body_len).await {
+        Ok(body) => Ok(body),
+        Err(CollectError::Http(error)) => Err(read_error(&error)),
+        Err(CollectError::TooLong) => Err(ExchangeError::InvalidResponse),
     }
 }
 
-/// Classifies an error while reading a body: either the connection failed, or the body is too long or malformed.
-fn read_error(error: &(dyn Error + Send + Sync + 'static)) -> ExchangeError {
-    match error.downcast_ref::<hyper::Error>() {
-        Some(error)
-            if error.is_incomplete_message()
-                || error.source().is_some_and(is_connection_failure) =>
-        {
-            ExchangeError::ConnectionLost
-        }
-        _ => ExchangeError::InvalidResponse,
+/// Classifies an error while reading a body: either the connection failed, or the body is malformed.
+fn read_error(error: &hyper::Error) -> ExchangeError {
+    if error.is_incomplete_message() || error.source().is_some_and(is_connection_failure) {
+        ExchangeError::ConnectionLost
+    } else {
+        ExchangeError::InvalidResponse
     }
 }
 
