--- a/crates/proxy/src/net/client_connection/eviction.rs
+++ b/crates/proxy/src/net/client_connection/eviction.rs
@@ -64,6 +64,15 @@
         }
     }
 
+    /// Since when the proxy has been waiting for the client: a client that sends its request slowly has waited less than
+    /// one that has stopped.
+    pub(super) fn waiting_since(&self) -> Micros {
+        match self.phase.get() {
+            Phase::ReadingHead | Phase::ReadingBody => self.last_received.get(),
+            _ => self.phase_since.get(),
+        }
+    }
+
     /// Whether nothing has arrived that the program would have to process before it evicts the connection.
     pub(super) fn can_be_evicted_now(&self) -> bool {
         matches!(self.phase.get(), Phase::Closing | Phase::Responding) || self.has_nothing_unread()
--- a/crates/proxy/src/net/client_connection/mod.rs
+++ b/crates/proxy/src/net/client_connection/mod.rs
@@ -20,9 +20,10 @@
 pub use registry::ClientConnections;
 
 use super::clock::Clock;
+use super::memory_budget::CLIENT_CONNECTION_COST;
 use super::socket::Stream;
 use super::upstream::Client;
-use super::Descriptor;
+use super::{Descriptor, Reservation};
 use badgerramp_decisions::Micros;
 use eviction::EvictionClass;
 use head_scan::HeadScan;
@@ -44,6 +45,8 @@
 const MAX_READ_AHEAD: usize = 32 * 1024;
 /// The maximum number of bytes that are read and discarded for the same purpose at once.
 const MAX_DISCARDED: usize = 1 << 20;
+/// The length of a head up to which the read buffer of a connection need not grow, in bytes.
+const SHORT_HEAD_LEN: usize = 8 * 1024;
 /// The maximum number of bytes that are read and discarded after the last response.
 const MAX_LINGER_LEN: usize = 64 * 1024;
 
@@ -71,14 +74,24 @@
     stream: Rc<dyn Stream>,
     peer: IpAddr,
     descriptor: Cell<Option<Descriptor>>,
+    /// The memory of the connection itself: its task and its buffers.
+    memory: RefCell<Reservation>,
+    /// The memory of the request in flight.
+    request_memory: RefCell<Option<Reservation>>,
     phase: Cell<Phase>,
     /// When the current phase began. Up to the first request this stays the time when the client connected.
     phase_since: Cell<Micros>,
+    /// When data was received last; before that, when the client connected.
+    last_received: Cell<Micros>,
     /// Whether the head of a request has been received on this connection.
     has_requested: Cell<bool>,
     /// When the client stops waiting for the response to the request in flight; 0 if that is not known.
     deadline: Cell<Micros>,
     head_scan: Cell<HeadScan>,
+    /// Bytes received of the head.
+    head_len: Cell<usize>,
+    /// The longest head so far, which the read buffer has grown to.
+    longest_head: Cell<usize>,
     /// Bytes received after the head.
     bytes_after_head: Cell<u64>,
     /// How many of these bytes belong to the request in flight; `u64::MAX` while that is not known.
@@ -97,18 +110,28 @@
 }
 
 impl ClientConnection {
-    fn new(id: u64, stream: Rc<dyn Stream>, descriptor: Option<Descriptor>, clock: Clock) -> Self {
+    fn new(
+        id: u64,
+        stream: Rc<dyn Stream>,
+        (descriptor, memory): (Option<Descriptor>, Reservation),
+        clock: Clock,
+    ) -> Self {
         ClientConnection {
             id,
             clock,
             peer: stream.peer().unwrap_or(IpAddr::from([0, 0, 0, 0])),
             stream,
             descriptor: Cell::new(descriptor),
+            memory: RefCell::new(memory),
+            request_memory: RefCell::default(),
             phase: Cell::new(Phase::Idle),
             phase_since: Cell::new(clock.now()),
+            last_received: Cell::new(clock.now()),
             has_requested: Cell::new(false),
             deadline: Cell::new(0),
             head_scan: Cell::new(HeadScan::Before),
+            head_len: Cell::new(0),
+            longest_head: Cell::new(0),
             bytes_after_head: Cell::new(0),
             body_len: Cell::new(u64::MAX),
             read_ahead: RefCell::default(),
@@ -179,6 +202,7 @@
         self.phase.set(Phase::Responding);
         self.phase_since.set(self.clock.now());
         self.head_scan.set(HeadScan::Before);
+        self.head_len.set(0);
         self.bytes_after_head.set(0);
         self.body_len.set(u64::MAX);
     }
@@ -193,9 +217,42 @@
         self.bytes_after_head.get() > self.body_len.get()
     }
 
+    /// The length of the head of the request in flight, in bytes.
+    pub fn head_len(&self) -> usize {
+        self.head_len.get()
+    }
+
+    /// Holds the memory of the request in flight until its response has been written.
+    pub fn hold_request_memory(&self, memory: Reservation) {
+        *self.request_memory.borrow_mut() = Some(memory);
+    }
+
+    /// Releases the memory of the body of the request in flight. What exceeds `head_cost` is the body's.
+    pub fn release_body_memory(&self, head_cost: usize) {
+        if let Some(memory) = &mut *self.request_memory.borrow_mut() {
+            memory.shrink_to(head_cost);
+        }
+    }
+
+    /// The memory that is released when the connection is closed, in bytes.
+    fn held_memory(&self) -> usize {
+        let request_memory = self.request_memory.borrow();
+        self.memory.borrow().bytes() + request_memory.as_ref().map_or(0, Reservation::bytes)
+    }
+
+    /// Adjusts the memory of the connection to its buffers.
+    fn account_buffers(&self) {
+        let grown = self.longest_head.get().saturating_sub(SHORT_HEAD_LEN);
+        let read_ahead = self.read_ahead.borrow().capacity();
+        self.memory
+            .borrow_mut()
+            .resize(CLIENT_CONNECTION_COST + grown + read_ahead);
+    }
+
     /// Records that the response has been written completely.
     fn response_written(&self) {
         if self.phase.get() == Phase::Responding {
+            self.request_memory.take();
             // Data that was received meanwhile belongs to the next request.
             self.phase.set(if self.head_scan.get() == HeadScan::Before {
                 Phase::Idle
@@ -276,6 +333,9 @@
                 self.phase_since.set(self.clock.now());
             }
         }
+        if !bytes.is_empty() {
+            self.last_received.set(self.clock.now());
+        }
         let mut scan = self.head_scan.get();
         let mut rest = bytes;
         while let (false, Some((&byte, remaining))) =
@@ -284,6 +344,12 @@
             (scan, rest) = (scan.next(byte), remaining);
         }
         self.head_scan.set(scan);
+        self.head_len
+            .set(self.head_len.get() + bytes.len() - rest.len());
+        if self.head_len.get() > self.longest_head.get().max(SHORT_HEAD_LEN) {
+            self.longest_head.set(self.head_len.get());
+            self.account_buffers();
+        }
         self.bytes_after_head
             .set(self.bytes_after_head.get() + rest.len() as u64);
     }
@@ -344,6 +410,7 @@
                         self.read_ahead
                             .borrow_mut()
                             .extend_from_slice(&bytes[..count]);
+                        self.account_buffers();
                     }
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return true,
--- a/crates/proxy/src/net/client_connection/observed_stream.rs
+++ b/crates/proxy/src/net/client_connection/observed_stream.rs
@@ -35,6 +35,11 @@
             let count = read_ahead.len().min(buf.remaining());
             buf.put_slice(&read_ahead[..count]);
             read_ahead.drain(..count);
+            if read_ahead.is_empty() {
+                *read_ahead = Vec::new();
+                drop(read_ahead);
+                self.connection.account_buffers();
+            }
             return Poll::Ready(Ok(()));
         }
         drop(read_ahead);
--- a/crates/proxy/src/net/client_connection/registry.rs
+++ b/crates/proxy/src/net/client_connection/registry.rs
@@ -1,11 +1,11 @@
 //! The registry of client connections, which closes idle and overdue ones.
 
-use super::eviction::EvictionClass;
+use super::eviction::{EvictionClass, INCOMPLETE_REQUEST_GRACE};
 use super::{ClientConnection, Phase};
 use crate::log::CLIENTS;
 use crate::net::clock::Clock;
 use crate::net::socket::Stream;
-use crate::net::Descriptor;
+use crate::net::{Descriptor, Reservation};
 use badgerramp_decisions::Micros;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -57,11 +57,11 @@
     pub fn register(
         &self,
         stream: Rc<dyn Stream>,
-        descriptor: Option<Descriptor>,
+        resources: (Option<Descriptor>, Reservation),
         clock: Clock,
     ) -> Rc<ClientConnection> {
         let id = self.next_id.replace(self.next_id.get() + 1);
-        let connection = Rc::new(ClientConnection::new(id, stream, descriptor, clock));
+        let connection = Rc::new(ClientConnection::new(id, stream, resources, clock));
         self.connections
             .borrow_mut()
             .insert(id, Rc::clone(&connection));
@@ -77,25 +77,48 @@
         self.closed.notify_one();
     }
 
+    /// The memory that the connections that are evicted and not closed yet will release, in bytes.
+    pub fn evicting_memory(&self) -> usize {
+        let connections = self.connections.borrow();
+        let evicted = connections.values().filter(|c| c.is_evicted());
+        evicted.map(|c| c.held_memory()).sum()
+    }
+
     /// Evicts the connection that has been idle longest. Returns false if no connection is idle.
     pub fn evict_idle(&self, now: Micros) -> bool {
-        self.evict_up_to(EvictionClass::Idle, now, 0)
+        self.evict_up_to(EvictionClass::Idle, now, 0).is_some()
     }
 
     /// Evicts the connection whose client loses least by it. `grace` protects clients that have just connected or begun a
     /// request. Returns false if no connection may be evicted.
     pub fn evict(&self, now: Micros, grace: Micros) -> bool {
         self.evict_up_to(EvictionClass::OverdueResponse, now, grace)
+            .is_some()
+    }
+
+    /// Evicts the connection that has been idle longest, and returns the memory that it holds.
+    pub fn evict_idle_for_memory(&self, now: Micros) -> Option<usize> {
+        self.evict_up_to(EvictionClass::Idle, now, 0)
     }
 
-    /// Evicts the connection of the lowest class, and of several such the one that has waited longest.
-    fn evict_up_to(&self, last_class: EvictionClass, now: Micros, grace: Micros) -> bool {
+    /// Evicts the connection whose client loses least by it, and returns the memory that it holds.
+    pub fn evict_for_memory(&self, now: Micros) -> Option<usize> {
+        self.evict_up_to(
+            EvictionClass::OverdueResponse,
+            now,
+            INCOMPLETE_REQUEST_GRACE,
+        )
+    }
+
+    /// Evicts the connection of the lowest class, and of several such the one that has waited longest. Returns the memory
+    /// that it holds.
+    fn evict_up_to(&self, last_class: EvictionClass, now: Micros, grace: Micros) -> Option<usize> {
         let connections = self.connections.borrow();
         let candidate = |connection: &Rc<ClientConnection>| {
             let class = connection
                 .eviction_class(now, grace)
                 .filter(|&class| class <= last_class)?;
-            Some((class, connection.phase_since.get(), Rc::clone(connection)))
+            Some((class, connection.waiting_since(), Rc::clone(connection)))
         };
         let mut candidates: Vec<_> = connections.values().filter_map(candidate).collect();
         candidates.sort_unstable_by_key(|&(class, since, _)| (class, since));
@@ -103,13 +126,11 @@
         let victim = candidates
             .iter()
             .find(|(.., connection)| connection.can_be_evicted_now());
-        let Some((class, since, connection)) = victim else {
-            return false;
-        };
+        let (class, since, connection) = victim?;
         debug!(target: CLIENTS, connection = connection.id(), ?class, since, "connection evicted");
         self.evicted.set(self.evicted.get() + 1);
         connection.evict(*class);
-        true
+        Some(connection.held_memory())
     }
 
     /// Revokes the eviction of a connection on which data has arrived meanwhile.
--- a/crates/proxy/src/net/discovery.rs
+++ b/crates/proxy/src/net/discovery.rs
@@ -5,13 +5,15 @@
 
 use super::driver::{Driver, List};
 use super::socket::{Network, Socket};
+use super::MemoryBudget;
 use badgerramp_decisions::{ListUpdateKind, Micros};
 use badgerramp_endpoint_watch::{
     Input, Output, PollId, ProtocolViolation, Source, Timeouts, Watch, CONNECT_TIMEOUT,
     NOTIFIED_AFTER_SILENCE, SERVICE_RESPONSE_TIMEOUT,
 };
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::{BodyExt, Empty};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, RETRY_AFTER};
 use hyper::StatusCode;
@@ -26,6 +28,11 @@
 /// The maximum length of a list in bytes, enough for over twenty thousand endpoints. Memory is allocated as the data
 /// arrives.
 const MAX_LIST_LEN: usize = 4 << 20;
+/// The part of the memory budget that the text of a list may take, as a divisor.
+const LIST_BUDGET_DIVISOR: usize = 8;
+/// The memory of a list while it is read and applied, in multiples of its length: its text in a buffer that grows, and
+/// its entries.
+const LIST_COST_FACTOR: usize = 4;
 
 /// The maximum `Retry-After` of the list service that is respected, in seconds. A rejected poll does not postpone the
 /// time at which the proxy counts as notified, so that a connection and a response must still fit in before then.
@@ -246,6 +253,7 @@
             self.address,
             self.result_sender.clone(),
         );
+        let memory_budget = Rc::clone(self.driver.memory_budget());
         tracing::debug!(
             number = poll.0,
             index,
@@ -259,6 +267,7 @@
                 &*network,
                 address,
                 (index, Duration::from_micros(wait)),
+                &memory_budget,
             )
             .await;
             // The receiver has been dropped if the program is shutting down.
@@ -309,6 +318,7 @@
     network: &dyn Network,
     address: SocketAddr,
     (index, wait): (Option<u64>, Duration),
+    memory_budget: &Rc<MemoryBudget>,
 ) -> Result<List, PollError> {
     let ready = match connection
         .take()
@@ -346,11 +356,31 @@
             retry_after,
         });
     }
-    let body = Limited::new(response.into_body(), MAX_LIST_LEN)
-        .collect()
-        .await
-        .map_err(|e| e.to_string())?;
-    serde_json::from_slice(&body.to_bytes()).map_err(|e| format!("odd list: {e}").into())
+    read_list(response.into_body(), memory_budget).await
+}
+
+/// Reads a list. Its memory is charged as it arrives: the list is needed whatever clients do.
+async fn read_list(
+    mut body: Incoming,
+    memory_budget: &Rc<MemoryBudget>,
+) -> Result<List, PollError> {
+    let max_len = MAX_LIST_LEN.min(memory_budget.limit() / LIST_BUDGET_DIVISOR);
+    let mut memory = memory_budget.charge(0);
+    let mut text = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|e| e.to_string())?.into_data() else {
+            continue;
+        };
+        if text.len() + data.len() > max_len {
+            return Err(format!("the list is longer than {max_len} bytes").into());
+        }
+        memory.add(data.len() * LIST_COST_FACTOR);
+        text.extend_from_slice(&data);
+    }
+    let list: Result<List, _> = serde_json::from_slice(&text);
+    let mut list = list.map_err(|e| format!("odd list: {e}"))?;
+    list.memory = Some(memory);
+    Ok(list)
 }
 
 async fn connect(network: &dyn Network, address: SocketAddr) -> Result<ServiceConnection, String> {
--- a/crates/proxy/src/net/driver/membership.rs
+++ b/crates/proxy/src/net/driver/membership.rs
@@ -1,8 +1,10 @@
 //! Membership: applies the endpoint list, assigns endpoint ids, and opens or closes endpoints to connections.
 
 use super::{Core, Driver};
+use crate::net::memory_budget::ENDPOINT_COST;
 use crate::net::upstream::AttemptTarget;
 use crate::net::upstream::ConnectionPool;
+use crate::net::Reservation;
 use badgerramp_decisions::{
     settings, CellId, EndpointEntry, EndpointId, EndpointStatus, Event, ListUpdateKind, Micros,
 };
@@ -88,6 +90,9 @@
     pub snapshot: bool,
     /// The entries of the list, or those that changed.
     pub endpoints: Vec<Endpoint>,
+    /// The memory of the list while it is read and applied.
+    #[serde(skip)]
+    pub(in crate::net) memory: Option<Reservation>,
 }
 
 /// The state of a listed endpoint.
@@ -140,6 +145,8 @@
             }
             entries.push(entry);
         }
+        core.list_memory
+            .resize(core.endpoints.len() * ENDPOINT_COST);
         if core.subset.is_some() {
             core.apply_list_change(self.clock.now(), kind, &changed);
         } else {
--- a/crates/proxy/src/net/driver/mod.rs
+++ b/crates/proxy/src/net/driver/mod.rs
@@ -24,6 +24,7 @@
 
 use super::clock::Clock;
 use super::upstream::ConnectionPool;
+use super::{MemoryBudget, Reservation};
 use badgerramp_decisions::settings::PlatformSettings;
 use badgerramp_decisions::{
     Action, Balancer, CallId, ClassId, EndpointId, Event, LoadReport, LogEvent, Micros, Outcome,
@@ -71,6 +72,8 @@
     sharing_proxies: u32,
     /// The number of live proxies in the fleet, as known from gossip.
     alive_proxies: u32,
+    /// The memory of the listed endpoints.
+    list_memory: Reservation,
     /// When the last call was accepted.
     last_call_at: Micros,
     stall: StallDetector,
@@ -108,6 +111,7 @@
             sharing_proxies: platform_settings.settings.balancers,
             settings: platform_settings.settings.clone(),
             alive_proxies: 0,
+            list_memory: pool.memory_budget.charge(0),
             last_call_at: clock.now(),
             stall: StallDetector::new(clock.now(), platform_settings.settings.rules.drain_grace),
             balancer: Balancer::new(seed, platform_settings.settings),
@@ -142,6 +146,11 @@
         self.clock
     }
 
+    /// The account of memory.
+    pub(super) fn memory_budget(&self) -> &Rc<MemoryBudget> {
+        &self.pool.memory_budget
+    }
+
     /// Waits until the balancer subscribes to the endpoint list.
     pub async fn subscribed(&self) {
         self.subscribe.notified().await;
--- a/crates/proxy/src/net/mod.rs
+++ b/crates/proxy/src/net/mod.rs
@@ -8,7 +8,7 @@
 mod descriptors;
 pub mod discovery;
 pub mod driver;
-mod memory_budget;
+pub mod memory_budget;
 pub mod peers;
 pub mod rules;
 pub mod server;
--- a/crates/proxy/src/net/peers.rs
+++ b/crates/proxy/src/net/peers.rs
@@ -310,6 +310,7 @@
         let network = Rc::clone(&self.network);
         let service = self.service;
         let mut connection = self.idle_connection.take();
+        let memory_budget = Rc::clone(self.driver.memory_budget());
         Box::pin(async move {
             let sent_at = Instant::now();
             let timeout = if index.is_some() {
@@ -317,7 +318,13 @@
             } else {
                 Duration::from_micros(FETCH_TIMEOUT)
             };
-            let request = discovery::fetch_list(&mut connection, &*network, service, (index, wait));
+            let request = discovery::fetch_list(
+                &mut connection,
+                &*network,
+                service,
+                (index, wait),
+                &memory_budget,
+            );
             let answer = match tokio::time::timeout(timeout, request).await {
                 Ok(Ok(list)) => Ok(poll_answer(list, index, sent_at.elapsed())),
                 Ok(Err(error)) => {
--- a/crates/proxy/src/net/server/connection.rs
+++ b/crates/proxy/src/net/server/connection.rs
@@ -1,13 +1,12 @@
 //! One connection of a client, from accept to close.
 
 use super::request_error::RequestError;
-use super::response::{encode_final, set_connection_close};
+use super::response::{encode_final, set_connection_close, ResponseBody};
 use super::{Server, ShutdownDeadline};
 use crate::log::CLIENTS;
 use crate::net::client_connection::{ClientConnection, ObservedStream};
+use crate::net::memory_budget::CLIENT_CONNECTION_COST;
 use crate::net::socket::Stream;
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::{service_fn, HttpService};
@@ -52,7 +51,8 @@
             self.descriptors.acquire()
         });
         let over_capacity = descriptor.is_none();
-        let client = self.clients.register(stream, descriptor, clock);
+        let memory = self.memory_budget.charge(CLIENT_CONNECTION_COST);
+        let client = self.clients.register(stream, (descriptor, memory), clock);
         debug!(target: CLIENTS, connection = client.id(), open = self.clients.count(), over_capacity, "client connected");
         tokio::task::spawn_local(Rc::clone(self).serve_connection(client, shutdown, over_capacity));
     }
@@ -138,7 +138,7 @@
         mut shutdown: watch::Receiver<ShutdownDeadline>,
     ) -> ConnectionEnd
     where
-        S: HttpService<Incoming, ResBody = Full<Bytes>, Error = Infallible>,
+        S: HttpService<Incoming, ResBody = ResponseBody, Error = Infallible>,
     {
         let mut connection = pin!(connection);
         let mut check_at = *shutdown.borrow();
--- /dev/null
+++ b/crates/proxy/src/net/server/memory_pressure.rs
@@ -0,0 +1,41 @@
+//! Eviction of connections when memory is short.
+
+use super::Server;
+use crate::net::memory_budget::UPSTREAM_CONNECTION_COST;
+use std::time::Duration;
+
+/// How long the server waits for an evicted connection to release its memory, or for one that may be evicted.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(10);
+
+impl Server {
+    /// Evicts connections whenever memory is short. Never returns.
+    pub async fn relieve_memory_shortages(&self) {
+        loop {
+            self.memory_budget.shortage().await;
+            while self.memory_budget.missing() > 0 {
+                self.evict_for_memory(self.memory_budget.missing());
+                let released = self.memory_budget.memory_released();
+                let _ = tokio::time::timeout(RELEASE_TIMEOUT, released).await;
+            }
+        }
+    }
+
+    /// Evicts connections until this number of bytes is released: clients that have no request in flight, then idle
+    /// connections to endpoints, then clients with incomplete requests or overdue responses.
+    fn evict_for_memory(&self, missing: usize) {
+        let now = self.driver.clock().now();
+        // Evicted connections release their memory once their tasks have run.
+        let mut released = self.clients.evicting_memory();
+        while released < missing {
+            if let Some(memory) = self.clients.evict_idle_for_memory(now) {
+                released += memory;
+            } else if self.pool.evict_idle() {
+                released += UPSTREAM_CONNECTION_COST;
+            } else if let Some(memory) = self.clients.evict_for_memory(now) {
+                released += memory;
+            } else {
+                return;
+            }
+        }
+    }
+}
--- a/crates/proxy/src/net/server/mod.rs
+++ b/crates/proxy/src/net/server/mod.rs
@@ -8,10 +8,12 @@
 //! - `request`, `request_error`: one request, and the reasons why no call may be started for it.
 //! - `response`: responses to clients.
 //! - `guards`: cleanup when a request ends.
+//! - `memory_pressure`: eviction of connections when memory is short.
 
 mod accept;
 mod connection;
 mod guards;
+mod memory_pressure;
 mod request;
 mod request_error;
 mod response;
@@ -53,7 +55,7 @@
     /// Whether requests and responses are plain HTTP: responses keep their status and headers, and `Retry-After` is in
     /// whole seconds. Otherwise they have the platform's format.
     pub plain_http: bool,
-    /// The limit of memory for bodies.
+    /// The account of memory.
     pub memory_budget: Rc<MemoryBudget>,
     /// The ids of the requests in flight.
     pub in_flight_ids: RefCell<HashSet<HeaderValue>>,
--- a/crates/proxy/src/net/server/request.rs
+++ b/crates/proxy/src/net/server/request.rs
@@ -2,22 +2,31 @@
 
 use super::guards::{DisconnectGuard, InFlightGuard};
 use super::request_error::RequestError;
+use super::response::ResponseBody;
 use super::Server;
+use crate::log::CLIENTS;
 use crate::net::admission_gate::{AdmissionGate, ProvisionalAdmission};
 use crate::net::body::{self, CollectError};
 use crate::net::client_connection::{ClientConnection, REQUEST_TIMEOUT};
 use crate::net::driver::NewCall;
+use crate::net::memory_budget::{Purpose, CALL_COST, FIELD_COST, HEAD_COPIES};
 use crate::net::rules::{Admitted, Rules};
 use crate::net::upstream::{self, Client, Request};
 use badgerramp_decisions::Micros;
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::http::request::Parts;
 use hyper::{Method, Response};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::Instant;
+use tracing::debug;
 
+/// The memory of a request up to which it does not count as a long one, in bytes: enough for some twenty fields and a body
+/// of a few KiB.
+const SHORT_REQUEST_COST: usize = CALL_COST + 16 * 1024;
+/// How long a request waits for memory before it is rejected.
+const MEMORY_PATIENCE: Duration = Duration::from_millis(100);
 /// The path of the health check.
 const HEALTH_PATH: &str = "/_health";
 
@@ -38,7 +47,7 @@
         request: hyper::Request<Incoming>,
         client: &Rc<ClientConnection>,
         received_at: Micros,
-    ) -> Response<Full<Bytes>> {
+    ) -> Response<ResponseBody> {
         let (parts, body) = request.into_parts();
         if parts.uri.path() == HEALTH_PATH && matches!(parts.method, Method::GET | Method::HEAD) {
             return self.health();
@@ -59,7 +68,7 @@
         body: Incoming,
         client: &Rc<ClientConnection>,
         received_at: Micros,
-    ) -> Result<Response<Full<Bytes>>, RequestError> {
+    ) -> Result<Response<ResponseBody>, RequestError> {
         let (rules, pending) = self.current_rules(&parts, &body)?;
         let mut admitted = rules.admit(&mut parts, client.peer())?;
         let _in_flight = match admitted.id.take() {
@@ -68,12 +77,12 @@
             ),
             None => None,
         };
-        let reserved_len = admitted.body_len.unwrap_or(admitted.max_body_len);
-        let _reservation = self
-            .memory_budget
-            .reserve(reserved_len)
-            .ok_or(RequestError::Shed)?;
         let clock = self.driver.clock();
+        let head_cost = request_head_cost(&parts, client);
+        let waiting_since = clock.now();
+        self.reserve_request(head_cost, &admitted, client).await?;
+        // The client waits as well.
+        let waited = clock.now().saturating_sub(waiting_since);
         let deadline = clock.instant(received_at.saturating_add(REQUEST_TIMEOUT));
         let body = self.receive_body(body, &admitted, deadline, client).await?;
         self.check_excess_data(&admitted, client)?;
@@ -82,7 +91,7 @@
             .get("x-retried")
             .is_some_and(|v| v.as_bytes() == b"1");
         let started_at = self.confirm(pending, &mut parts, &mut admitted, body.len(), client)?;
-        let deadline = started_at + admitted.timeout;
+        let deadline = started_at + admitted.timeout.saturating_sub(waited);
         client.set_deadline(deadline);
         let call_client: Rc<dyn Client> = Rc::<ClientConnection>::clone(client);
         let new_call = NewCall {
@@ -113,7 +122,34 @@
             driver: &self.driver,
             call,
         };
-        Ok(self.answer_response(answer.await))
+        let answer = answer.await;
+        client.release_body_memory(head_cost);
+        Ok(self.answer_response(answer))
+    }
+
+    /// Reserves the memory of a request, which its connection holds until the response has been written.
+    async fn reserve_request(
+        &self,
+        head_cost: usize,
+        admitted: &Admitted,
+        client: &ClientConnection,
+    ) -> Result<(), RequestError> {
+        let cost = head_cost + admitted.body_len.unwrap_or(admitted.max_body_len);
+        let purpose = if cost > SHORT_REQUEST_COST {
+            Purpose::LongRequest
+        } else {
+            Purpose::ShortRequest
+        };
+        let memory = self
+            .memory_budget
+            .reserve_within(purpose, cost, MEMORY_PATIENCE)
+            .await;
+        let Some(memory) = memory else {
+            debug!(target: CLIENTS, connection = client.id(), used = self.memory_budget.used(), "no memory for a request");
+            return Err(RequestError::Shed);
+        };
+        client.hold_request_memory(memory);
+        Ok(())
     }
 
     /// Receives the body of a request, unless the place of its connection is needed for another client.
@@ -208,6 +244,11 @@
     }
 }
 
+/// The memory of the head of a request, in its call and its attempts.
+fn request_head_cost(parts: &Parts, client: &ClientConnection) -> usize {
+    CALL_COST + parts.headers.len() * FIELD_COST + client.head_len() * HEAD_COPIES
+}
+
 /// Reads the body of a request, which must be complete before `deadline`.
 async fn read_body(
     body: Incoming,
--- a/crates/proxy/src/net/server/response.rs
+++ b/crates/proxy/src/net/server/response.rs
@@ -4,6 +4,7 @@
 use super::Server;
 use crate::log::CLIENTS;
 use crate::net::driver::Answer;
+use crate::net::memory_budget::HeldBytes;
 use crate::net::rules::Rejection;
 use crate::net::upstream::{self, UpstreamResponse};
 use badgerramp_decisions::Micros;
@@ -15,9 +16,12 @@
 use tokio::sync::oneshot::error::RecvError;
 use tracing::debug;
 
+/// The body of a response, which holds its memory until it has been written.
+pub(super) type ResponseBody = Full<HeldBytes>;
+
 impl Server {
     /// The response to a request for which no call is started.
-    pub(super) fn error_response(&self, error: RequestError) -> Response<Full<Bytes>> {
+    pub(super) fn error_response(&self, error: RequestError) -> Response<ResponseBody> {
         match error {
             RequestError::Rejected(rejection) => self.rejection(rejection),
             RequestError::Shed => self.shed(0),
@@ -36,7 +40,7 @@
     pub(super) fn answer_response(
         &self,
         answer: Result<Answer, RecvError>,
-    ) -> Response<Full<Bytes>> {
+    ) -> Response<ResponseBody> {
         match answer {
             Ok(Answer::Served(response)) => self.forward(response),
             Ok(Answer::Rejected { retry_after }) => self.shed(retry_after),
@@ -56,13 +60,14 @@
 
     /// Converts the response of an endpoint to the response to the client. On the platform only its body and content
     /// type are forwarded.
-    fn forward(&self, upstream: UpstreamResponse) -> Response<Full<Bytes>> {
+    fn forward(&self, upstream: UpstreamResponse) -> Response<ResponseBody> {
         let UpstreamResponse {
             status,
             mut headers,
             body,
+            memory,
         } = upstream;
-        let mut response = Response::new(Full::new(body));
+        let mut response = Response::new(Full::new(HeldBytes::new(body, memory)));
         if !self.plain_http {
             if let Some(content_type) = headers.remove(header::CONTENT_TYPE) {
                 response
@@ -83,7 +88,7 @@
     }
 
     /// The response to the health check: whether calls may start, and under which policy.
-    pub(super) fn health(&self) -> Response<Full<Bytes>> {
+    pub(super) fn health(&self) -> Response<ResponseBody> {
         let health = match &self.gate {
             None => return plain_response(StatusCode::OK, "ok"),
             Some(gate) => gate.health(),
@@ -96,12 +101,13 @@
     }
 
     /// The response to a request that the rules do not admit.
-    fn rejection(&self, rejection: Rejection) -> Response<Full<Bytes>> {
+    fn rejection(&self, rejection: Rejection) -> Response<ResponseBody> {
         if rejection.retryable {
             debug!(target: CLIENTS, reason = &*rejection.text, "request rejected, may be retried");
             return self.shed(0);
         }
-        let mut response = Response::new(Full::from(rejection.text));
+        let text = Bytes::from(rejection.text.into_owned());
+        let mut response = Response::new(Full::new(text.into()));
         *response.status_mut() = rejection.status;
         if rejection.close {
             set_connection_close(&mut response);
@@ -111,7 +117,7 @@
 
     /// The response to a request that is not executed and may be retried after the time in `Retry-After`. If
     /// `retry_after` is 0, the default is used.
-    pub(super) fn shed(&self, retry_after: Micros) -> Response<Full<Bytes>> {
+    pub(super) fn shed(&self, retry_after: Micros) -> Response<ResponseBody> {
         let mut response = plain_response(StatusCode::SERVICE_UNAVAILABLE, "refused");
         let wait = if retry_after == 0 {
             self.default_retry_after.get()
@@ -134,28 +140,29 @@
     }
 }
 
-fn plain_response(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
+fn plain_response(status: StatusCode, text: impl Into<Bytes>) -> Response<ResponseBody> {
+    let text: Bytes = text.into();
     let mut response = Response::new(Full::new(text.into()));
     *response.status_mut() = status;
     response
 }
 
 /// A final rejection that closes the connection, as the data that follows may not be a request.
-fn bad_request(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
+fn bad_request(status: StatusCode, text: impl Into<Bytes>) -> Response<ResponseBody> {
     let mut response = plain_response(status, text);
     set_connection_close(&mut response);
     response
 }
 
 /// Makes hyper close the connection after this response.
-pub(super) fn set_connection_close(response: &mut Response<Full<Bytes>>) {
+pub(super) fn set_connection_close(response: &mut Response<ResponseBody>) {
     response
         .headers_mut()
         .insert(header::CONNECTION, HeaderValue::from_static("close"));
 }
 
 /// Encodes a response that closes the connection, for a request that the HTTP library has not received completely.
-pub(super) async fn encode_final(mut response: Response<Full<Bytes>>) -> Vec<u8> {
+pub(super) async fn encode_final(mut response: Response<ResponseBody>) -> Vec<u8> {
     set_connection_close(&mut response);
     let (head, body) = response.into_parts();
     let body = body
--- a/crates/proxy/src/net/upstream/attempt.rs
+++ b/crates/proxy/src/net/upstream/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt at an endpoint: checks out or opens a connection, checks whether the attempt may still start, sends the
 //! request and classifies the response.
 
+use super::body::ReceivedBody;
 use super::connection::ExchangeError;
 use super::exchange::{AttemptResult, AttemptTarget, Request, UpstreamResponse};
 use super::load_report;
@@ -9,12 +10,17 @@
 use badgerramp_route::Verdict;
 use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
-use hyper::header::{HeaderName, HeaderValue};
-use hyper::{Response, StatusCode};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::{Response, StatusCode, Uri};
 use std::fmt::Write;
 
 const X_TIMEOUT: HeaderName = HeaderName::from_static("x-timeout");
 
+/// The length of a head, in bytes, up to which a connection is kept after it: longer ones have made its buffers grow.
+const MAX_KEPT_HEAD_LEN: usize = 7 * 1024;
+/// Bytes of a header line besides its name and its value.
+const HEADER_LINE_OVERHEAD: usize = ": \r\n".len();
+
 /// Makes one attempt and returns its result. `time_left` returns the time until the deadline of the attempt;
 /// `may_start` is called right before the first byte is written.
 pub async fn attempt(
@@ -39,6 +45,7 @@
     let Some(message) = upstream_request(request, time_left()) else {
         return Outcome::NotSent.into();
     };
+    let has_long_head = head_len(message.uri(), message.headers()) > MAX_KEPT_HEAD_LEN;
     let idle_time = pool.idle_time(&connection);
     let exchanged = connection
         .exchange(message, &pool.memory_budget, request.options.max_body_len)
@@ -58,14 +65,28 @@
         }
         Err(ExchangeError::ConnectionLost) => return Outcome::ConnectFailed.into(),
     };
-    if response.status() != StatusCode::SWITCHING_PROTOCOLS {
+    let has_long_head = has_long_head || headers_len(response.headers()) > MAX_KEPT_HEAD_LEN;
+    if response.status() != StatusCode::SWITCHING_PROTOCOLS && !has_long_head {
         pool.check_in(target.endpoint, connection).await;
     }
     classify(request, response, body)
 }
 
+/// The length of the head of a request, but for its method and version.
+fn head_len(uri: &Uri, headers: &HeaderMap) -> usize {
+    uri.path_and_query().map_or(0, |path| path.as_str().len()) + headers_len(headers)
+}
+
+/// The length of header lines.
+fn headers_len(headers: &HeaderMap) -> usize {
+    let line_len = |(name, value): (&HeaderName, &HeaderValue)| {
+        name.as_str().len() + value.len() + HEADER_LINE_OVERHEAD
+    };
+    headers.iter().map(line_len).sum()
+}
+
 /// Classifies a complete response by the options of its request.
-fn classify(request: &Request, response: Response<()>, body: Bytes) -> AttemptResult {
+fn classify(request: &Request, response: Response<()>, body: ReceivedBody) -> AttemptResult {
     let (parts, ()) = response.into_parts();
     let verdict = request
         .options
@@ -82,7 +103,8 @@
         response: Some(UpstreamResponse {
             status: parts.status,
             headers: parts.headers,
-            body,
+            body: body.bytes,
+            memory: body.memory,
         }),
     }
 }
--- a/crates/proxy/src/net/upstream/body.rs
+++ b/crates/proxy/src/net/upstream/body.rs
@@ -2,13 +2,28 @@
 
 use super::connection::ExchangeError;
 use crate::net::body::{self, CollectError};
-use crate::net::MemoryBudget;
+use crate::net::memory_budget::{Purpose, RESPONSE_HEAD_COST};
+use crate::net::{MemoryBudget, Reservation};
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap};
 use std::error::Error;
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
+
+/// The length of a body up to which its memory is not reserved, in bytes: it is part of the cost of its call.
+const SHORT_BODY_LEN: usize = 2 * 1024;
+/// How long a response waits for memory, if its attempt has no earlier deadline.
+const MEMORY_PATIENCE: Duration = Duration::from_secs(10);
+
+/// A complete body with its memory.
+#[derive(Debug, Default)]
+pub(super) struct ReceivedBody {
+    pub(super) bytes: Bytes,
+    /// `None` if the body is short.
+    pub(super) memory: Option<Reservation>,
+}
 
 /// Reads the body of a response if its framing proves that it is complete: a body that is delimited by the end of the
 /// connection may have been truncated, and a body with both `Content-Length` and `Transfer-Encoding` is ambiguous (RFC
@@ -21,9 +36,9 @@
     body: Incoming,
     memory_budget: &Rc<MemoryBudget>,
     max_body_len: usize,
-) -> Result<Bytes, ExchangeError> {
+) -> Result<ReceivedBody, ExchangeError> {
     if max_body_len == 0 && body.is_end_stream() {
-        return Ok(Bytes::new());
+        return Ok(ReceivedBody::default());
     }
     let chunked = headers.contains_key(header::TRANSFER_ENCODING);
     let length = body
@@ -43,17 +58,30 @@
     if expected_len > max_body_len {
         return Err(ExchangeError::InvalidResponse);
     }
-    let _reservation = memory_budget
-        .reserve(expected_len)
-        .ok_or(ExchangeError::InvalidResponse)?;
+    let memory = reserve_body(memory_budget, expected_len).await?;
     let known_len = length.unwrap_or_default();
     match body::collect(body, known_len, max_body_len).await {
-        Ok(body) => Ok(body),
+        Ok(bytes) => Ok(ReceivedBody { bytes, memory }),
         Err(CollectError::Http(error)) => Err(read_error(&error)),
         Err(CollectError::TooLong) => Err(ExchangeError::InvalidResponse),
     }
 }
 
+/// Reserves the memory of a body. While it waits, the body stays with the system and its host.
+async fn reserve_body(
+    memory_budget: &Rc<MemoryBudget>,
+    length: usize,
+) -> Result<Option<Reservation>, ExchangeError> {
+    if length <= SHORT_BODY_LEN {
+        return Ok(None);
+    }
+    let bytes = length + RESPONSE_HEAD_COST;
+    let memory = memory_budget
+        .reserve_within(Purpose::ResponseBody, bytes, MEMORY_PATIENCE)
+        .await;
+    memory.map(Some).ok_or(ExchangeError::InvalidResponse)
+}
+
 /// Classifies an error while reading a body: either the connection failed, or the body is malformed.
 fn read_error(error: &hyper::Error) -> ExchangeError {
     if error.is_incomplete_message() || error.source().is_some_and(is_connection_failure) {
--- a/crates/proxy/src/net/upstream/connection.rs
+++ b/crates/proxy/src/net/upstream/connection.rs
@@ -1,9 +1,9 @@
 //! A connection to an endpoint, and one exchange over it.
 
-use super::body::read_complete_body;
+use super::body::{read_complete_body, ReceivedBody};
 use super::write_tracking::WriteTrackingStream;
 use crate::net::socket::Stream;
-use crate::net::{Descriptor, MemoryBudget};
+use crate::net::{Descriptor, MemoryBudget, Reservation};
 use badgerramp_decisions::Micros;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -29,6 +29,7 @@
     /// The generation of the endpoint when the connection was opened.
     pub(super) generation: u64,
     pub(super) _descriptor: Descriptor,
+    pub(super) _memory: Reservation,
 }
 
 impl UpstreamConnection {
@@ -75,7 +76,7 @@
         request: hyper::Request<Full<Bytes>>,
         memory_budget: &Rc<MemoryBudget>,
         max_body_len: usize,
-    ) -> Result<(Response<()>, Bytes), ExchangeError> {
+    ) -> Result<(Response<()>, ReceivedBody), ExchangeError> {
         self.all_written.set(false);
         let is_head = request.method() == Method::HEAD;
         let mut exchange = pin!(async {
--- a/crates/proxy/src/net/upstream/exchange.rs
+++ b/crates/proxy/src/net/upstream/exchange.rs
@@ -1,5 +1,6 @@
 //! The types of the interface to the driver: a request, the target of an attempt, and its result.
 
+use crate::net::Reservation;
 use badgerramp_decisions::{EndpointId, LoadReport, Micros, Outcome};
 use badgerramp_route::ResponseRules;
 use bytes::Bytes;
@@ -61,6 +62,8 @@
     pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
+    /// The memory of the response, unless it is short.
+    pub memory: Option<Reservation>,
 }
 
 /// The result of an attempt.
--- a/crates/proxy/src/net/upstream/pool.rs
+++ b/crates/proxy/src/net/upstream/pool.rs
@@ -5,6 +5,7 @@
 use super::idle_failures::IdleFailureStats;
 use super::write_tracking::WriteTrackingStream;
 use crate::net::clock::Clock;
+use crate::net::memory_budget::{Purpose, UPSTREAM_CONNECTION_COST};
 use crate::net::socket::{Network, Socket};
 use crate::net::{Descriptors, MemoryBudget};
 use badgerramp_decisions::settings::Transport;
@@ -25,6 +26,9 @@
 /// How long reuse is delayed after unsolicited data was received on any connection, in microseconds.
 const REUSE_DELAY_PERIOD: Micros = 30_000_000;
 
+/// How long a new connection waits for memory.
+const MEMORY_PATIENCE: Duration = Duration::from_millis(100);
+
 /// Error code of the system: no descriptor is left in the system.
 const ENFILE: i32 = 23;
 /// Error code of the system: no descriptor is left for this process.
@@ -50,7 +54,7 @@
     /// Until this time, a connection is reused only after [`REUSE_DELAY`].
     delay_reuse_until: Cell<Micros>,
     network: Rc<dyn Network>,
-    pub(super) memory_budget: Rc<MemoryBudget>,
+    pub(in crate::net) memory_budget: Rc<MemoryBudget>,
     descriptors: Rc<Descriptors>,
     clock: Clock,
     limits: IdleLimits,
@@ -213,6 +217,15 @@
             None if self.evict_idle() => self.descriptors.acquire().ok_or(Outcome::NotSent)?,
             None => return Err(Outcome::NotSent),
         };
+        let memory = self
+            .memory_budget
+            .reserve_within(
+                Purpose::ShortRequest,
+                UPSTREAM_CONNECTION_COST,
+                MEMORY_PATIENCE,
+            )
+            .await
+            .ok_or(Outcome::NotSent)?;
         let connect = tokio::time::timeout(
             Duration::from_micros(timeout),
             self.network.connect(target.address),
@@ -243,6 +256,7 @@
             idle_since: 0,
             generation: target.generation,
             _descriptor: descriptor,
+            _memory: memory,
         };
         if self.is_ready(&mut connection).await {
             Ok(connection)
--- a/crates/proxy/src/program.rs
+++ b/crates/proxy/src/program.rs
@@ -5,6 +5,7 @@
 use crate::net::clock::Clock;
 use crate::net::discovery;
 use crate::net::driver::{Driver, Endpoint};
+use crate::net::memory_budget::CLIENT_CONNECTION_COST;
 use crate::net::peers;
 use crate::net::rules::Rules;
 use crate::net::server::{Server, LISTEN_BACKLOG};
@@ -32,6 +33,9 @@
 /// The least number of client connections beyond the maximum number of open calls, whose requests are rejected.
 const MIN_REJECTING_CONNECTIONS: usize = 2;
 
+/// The part of the memory budget that connections of clients may take, as a divisor.
+const CLIENT_MEMORY_DIVISOR: usize = 2;
+
 /// Interval at which overdue connections are closed while the proxy has connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval of the same sweep while the proxy has no connections.
@@ -218,12 +222,14 @@
         .saturating_sub(RESERVED_DESCRIPTORS)
         .max(8);
     let descriptors = Descriptors::new(available_descriptors);
+    let memory_budget = MemoryBudget::for_process(setup.memory_bytes);
+    // Connections of clients alone must not use up the memory that requests on them need.
+    let max_connections_in_memory =
+        memory_budget.limit() / CLIENT_MEMORY_DIVISOR / CLIENT_CONNECTION_COST;
     // Each open call holds the connection of its client.
-    let max_open_calls = max_client_connections(setup.descriptors);
+    let max_open_calls = max_client_connections(setup.descriptors).min(max_connections_in_memory);
     let transport = &mut setup.platform_settings.transport;
     transport.max_open = transport.max_open.min(max_open_calls);
-    // The other three quarters are for buffers, which are bounded by the number of connections.
-    let memory_budget = MemoryBudget::new(setup.memory_bytes / 4);
     let idle_limits = match setup.subset {
         Some(terms) => IdleLimits {
             per_endpoint: terms.idle_connections,
@@ -359,6 +365,7 @@
         end = &mut watch.0 => Err(format!("the discovery task ended unexpectedly: {end:?}")),
         () = reload_on_hangup => Err("the reload signal can no longer be received".to_owned()),
         () = sweep_connections => Ok(()),
+        () = server.relieve_memory_shortages() => Ok(()),
     };
     if uses_gossip && result.is_ok() {
         // Announces the departure to the peers, so that they need not detect it.
--- a/crates/proxy/tests/memory.rs
+++ b/crates/proxy/tests/memory.rs
@@ -3,6 +3,7 @@
 
 use badgerramp_testkit::crowd::{Behavior, Crowd, SizedHosts, UsualTotals};
 use badgerramp_testkit::*;
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_badgerramp");
@@ -14,7 +15,7 @@
 /// Clients may hold a third of the descriptors for requests.
 const CROWD: usize = 330;
 const USUAL_CLIENTS: usize = 6;
-const HOSTS: usize = 6;
+const HOSTS: usize = 24;
 /// What the resident code of the released program is counted as. The tests run an unoptimized program, whose code is
 /// larger.
 const RELEASED_CODE: u64 = 6 * MIB;
@@ -25,6 +26,9 @@
 const SHORT_FIELD: usize = 1;
 const LONG_FIELD: usize = 8_000;
 
+/// One crowd at a time: several would take the processor from one another.
+static CROWDS: Mutex<()> = Mutex::new(());
+
 /// What a crowd did to the program.
 #[derive(Debug)]
 struct Observed {
@@ -35,6 +39,7 @@
 
 /// Runs a crowd against a new process with this limit of memory.
 fn run_crowd(memory_mb: u64, members: Vec<(Behavior, usize)>) -> Observed {
+    let _alone = CROWDS.lock().unwrap_or_else(PoisonError::into_inner);
     let hosts = SizedHosts::start(HOSTS);
     let entries: Vec<String> = hosts
         .addresses
