Proxy: an endpoint at whose address another has started gets no more calls

Cause: endpoints are known by name. Until the list told that the old one was gone, both were ready at one address, so that what was sent to the old one, also the repeat of a keyed call within its group, reached the new process, which may be in another group and knows nothing of the calls before.

Fix: after each update of the list, an endpoint at whose address another ready one has started later is closed, as if it drained: no target, no pooled connection, told to the balancer and the subset. A list that still has it, in either order, changes nothing; when the new one is gone the list is believed again. Endpoints that started at the same time, as those of an operator's file, are left alone. What reaches the address before the list tells of the new process can't be known.

Test: an_endpoint_gets_no_calls_once_another_has_started_at_its_address; without the fix both are targets (2 listed, 1 expected).

--- a/crates/proxy/src/net/driver/membership.rs
+++ b/crates/proxy/src/net/driver/membership.rs
@@ -104,7 +104,7 @@
     pub(super) status: EndpointStatus,
     /// Identifies the process at the address: connections of an earlier generation are not used.
     pub(super) generation: u64,
-    /// The last entry of the list; kept only if the balancer knows a subset of the endpoints.
+    /// The last entry of the list.
     pub(super) entry: Option<EndpointEntry>,
 }
 
@@ -145,6 +145,11 @@
             }
             entries.push(entry);
         }
+        for (name, entry) in core.close_replaced_endpoints(&self.pool) {
+            core.update_subset_candidate(&name, &entry);
+            changed.push(entry.endpoint.0);
+            entries.push(entry);
+        }
         core.list_memory
             .resize(core.endpoints.len() * ENDPOINT_COST);
         if core.subset.is_some() {
@@ -239,7 +244,7 @@
             weight: endpoint.weight,
             started,
         };
-        state.entry = self.subset.is_some().then_some(entry);
+        state.entry = Some(entry);
         Some(entry)
     }
 
--- a/crates/proxy/src/net/driver/mod.rs
+++ b/crates/proxy/src/net/driver/mod.rs
@@ -5,10 +5,12 @@
 //! - `attempts`: attempts at endpoints and their outcomes.
 //! - `timers`: deadlines and the balancer's timer.
 //! - `membership`: applies the endpoint list.
+//! - `address_reuse`: endpoints whose address another process has taken.
 //! - `subset`: the part of a large fleet that the balancer knows.
 //! - `reconfiguration`: changes of the settings.
 //! - `audit`: compares the balancer's counts with the driver's.
 
+mod address_reuse;
 mod attempts;
 mod audit;
 mod calls;
--- a/crates/proxy/src/net/driver/tests.rs
+++ b/crates/proxy/src/net/driver/tests.rs
@@ -158,6 +158,50 @@
     assert_ne!(driver.core.borrow().endpoint_ids["s49"], id);
 }
 
+/// A new process at the address of one that had gone was taken for the old one, until the list told that that was gone.
+#[tokio::test(flavor = "current_thread")]
+async fn an_endpoint_gets_no_calls_once_another_has_started_at_its_address() {
+    let driver = driver();
+    let entry = |name: &str, status: &str, since_ms: u64| {
+        format!(
+            r#"{{"name":"{name}","address":"127.0.0.1:9","status":"{status}","since_ms":{since_ms}}}"#
+        )
+    };
+    let apply = |kind: ListUpdateKind, entries: &[String]| {
+        let text = format!("[{}]", entries.join(","));
+        let list: Vec<Endpoint> = serde_json::from_str(&text).expect("a list");
+        driver.apply_endpoint_list(kind, &list);
+    };
+    let has_target = |name: &str| {
+        let core = driver.core.borrow();
+        let id = core.endpoint_ids[name];
+        core.endpoints[&id].target(id).is_some()
+    };
+    let listed = || driver.core.borrow().balancer.endpoint_counts().listed;
+    apply(ListUpdateKind::Full, &[entry("old", "up", 0)]);
+    assert!(has_target("old"));
+    apply(ListUpdateKind::Delta, &[entry("new", "up", 5_000)]);
+    assert_eq!(
+        (has_target("old"), has_target("new"), listed()),
+        (false, true, 1)
+    );
+    // A list that still has the old one, in either order.
+    let (old, new) = (entry("old", "up", 0), entry("new", "up", 5_000));
+    for list in [[old.clone(), new.clone()], [new, old]] {
+        apply(ListUpdateKind::Full, &list);
+        assert_eq!(
+            (has_target("old"), has_target("new"), listed()),
+            (false, true, 1)
+        );
+    }
+    // Once the new one is gone, the list is believed again.
+    apply(
+        ListUpdateKind::Delta,
+        &[entry("new", "removed", 5_000), entry("old", "up", 0)],
+    );
+    assert!(has_target("old"));
+}
+
 /// In a large fleet the balancer knows only the members of the subset. Members that drain, return or are removed change
 /// the subset at once.
 #[tokio::test(flavor = "current_thread")]
