Proxy: a client that closes behind much unread data has left

Cause: whether a client is still there is looked up by reading what it has sent, up to 1 MiB (32 KiB where requests may be pipelined). A close behind more than that was not seen, and the client counted as connected. If the receive buffer is full, the close does not even arrive before something is read.

Fix: the system tells of a close behind unread data (EPOLLRDHUP); that is asked first, without a system call. On the platform, where nothing may follow a request, a client that has sent more than 1 MiB behind one does not wait for its response: its request is not sent, and it gets an error and a close.

--- a/crates/proxy/src/net/client_connection/mod.rs
+++ b/crates/proxy/src/net/client_connection/mod.rs
@@ -217,6 +217,11 @@
         self.bytes_after_head.get() > self.body_len.get()
     }
 
+    /// Whether the client is known to have left.
+    pub fn has_left(&self) -> bool {
+        self.stream.read_closed()
+    }
+
     /// The length of the head of the request in flight, in bytes.
     pub fn head_len(&self) -> usize {
         self.head_len.get()
@@ -389,6 +394,10 @@
 
 impl Client for ClientConnection {
     fn is_connected(&self) -> bool {
+        // The end may be behind more data than is read below.
+        if self.stream.read_closed() {
+            return false;
+        }
         let mut bytes = [0; 4096];
         let mut taken = 0;
         // Data after a request of known length is discarded, as the response closes the connection.
@@ -418,6 +427,7 @@
                 Err(_) => return false,
             }
         }
-        true
+        // A client that goes on to send does not wait for its response, and its end may be behind what it sends.
+        !discard
     }
 }
--- a/crates/proxy/src/net/socket.rs
+++ b/crates/proxy/src/net/socket.rs
@@ -7,9 +7,9 @@
 use std::io::{self, IoSlice, Read};
 use std::mem::MaybeUninit;
 use std::net::{IpAddr, SocketAddr};
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
+use std::task::{ready, Context, Poll, Waker};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, Interest, ReadBuf, Take};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -49,6 +49,12 @@
     /// [`io::ErrorKind::WouldBlock`] if there is nothing to read, or the error of the socket.
     fn try_read(&self, buf: &mut [u8]) -> io::Result<usize>;
 
+    /// Whether the other side is known to have closed its side of the connection, also if there is unread data before the
+    /// end. The runtime learns of it only when it polls all sockets.
+    fn read_closed(&self) -> bool {
+        false
+    }
+
     /// The IP address of the other side.
     fn peer(&self) -> Option<IpAddr>;
 }
@@ -143,6 +149,12 @@
         (&*SockRef::from(self)).read(buf)
     }
 
+    fn read_closed(&self) -> bool {
+        let mut ready = pin!(self.ready(Interest::READABLE));
+        let mut context = Context::from_waker(Waker::noop());
+        matches!(ready.as_mut().poll(&mut context), Poll::Ready(Ok(ready)) if ready.is_read_closed())
+    }
+
     fn peer(&self) -> Option<IpAddr> {
         self.peer_addr().ok().map(|a| a.ip())
     }
@@ -239,3 +251,6 @@
         self.0.poll_read(cx, buf)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/proxy/tests/race_conditions/in_process.rs
+++ b/crates/proxy/tests/race_conditions/in_process.rs
@@ -185,6 +185,10 @@
         Stream::try_read(&*self.stream, buf)
     }
 
+    fn read_closed(&self) -> bool {
+        Stream::read_closed(&*self.stream)
+    }
+
     fn peer(&self) -> Option<IpAddr> {
         Stream::peer(&*self.stream)
     }
--- a/crates/proxy/tests/race_conditions/main.rs
+++ b/crates/proxy/tests/race_conditions/main.rs
@@ -19,6 +19,9 @@
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
+/// More bytes than the program reads at once to see whether a client is still there.
+const MORE_THAN_IS_LOOKED_AT: usize = 1 << 20;
+
 /// A shutdown closes idle connections. A request that the kernel had received by then, but the program had not read, was lost
 /// with its connection.
 #[test]
@@ -513,3 +516,32 @@
         }
     }
 }
+
+/// The close of a client was hidden behind what it had sent after its request, of which only a part was looked at.
+#[test]
+fn no_request_is_sent_if_the_client_leaves_behind_much_unread_data() {
+    run_local(async || {
+        let host = Host::serving("ok");
+        let program = InProcessProxy::start(1_024, &host).await;
+        program.hooks.held_host.set(Some(host.address));
+        let mut client = program.client();
+        client.send("unsafe", "3000m");
+        program.hooks.connecting.notified().await;
+        let unread = client.write_until_full();
+        assert!(unread > MORE_THAN_IS_LOOKED_AT, "{unread} bytes written");
+        drop(client);
+        program.hooks.released.notify_one();
+        // Another request is served; by then the first one would have been sent.
+        let (_, answer) = on_client_thread(program.client(), {
+            program.hooks.held_host.set(None);
+            |c| c.call("safe", "3000m")
+        })
+        .await;
+        assert_eq!(answer.status(), 200);
+        let sent = host
+            .events
+            .try_iter()
+            .filter(|s| matches!(s, HostEvent::Request(_, m) if m.head.starts_with("POST")));
+        assert_eq!(sent.count(), 0);
+    });
+}
--- a/crates/testkit/src/client.rs
+++ b/crates/testkit/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::message::{read, read_head, Message};
 use socket2::SockRef;
-use std::io::{BufReader, Write};
+use std::io::{BufReader, ErrorKind, Write};
 use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -46,6 +46,25 @@
             .expect("the connection is open");
     }
 
+    /// Writes as much as the system takes without waiting, and returns how many bytes that are.
+    ///
+    /// # Panics
+    /// If the connection has been closed.
+    pub fn write_until_full(&mut self) -> usize {
+        let stream = self.stream.get_mut();
+        stream.set_nonblocking(true).expect("a socket");
+        let mut written = 0;
+        loop {
+            match stream.write(&[b'x'; 64 * 1024]) {
+                Ok(count) => written += count,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(error) => panic!("the connection is closed: {error}"),
+            }
+        }
+        stream.set_nonblocking(false).expect("a socket");
+        written
+    }
+
     /// Reads the next response; None if the connection ends first.
     pub fn answer(&mut self) -> Option<Message> {
         read(&mut self.stream)
