Proxy: the id of a request whose client has left is not executed again

Cause: an id was registered only while its request was in flight. When its client left, the id was free at once, although a host had the request and could execute it, or had done so.

Fix: the ids of requests that were sent to a host and whose clients left before they were answered are remembered for a minute, 8,192 at most (as hashes, 0.3 MB at the most); a request with such an id gets 409. What was never sent, or was refused, may come again.

Test: the_id_of_a_request_whose_client_has_left_is_not_executed_again, for clients that close, reset or half-close. Before: 502 and a second execution.

--- a/crates/proxy/src/net/driver/calls.rs
+++ b/crates/proxy/src/net/driver/calls.rs
@@ -180,20 +180,17 @@
         Some((call, receiver))
     }
 
-    /// Ends a call whose client has disconnected. Its attempts are cancelled whatever the balancer decides.
-    pub fn client_disconnected(&self, call: CallId) {
-        let open = self
-            .core
-            .borrow()
-            .calls
-            .get(&call)
-            .is_some_and(|c| c.is_open());
-        if !open {
-            return;
-        }
+    /// Ends a call whose client has disconnected, if the call is open. Its attempts are cancelled whatever the balancer
+    /// decides. Returns whether an endpoint may have executed the call, or may do so yet.
+    pub fn client_disconnected(&self, call: CallId) -> bool {
+        let may_have_executed = match self.core.borrow().calls.get(&call) {
+            Some(call) if call.is_open() => call.attempts.iter().any(|attempt| attempt.started),
+            _ => return false,
+        };
         self.core.borrow_mut().finish_call(call, None);
         self.handle_event(Event::ClientDisconnected { call });
         self.cancel_attempts(call);
+        may_have_executed
     }
 
     /// The time since the last call was accepted; before the first call, since the start.
--- a/crates/proxy/src/net/server/mod.rs
+++ b/crates/proxy/src/net/server/mod.rs
@@ -6,6 +6,7 @@
 //! - `accept`: the accept loop and the graceful shutdown.
 //! - `connection`: one connection, from accept to close.
 //! - `request`, `request_error`: one request, and the reasons why no call may be started for it.
+//! - `request_ids`: ids of requests that may not be sent again.
 //! - `response`: responses to clients.
 //! - `guards`: cleanup when a request ends.
 //! - `memory_pressure`: eviction of connections when memory is short.
@@ -16,9 +17,11 @@
 mod memory_pressure;
 mod request;
 mod request_error;
+mod request_ids;
 mod response;
 
 pub use accept::LISTEN_BACKLOG;
+pub use request_ids::RequestIds;
 
 use super::admission_gate::AdmissionGate;
 use super::client_connection::ClientConnections;
@@ -27,9 +30,7 @@
 use super::upstream::ConnectionPool;
 use super::{Descriptors, MemoryBudget};
 use badgerramp_decisions::Micros;
-use hyper::header::HeaderValue;
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
 use std::rc::Rc;
 use tokio::time::Instant;
 
@@ -57,8 +58,8 @@
     pub plain_http: bool,
     /// The account of memory.
     pub memory_budget: Rc<MemoryBudget>,
-    /// The ids of the requests in flight.
-    pub in_flight_ids: RefCell<HashSet<HeaderValue>>,
+    /// The ids of requests that may not be sent to an endpoint again.
+    pub request_ids: RequestIds,
     /// The `Retry-After` of rejections for which the balancer gives none, in microseconds; 0 omits the header.
     pub default_retry_after: Cell<Micros>,
     /// The maximum number of connections. It is larger than the maximum number of open calls, so that requests beyond
--- a/crates/proxy/src/net/server/request.rs
+++ b/crates/proxy/src/net/server/request.rs
@@ -1,6 +1,6 @@
 //! One request of a client, from its head to its response.
 
-use super::guards::{DisconnectGuard, InFlightGuard};
+use super::guards::DisconnectGuard;
 use super::request_error::RequestError;
 use super::response::ResponseBody;
 use super::Server;
@@ -8,7 +8,7 @@
 use crate::net::admission_gate::{AdmissionGate, ProvisionalAdmission};
 use crate::net::body::{self, CollectError};
 use crate::net::client_connection::{ClientConnection, REQUEST_TIMEOUT};
-use crate::net::driver::NewCall;
+use crate::net::driver::{Answer, NewCall};
 use crate::net::memory_budget::{Purpose, CALL_COST, FIELD_COST, HEAD_COPIES};
 use crate::net::rules::{Admitted, Rules};
 use crate::net::upstream::{self, Client, Request};
@@ -71,13 +71,12 @@
     ) -> Result<Response<ResponseBody>, RequestError> {
         let (rules, pending) = self.current_rules(&parts, &body)?;
         let mut admitted = rules.admit(&mut parts, client.peer())?;
-        let _in_flight = match admitted.id.take() {
-            Some(id) => Some(
-                InFlightGuard::enter(&self.in_flight_ids, id).ok_or(RequestError::DuplicateId)?,
-            ),
-            None => None,
-        };
         let clock = self.driver.clock();
+        let enter = |id| {
+            let entered = self.request_ids.enter(id, clock.now());
+            entered.ok_or(RequestError::DuplicateId)
+        };
+        let id = admitted.id.take().map(enter).transpose()?;
         let head_cost = request_head_cost(&parts, client);
         let waiting_since = clock.now();
         self.reserve_request(head_cost, &admitted, client).await?;
@@ -121,8 +120,13 @@
         let _disconnect_guard = DisconnectGuard {
             driver: &self.driver,
             call,
+            id: id.as_ref(),
         };
         let answer = answer.await;
+        let was_rejected = matches!(answer, Ok(Answer::Rejected { .. }));
+        if !was_rejected && (answer.is_err() || client.has_left()) {
+            id.iter().for_each(|id| id.abandon(clock.now()));
+        }
         client.release_body_memory(head_cost);
         Ok(self.answer_response(answer))
     }
--- a/crates/proxy/src/program.rs
+++ b/crates/proxy/src/program.rs
@@ -8,7 +8,7 @@
 use crate::net::memory_budget::CLIENT_CONNECTION_COST;
 use crate::net::peers;
 use crate::net::rules::Rules;
-use crate::net::server::{Server, LISTEN_BACKLOG};
+use crate::net::server::{RequestIds, Server, LISTEN_BACKLOG};
 use crate::net::socket::{Listener, Network, Tcp};
 use crate::net::upstream::{ConnectionPool, IdleLimits};
 use crate::net::{Descriptors, MemoryBudget};
@@ -321,7 +321,7 @@
         gate: setup.gate,
         plain_http: setup.plain_http,
         memory_budget,
-        in_flight_ids: RefCell::default(),
+        request_ids: RequestIds::default(),
         default_retry_after: Cell::new(setup.default_retry_after),
         max_kept_connections: max_open_calls,
         max_connections: max_open_calls + (setup.descriptors / 40).max(MIN_REJECTING_CONNECTIONS),
