Proxy: a long head waits for memory, and its connection is closed after the response

Seen by callers: usual clients got answers late or never, and the peak at memory_mb 32 was 31.0 MiB.

Cause: the read buffer of a connection grows with a long head and keeps its size. That was charged after the fact, so that nothing stopped it: 330 such connections alone took more than the whole budget, and all others had to wait.

Fix: beyond 8 KiB of a head the memory for the longest one is reserved before more is read. Until there is room the rest stays with the system, and the connection counts as waiting: it may be evicted (503) or time out (408) although there is unread data. The response closes the connection, which frees the buffer. The part that is left for what is not counted goes from an eighth to three sixteenths of memory_mb: the budget is 18, 44 and 148 MiB at 32, 64 and 192.

--- a/crates/proxy/src/net/client_connection/eviction.rs
+++ b/crates/proxy/src/net/client_connection/eviction.rs
@@ -75,7 +75,9 @@
 
     /// Whether nothing has arrived that the program would have to process before it evicts the connection.
     pub(super) fn can_be_evicted_now(&self) -> bool {
-        matches!(self.phase.get(), Phase::Closing | Phase::Responding) || self.has_nothing_unread()
+        matches!(self.phase.get(), Phase::Closing | Phase::Responding)
+            || self.is_stalled()
+            || self.has_nothing_unread()
     }
 
     /// Requests the connection to close, to free its descriptor for another.
--- a/crates/proxy/src/net/client_connection/mod.rs
+++ b/crates/proxy/src/net/client_connection/mod.rs
@@ -20,8 +20,8 @@
 pub use registry::ClientConnections;
 
 use super::clock::Clock;
-use super::memory_budget::CLIENT_CONNECTION_COST;
-use super::socket::Stream;
+use super::memory_budget::{Purpose, WantedMemory, CLIENT_CONNECTION_COST, LONG_HEAD_COST};
+use super::socket::{Stream, MAX_READ_LEN};
 use super::upstream::Client;
 use super::{Descriptor, Reservation};
 use badgerramp_decisions::Micros;
@@ -32,7 +32,7 @@
 use std::io;
 use std::net::IpAddr;
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{Context, Poll, Waker};
 use tokio::io::ReadBuf;
 use tokio::sync::Notify;
 
@@ -46,7 +46,7 @@
 /// The maximum number of bytes that are read and discarded for the same purpose at once.
 const MAX_DISCARDED: usize = 1 << 20;
 /// The length of a head up to which the read buffer of a connection need not grow, in bytes.
-const SHORT_HEAD_LEN: usize = 8 * 1024;
+const SHORT_HEAD_LEN: usize = MAX_READ_LEN;
 /// The maximum number of bytes that are read and discarded after the last response.
 const MAX_LINGER_LEN: usize = 64 * 1024;
 
@@ -67,6 +67,12 @@
     Closing,
 }
 
+/// A head that waits for memory.
+struct StalledHead {
+    waker: Waker,
+    _wanted: WantedMemory,
+}
+
 /// One connection of a client.
 pub struct ClientConnection {
     id: u64,
@@ -90,8 +96,10 @@
     head_scan: Cell<HeadScan>,
     /// Bytes received of the head.
     head_len: Cell<usize>,
-    /// The longest head so far, which the read buffer has grown to.
-    longest_head: Cell<usize>,
+    /// Whether the memory for a long head is reserved.
+    has_long_head: Cell<bool>,
+    /// Set while a long head waits for memory.
+    stalled_head: RefCell<Option<StalledHead>>,
     /// Bytes received after the head.
     bytes_after_head: Cell<u64>,
     /// How many of these bytes belong to the request in flight; `u64::MAX` while that is not known.
@@ -131,7 +139,8 @@
             deadline: Cell::new(0),
             head_scan: Cell::new(HeadScan::Before),
             head_len: Cell::new(0),
-            longest_head: Cell::new(0),
+            has_long_head: Cell::new(false),
+            stalled_head: RefCell::default(),
             bytes_after_head: Cell::new(0),
             body_len: Cell::new(u64::MAX),
             read_ahead: RefCell::default(),
@@ -247,13 +256,56 @@
 
     /// Adjusts the memory of the connection to its buffers.
     fn account_buffers(&self) {
-        let grown = self.longest_head.get().saturating_sub(SHORT_HEAD_LEN);
+        let grown = if self.has_long_head.get() {
+            LONG_HEAD_COST
+        } else {
+            0
+        };
         let read_ahead = self.read_ahead.borrow().capacity();
         self.memory
             .borrow_mut()
             .resize(CLIENT_CONNECTION_COST + grown + read_ahead);
     }
 
+    /// Whether more of a head may be read. A long head waits until there is memory for it, and the response to its request
+    /// closes the connection, whose buffer has grown.
+    fn poll_read_head(&self, cx: &Context<'_>) -> Poll<()> {
+        let needs_memory = self.phase.get() == Phase::ReadingHead
+            && self.head_len.get() >= SHORT_HEAD_LEN
+            && !self.has_long_head.get();
+        if !needs_memory {
+            return Poll::Ready(());
+        }
+        let mut memory = self.memory.borrow_mut();
+        match memory.try_add(Purpose::LongRequest, LONG_HEAD_COST) {
+            Ok(()) => {
+                self.stalled_head.take();
+                self.has_long_head.set(true);
+                self.set_close_after_response();
+                Poll::Ready(())
+            }
+            Err(wanted) => {
+                *self.stalled_head.borrow_mut() = Some(StalledHead {
+                    waker: cx.waker().clone(),
+                    _wanted: wanted,
+                });
+                Poll::Pending
+            }
+        }
+    }
+
+    /// Wakes the task of the connection if a long head waits for memory.
+    fn resume_head(&self) {
+        if let Some(stalled) = &*self.stalled_head.borrow() {
+            stalled.waker.wake_by_ref();
+        }
+    }
+
+    /// Whether a long head waits for memory.
+    fn is_stalled(&self) -> bool {
+        self.stalled_head.borrow().is_some()
+    }
+
     /// Records that the response has been written completely.
     fn response_written(&self) {
         if self.phase.get() == Phase::Responding {
@@ -286,7 +338,7 @@
 
     /// Whether the head of a request has been received in part, and nothing more has arrived.
     pub fn has_incomplete_head(&self) -> bool {
-        self.phase.get() == Phase::ReadingHead && self.has_nothing_unread()
+        self.phase.get() == Phase::ReadingHead && (self.is_stalled() || self.has_nothing_unread())
     }
 
     /// Whether no received data is left to read, including data that has not been read from the socket.
@@ -351,10 +403,6 @@
         self.head_scan.set(scan);
         self.head_len
             .set(self.head_len.get() + bytes.len() - rest.len());
-        if self.head_len.get() > self.longest_head.get().max(SHORT_HEAD_LEN) {
-            self.longest_head.set(self.head_len.get());
-            self.account_buffers();
-        }
         self.bytes_after_head
             .set(self.bytes_after_head.get() + rest.len() as u64);
     }
@@ -381,7 +429,7 @@
         };
         !self.close_pending.get()
             && self.phase_since.get() + timeout <= now
-            && self.stream.nothing_to_read()
+            && (self.is_stalled() || self.stream.nothing_to_read())
     }
 
     /// Requests the task of the connection to close it. The descriptor is not freed before that, as there would be more
--- a/crates/proxy/src/net/client_connection/observed_stream.rs
+++ b/crates/proxy/src/net/client_connection/observed_stream.rs
@@ -5,7 +5,7 @@
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// A stream that records the data it reads, and the end of each response, in its [`ClientConnection`].
@@ -43,6 +43,7 @@
             return Poll::Ready(Ok(()));
         }
         drop(read_ahead);
+        ready!(self.connection.poll_read_head(cx));
         let before = buf.filled().len();
         let read = Pin::new(&mut self.socket).poll_read(cx, buf);
         self.connection.observe(&buf.filled()[before..]);
--- a/crates/proxy/src/net/client_connection/registry.rs
+++ b/crates/proxy/src/net/client_connection/registry.rs
@@ -133,6 +133,12 @@
         Some(connection.held_memory())
     }
 
+    /// Lets the heads go on that wait for memory.
+    pub fn resume_heads(&self) {
+        let connections = self.connections.borrow();
+        connections.values().for_each(|c| c.resume_head());
+    }
+
     /// Revokes the eviction of a connection on which data has arrived meanwhile.
     pub fn cancel_eviction(&self, connection: &ClientConnection) {
         self.evicted
--- a/crates/proxy/src/net/memory_budget/mod.rs
+++ b/crates/proxy/src/net/memory_budget/mod.rs
@@ -18,8 +18,8 @@
 
 /// Memory of the program itself, in bytes: its code, the runtime and the state of a small deployment.
 const PROGRAM_MEMORY: usize = 8 << 20;
-/// The part of the memory that is left for what is not counted, such as fragmentation: one eighth.
-const UNCOUNTED_DIVISOR: usize = 8;
+/// The sixteenths of the memory that are left for what is not counted, such as fragmentation.
+const UNCOUNTED_SIXTEENTHS: usize = 3;
 /// The smallest budget, in bytes: enough for a few calls.
 const MIN_BUDGET: usize = 1 << 20;
 
@@ -33,6 +33,9 @@
 pub const FIELD_COST: usize = 512;
 /// The copies of the head of a request: as received, and as written to an endpoint in a buffer that has grown.
 pub const HEAD_COPIES: usize = 3;
+/// What the read buffer of a client's connection grows by for a long head, in bytes: it doubles, and its next allocation is
+/// as large while a call holds the head.
+pub const LONG_HEAD_COST: usize = 48 * 1024;
 /// The read buffer that the head of a response holds, in bytes.
 pub const RESPONSE_HEAD_COST: usize = 8 * 1024;
 /// A listed endpoint, in bytes.
@@ -96,7 +99,7 @@
     pub fn for_process(memory: usize) -> Rc<Self> {
         let limit = memory
             .saturating_sub(PROGRAM_MEMORY)
-            .saturating_sub(memory / UNCOUNTED_DIVISOR);
+            .saturating_sub(memory / 16 * UNCOUNTED_SIXTEENTHS);
         MemoryBudget::new(limit.max(MIN_BUDGET))
     }
 
@@ -126,7 +129,7 @@
         if let Some(reservation) = self.reserve(purpose, bytes) {
             return Some(reservation);
         }
-        let _waiter = self.wait_for(Wanted { purpose, bytes });
+        let _wanted = self.want(purpose, bytes);
         let reserve = async {
             loop {
                 let released = self.released.notified();
@@ -176,10 +179,17 @@
         needed.saturating_sub(self.limit)
     }
 
-    fn wait_for(&self, wanted: Wanted) -> Waiter<'_> {
+    /// Registers that bytes are wanted, so that connections are evicted for them.
+    fn want(self: &Rc<Self>, purpose: Purpose, bytes: usize) -> WantedMemory {
         let id = self.next_waiter.replace(self.next_waiter.get() + 1);
-        self.waiting.borrow_mut().insert(id, wanted);
-        Waiter { budget: self, id }
+        self.waiting
+            .borrow_mut()
+            .insert(id, Wanted { purpose, bytes });
+        self.shortage.notify_one();
+        WantedMemory {
+            budget: Rc::clone(self),
+            id,
+        }
     }
 
     fn take(&self, bytes: usize) {
@@ -195,13 +205,14 @@
     }
 }
 
-/// The entry of a reservation that waits, which is removed when it is dropped.
-struct Waiter<'a> {
-    budget: &'a MemoryBudget,
+/// Memory that is wanted and not reserved yet, until this is dropped.
+#[derive(Debug)]
+pub struct WantedMemory {
+    budget: Rc<MemoryBudget>,
     id: u64,
 }
 
-impl Drop for Waiter<'_> {
+impl Drop for WantedMemory {
     fn drop(&mut self) {
         self.budget.waiting.borrow_mut().remove(&self.id);
     }
@@ -220,6 +231,18 @@
         self.bytes
     }
 
+    /// Reserves further bytes.
+    ///
+    /// # Errors
+    /// If they do not fit. Connections are evicted for them as long as the error is kept.
+    pub fn try_add(&mut self, purpose: Purpose, bytes: usize) -> Result<(), WantedMemory> {
+        if self.budget.missing_for(Wanted { purpose, bytes }) > 0 {
+            return Err(self.budget.want(purpose, bytes));
+        }
+        self.add(bytes);
+        Ok(())
+    }
+
     /// Counts further bytes that are taken in any case.
     pub fn add(&mut self, bytes: usize) {
         self.bytes += bytes;
--- a/crates/proxy/src/net/memory_budget/tests.rs
+++ b/crates/proxy/src/net/memory_budget/tests.rs
@@ -7,7 +7,7 @@
 
 #[test]
 fn the_budget_leaves_room_for_the_program_at_each_limit() {
-    for (memory_mb, budget_mb) in [(32, 20), (64, 48), (192, 160)] {
+    for (memory_mb, budget_mb) in [(32, 18), (64, 44), (192, 148)] {
         let budget = MemoryBudget::for_process(memory_mb << 20);
         assert_eq!(budget.limit(), budget_mb << 20);
     }
--- a/crates/proxy/src/net/server/memory_pressure.rs
+++ b/crates/proxy/src/net/server/memory_pressure.rs
@@ -16,7 +16,9 @@
                 self.evict_for_memory(self.memory_budget.missing());
                 let released = self.memory_budget.memory_released();
                 let _ = tokio::time::timeout(RELEASE_TIMEOUT, released).await;
+                self.clients.resume_heads();
             }
+            self.clients.resume_heads();
         }
     }
 
--- a/crates/proxy/src/net/socket.rs
+++ b/crates/proxy/src/net/socket.rs
@@ -15,7 +15,7 @@
 
 /// The maximum number of bytes that the HTTP library reads at once. It starts with a buffer that is one byte larger, and
 /// would double the buffer after each read that fills it, and keep it for as long as the connection is open.
-const MAX_READ_LEN: u64 = 8 * 1024 - 1;
+pub const MAX_READ_LEN: usize = 8 * 1024 - 1;
 
 /// A bidirectional byte stream. It is used through a shared reference, as several parts of the program share it.
 pub trait Stream {
@@ -189,7 +189,7 @@
 impl Socket {
     /// Creates an adapter of a shared stream.
     pub fn new(stream: &Rc<dyn Stream>) -> Self {
-        Socket(SharedStream(Rc::clone(stream)).take(MAX_READ_LEN))
+        Socket(SharedStream(Rc::clone(stream)).take(MAX_READ_LEN as u64))
     }
 
     fn stream(&self) -> &dyn Stream {
@@ -203,7 +203,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.0.set_limit(MAX_READ_LEN);
+        self.0.set_limit(MAX_READ_LEN as u64);
         Pin::new(&mut self.0).poll_read(cx, buf)
     }
 }
--- a/crates/proxy/tests/memory.rs
+++ b/crates/proxy/tests/memory.rs
@@ -1,7 +1,7 @@
 //! Peak memory of the program as a process, against the limit in its settings, while crowds of clients use up what they
 //! can and usual clients go on.
 
-use badgerramp_testkit::crowd::{Behavior, Crowd, SizedHosts, UsualTotals};
+use badgerramp_testkit::crowd::{Behavior, Crowd, Gate, SizedHosts, UsualTotals};
 use badgerramp_testkit::*;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
@@ -22,6 +22,8 @@
 /// How long a crowd stays: longer than the time limit of a request.
 const CROWD_TIME: Duration = Duration::from_secs(5);
 
+/// Clients that send at full speed.
+const FLOODING_CLIENTS: usize = 4;
 /// Lengths of fields, in bytes: of the shorter ones there are soon more than a head may have.
 const SHORT_FIELD: usize = 1;
 const LONG_FIELD: usize = 8_000;
@@ -60,12 +62,14 @@
         usual_clients: USUAL_CLIENTS,
         duration: CROWD_TIME,
         seed: memory_mb,
+        gate: Gate::default(),
     };
     let usual = crowd.start().join().expect("the crowd does not panic");
     let ended = proxy.child.try_wait().expect("a child");
     assert!(ended.is_none(), "the process has ended: {ended:?}");
+    let memory = MemoryUse::of(proxy.child.id()).expect("a running process");
     Observed {
-        peak: peak_anonymous_memory(proxy.child.id()) + RELEASED_CODE,
+        peak: memory.anonymous_peak() + RELEASED_CODE,
         usual,
         repeated: hosts.executions.repeated(),
     }
@@ -117,6 +121,18 @@
 fn memory_limit_is_kept_under_heads_of_many_fields() {
     let fields = Behavior::ManyFields {
         fields: 94,
+        length: 1,
+        work: 300,
+    };
+    assert_limit_is_kept(LEAST_MEMORY_MB, &[(fields, CROWD)]);
+}
+
+/// Guards against read buffers that grow with long heads on all connections at once.
+#[test]
+fn memory_limit_is_kept_under_long_heads() {
+    let fields = Behavior::ManyFields {
+        fields: 90,
+        length: 330,
         work: 300,
     };
     assert_limit_is_kept(LEAST_MEMORY_MB, &[(fields, CROWD)]);
@@ -133,3 +149,17 @@
         assert_limit_is_kept(LEAST_MEMORY_MB, &[(endless, CROWD)]);
     }
 }
+
+/// Guards against memory that grows, and other clients that starve, while connections send small requests at full speed.
+#[test]
+fn memory_limit_is_kept_while_connections_send_at_full_speed() {
+    for start in [
+        "GET /_health",
+        "GET /unknown-*",
+        "GET /safe/*?answer=10",
+        "POST /unsafe/*",
+    ] {
+        let flood = Behavior::Flood { start, batch: 100 };
+        assert_limit_is_kept(LEAST_MEMORY_MB, &[(flood, FLOODING_CLIENTS)]);
+    }
+}
--- a/crates/testkit/src/crowd/behavior.rs
+++ b/crates/testkit/src/crowd/behavior.rs
@@ -1,5 +1,6 @@
 //! What one client of a crowd does. Each goes on until its task is dropped.
 
+use super::gate::Gate;
 use super::http::read_response;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -46,10 +47,12 @@
         /// Length of the pieces.
         piece: usize,
     },
-    /// Sends complete requests with this number of short fields, one after the other.
+    /// Sends complete requests with this number of fields, one after the other, and asks for as many in the response.
     ManyFields {
         /// Number of fields.
         fields: usize,
+        /// Length of the value of each field.
+        length: usize,
         /// Work of each request at its host, in milliseconds.
         work: u64,
     },
@@ -77,14 +80,16 @@
 
 impl Behavior {
     /// Behaves like this for ever.
-    pub(super) async fn run(self, target: SocketAddr, seed: u64, number: usize) {
+    pub(super) async fn run(self, target: SocketAddr, gate: Gate, seed: u64, number: usize) {
         let mut random = Pcg32::seed_from_u64(seed ^ (number as u64) << 24 ^ 0xC0FFEE);
         let mut sequence = 0;
         loop {
-            // A client that is turned away comes again.
-            let _ = self
-                .run_connection(target, (seed, number), &mut sequence, &mut random)
-                .await;
+            if gate.is_open() {
+                // A client that is turned away comes again.
+                let _ = self
+                    .run_connection(target, (seed, number), &mut sequence, &mut random)
+                    .await;
+            }
             sleep(RECONNECT_PAUSE).await;
         }
     }
@@ -140,10 +145,16 @@
                     let pause = Duration::from_millis(random.gen_range(1..10));
                     write_slowly(&mut stream, &head, piece, pause).await?;
                 }
-                Behavior::ManyFields { fields, work } => {
-                    let mut head = get_head(&id, &format!("/safe?answer=100&work={work}"));
+                Behavior::ManyFields {
+                    fields,
+                    length,
+                    work,
+                } => {
+                    let path =
+                        format!("/safe?answer=100&work={work}&fields={fields}&length={length}");
+                    let mut head = get_head(&id, &path);
                     for field in 0..fields {
-                        head += &format!("x{field:x}:1\r\n");
+                        head += &format!("x{field:x}:{:1>length$}\r\n", "");
                     }
                     head += "\r\n";
                     stream.get_mut().write_all(head.as_bytes()).await?;
--- a/crates/testkit/src/crowd/hosts.rs
+++ b/crates/testkit/src/crowd/hosts.rs
@@ -11,6 +11,10 @@
 
 /// Name of the query parameter with the length of the response.
 const ANSWER_PARAMETER: &str = "answer=";
+/// Name of the query parameter with the number of fields in the response's head.
+const FIELDS_PARAMETER: &str = "fields=";
+/// Name of the query parameter with the length of each of these fields.
+const LENGTH_PARAMETER: &str = "length=";
 /// Name of the query parameter with the work of the request, in milliseconds.
 const WORK_PARAMETER: &str = "work=";
 
@@ -108,8 +112,9 @@
         let work = parameter(&head, WORK_PARAMETER).unwrap_or(2);
         tokio::time::sleep(Duration::from_millis(work as u64)).await;
         let answer = vec![b'a'; parameter(&head, ANSWER_PARAMETER).unwrap_or(2)];
+        let fields = response_fields(&head);
         let head = format!(
-            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n{fields}\r\n",
             answer.len()
         );
         stream.get_mut().write_all(head.as_bytes()).await.ok()?;
@@ -117,6 +122,15 @@
     }
 }
 
+/// The fields of the response that a request asks for.
+fn response_fields(head: &str) -> String {
+    let count = parameter(head, FIELDS_PARAMETER).unwrap_or(0);
+    let length = parameter(head, LENGTH_PARAMETER).unwrap_or(0);
+    (0..count)
+        .map(|field| format!("y{field:x}: {:1>length$}\r\n", ""))
+        .collect()
+}
+
 /// The value of a query parameter in the start line of a request.
 fn parameter(head: &str, name: &str) -> Option<usize> {
     let start_line = head.lines().next()?;
--- a/crates/testkit/src/crowd/mod.rs
+++ b/crates/testkit/src/crowd/mod.rs
@@ -3,15 +3,18 @@
 //!
 //! - `behavior`: what one client of a crowd does.
 //! - `usual`: clients that send one small request at a time, and what became of their requests.
+//! - `gate`: what the clients have to know of the signals that the program gets.
 //! - `hosts`: hosts whose responses are as long as the request asks, with a record of all executions.
 //! - `http`: reading of responses.
 
 mod behavior;
+mod gate;
 mod hosts;
 mod http;
 mod usual;
 
 pub use behavior::Behavior;
+pub use gate::Gate;
 pub use hosts::{ExecutionRecord, SizedHosts};
 pub use usual::{UsualClients, UsualTotals};
 
@@ -32,6 +35,8 @@
     pub duration: Duration,
     /// Seeds the pauses of the clients.
     pub seed: u64,
+    /// When the clients may open connections.
+    pub gate: Gate,
 }
 
 impl Crowd {
@@ -59,12 +64,13 @@
             target: self.target,
             count: self.usual_clients,
             seed: self.seed,
+            gate: self.gate.clone(),
         };
         let mut members = tokio::task::JoinSet::new();
         let mut number = 0;
         for (behavior, count) in self.members {
             for _ in 0..count {
-                members.spawn(behavior.run(self.target, self.seed, number));
+                members.spawn(behavior.run(self.target, self.gate.clone(), self.seed, number));
                 number += 1;
             }
         }
--- a/crates/testkit/src/crowd/usual.rs
+++ b/crates/testkit/src/crowd/usual.rs
@@ -1,5 +1,6 @@
 //! Clients that send one small request at a time, as the protocol describes them, and what became of their requests.
 
+use super::gate::Gate;
 use super::http::read_response;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -35,7 +36,7 @@
 }
 
 /// Usual clients.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct UsualClients {
     /// The proxy that they use.
     pub target: SocketAddr,
@@ -43,6 +44,8 @@
     pub count: usize,
     /// Seeds their pauses.
     pub seed: u64,
+    /// When they may open connections.
+    pub gate: Gate,
 }
 
 /// How one try of a request ended.
@@ -59,7 +62,7 @@
         let until = Instant::now() + duration;
         let mut clients = tokio::task::JoinSet::new();
         for number in 0..self.count {
-            clients.spawn(run_client(self, number, until));
+            clients.spawn(run_client(self.clone(), number, until));
         }
         let mut totals = UsualTotals::default();
         while let Some(client) = clients.join_next().await {
@@ -85,10 +88,10 @@
         sequence += 1;
         let id = format!("usual-{:x}-{number}-{sequence}", clients.seed);
         let request = request_text(&id, sequence);
-        let started = Instant::now();
-        let ended = send_request(&mut connection, clients.target, &request).await;
-        let Some(ended) = ended else {
-            // Nobody accepted the connection, so that nothing was taken.
+        let (started, kills) = (Instant::now(), clients.gate.kills());
+        let ended = send_request(&mut connection, &clients, &request).await;
+        let Some(ended) = ended.filter(|_| clients.gate.kills() == kills) else {
+            // Nobody accepted the connection, so that nothing was taken, or the program has been killed.
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
@@ -123,7 +126,7 @@
 /// once more on a new one, as the protocol says. `None` if it could not be sent.
 async fn send_request(
     connection: &mut Option<BufReader<TcpStream>>,
-    target: SocketAddr,
+    clients: &UsualClients,
     request: &str,
 ) -> Option<Ended> {
     if let Some(mut stream) = connection.take() {
@@ -135,7 +138,10 @@
             }
         }
     }
-    let stream = timeout(REQUEST_TIME, TcpStream::connect(target)).await;
+    if !clients.gate.is_open() {
+        return None;
+    }
+    let stream = timeout(REQUEST_TIME, TcpStream::connect(clients.target)).await;
     let stream = stream.ok()?.ok()?;
     let _ = stream.set_nodelay(true);
     let mut stream = BufReader::new(stream);
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -29,7 +29,7 @@
 pub use load::{run as load, LoadPlan, RequestKind, Result as LoadResult, Totals};
 pub use message::{read, read_head, Message};
 pub use program::*;
-pub use resource_usage::{open_descriptors, peak_anonymous_memory, peak_memory, resident_memory};
+pub use resource_usage::{open_descriptors, MemoryUse};
 
 use std::time::Duration;
 
--- a/crates/testkit/src/resource_usage.rs
+++ b/crates/testkit/src/resource_usage.rs
@@ -5,48 +5,44 @@
 /// Bytes in a KiB, the unit of the sizes in `/proc`.
 const KIB: u64 = 1024;
 
-/// The largest resident memory that the process has had, in bytes, with the pages of its files.
-///
-/// # Panics
-/// If the process has ended.
-pub fn peak_memory(pid: u32) -> u64 {
-    status_size(pid, "VmHWM:")
+/// The resident memory of a process, in bytes.
+#[derive(Clone, Copy, Debug)]
+pub struct MemoryUse {
+    /// What the process has now.
+    pub resident: u64,
+    /// The most that it has had.
+    pub peak: u64,
+    /// The part that is pages of files, such as the code. An unoptimized program has several times as many of them as the
+    /// released one.
+    pub file_backed: u64,
 }
 
-/// The same without the pages of files, of which an unoptimized program has several times as many as the released one.
-/// The pages of files are counted as they are now: they hardly change once the program runs.
-///
-/// # Panics
-/// If the process has ended.
-pub fn peak_anonymous_memory(pid: u32) -> u64 {
-    peak_memory(pid).saturating_sub(status_size(pid, "RssFile:"))
-}
+impl MemoryUse {
+    /// Reads the memory use of a process. `None` if it has ended.
+    pub fn of(pid: u32) -> Option<MemoryUse> {
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        Some(MemoryUse {
+            resident: size(&status, "VmRSS:")?,
+            peak: size(&status, "VmHWM:")?,
+            file_backed: size(&status, "RssFile:")?,
+        })
+    }
 
-/// The resident memory of the process, in bytes, with the pages of its files.
-///
-/// # Panics
-/// If the process has ended.
-pub fn resident_memory(pid: u32) -> u64 {
-    status_size(pid, "VmRSS:")
+    /// The peak without the pages of files, which hardly change once a program runs.
+    pub fn anonymous_peak(self) -> u64 {
+        self.peak.saturating_sub(self.file_backed)
+    }
 }
 
-/// The number of open descriptors of the process.
-///
-/// # Panics
-/// If the process has ended.
-pub fn open_descriptors(pid: u32) -> usize {
-    fs::read_dir(format!("/proc/{pid}/fd"))
-        .expect("a running process")
-        .count()
+/// The value of a field in the status of a process, in bytes.
+fn size(status: &str, field: &str) -> Option<u64> {
+    let line = status.lines().find_map(|line| line.strip_prefix(field))?;
+    let kib: u64 = line.split_whitespace().next()?.parse().ok()?;
+    Some(kib * KIB)
 }
 
-fn status_size(pid: u32, field: &str) -> u64 {
-    let status = fs::read_to_string(format!("/proc/{pid}/status")).expect("a running process");
-    let size = status
-        .lines()
-        .find_map(|line| line.strip_prefix(field)?.split_whitespace().next());
-    let kib: u64 = size
-        .and_then(|size| size.parse().ok())
-        .expect("the status of a process that has memory");
-    kib * KIB
+/// The number of open descriptors of a process. `None` if it has ended.
+pub fn open_descriptors(pid: u32) -> Option<usize> {
+    let descriptors = fs::read_dir(format!("/proc/{pid}/fd")).ok()?;
+    Some(descriptors.count())
 }
