Proxy: a crowd that comes at full speed waits behind the requests of others

Seen by callers: usual clients got no answer within 2 s.

Cause: all connections in the listener's queue were accepted in one go, up to 128 at a time, and each then had its turn before a usual client's request was read; a request needs about five turns. Evidence: with 238 such clients on eight threads the slowest usual answer took 0.38 to 1.19 s in plays of 4 s, nine of ten of the process's time being the kernel's, for reads and closes of these connections. Ruled out: places (332 open at most, of 350), memory (17 MiB of 64), requests that are rejected at capacity (none), long reads in one turn (a smaller receive buffer and larger reads while closing did not help, 0.11 to 1.19 s; not kept).

Fix: one connection is accepted for each turn of the others.

Test: a_request_is_read_before_a_crowd_that_comes_at_once_has_been_accepted; without the fix 101 are accepted before.

--- a/crates/proxy/src/net/server/accept.rs
+++ b/crates/proxy/src/net/server/accept.rs
@@ -43,6 +43,9 @@
         loop {
             if let Some(stream) = waiting.take_if(|_| self.has_place(crowded_since.get())) {
                 self.spawn_connection(stream, shutdown.clone());
+                // One new connection for each turn of the others: a crowd that comes and goes at full speed waits in the
+                // listener's queue, and not before the requests of others.
+                tokio::task::yield_now().await;
             }
             if waiting.is_some() && crowded_since.get().is_none() {
                 crowded_since.set(Some(self.driver.clock().now()));
--- a/crates/proxy/tests/race_conditions/capacity.rs
+++ b/crates/proxy/tests/race_conditions/capacity.rs
@@ -67,3 +67,26 @@
         );
     });
 }
+
+/// A crowd that came and went at full speed was accepted in one go, again and again, before the requests of others were read.
+#[test]
+fn a_request_is_read_before_a_crowd_that_comes_at_once_has_been_accepted() {
+    const CROWD: usize = 100;
+    run_local(async || {
+        let host = Host::serving("ok");
+        let program = InProcessProxy::start(1_024, &host).await;
+        let (mut usual, _) = on_client_thread(program.client(), |c| c.call("safe", "900m")).await;
+        // Nothing of the program runs between these steps.
+        let crowd: Vec<Client> = (0..CROWD).map(|_| program.client()).collect();
+        usual.send("unsafe", "900m");
+        program.hooks.wait_until_read(0).await;
+        let accepted = program.hooks.accepted.borrow().len();
+        assert!(
+            accepted < CROWD / 2,
+            "{accepted} accepted before the request was read"
+        );
+        let (_, answer) = on_client_thread(usual, read_answer).await;
+        assert_eq!(answer.map(|a| a.status()), Some(200));
+        drop(crowd);
+    });
+}
