Fault tests: a soak of one proxy under crowds, reloads, SIGTERM and SIGKILL

A run has three lives of one process with 32, 64 or 192 MB and 256 or 1,024 descriptors, and 8 to 24 hosts. Crowds of up to a third of the descriptors are drawn from nine behaviors; meanwhile the process gets SIGHUP up to four times, then SIGKILL, or SIGTERM and SIGKILL 3.7 s later, until when clients go on with the connections that they have. Checked: peak memory, ends that nobody asked for, requests of usual clients without a final answer, requests that must not run twice, and that usual clients are served once the crowd has gone.

--- a/crates/fault-injection/src/lib.rs
+++ b/crates/fault-injection/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`policy`]: test of policy changes.
 //! - [`drains`]: test of hosts that drain while the watches on the endpoint list are silent.
 //! - [`scale`]: test of a large fleet and of what the control plane costs there.
+//! - [`soak`]: test of one proxy under crowds of clients and signals.
 //! - [`start`]: test of a simultaneous start of all proxies.
 //! - [`report`]: tables and plots of policy runs.
 #![forbid(unsafe_code)]
@@ -42,6 +43,7 @@
 pub mod report;
 pub mod scale;
 pub mod schedule;
+pub mod soak;
 pub mod start;
 
 /// The clock of all records, which is also the clock that leases are measured with.
--- a/crates/simulator/src/fault_test.rs
+++ b/crates/simulator/src/fault_test.rs
@@ -22,6 +22,8 @@
     ColdStart(Box<crate::fault_test_cold_start::ColdStart>),
     /// Drain hosts while the list watches of all proxies are silent.
     Drains(crate::fault_test_drains::Drains),
+    /// Let crowds of clients use up what they can while one proxy is reloaded, ended and killed.
+    Soak(crate::fault_test_soak::Soak),
     /// Run a large fleet, in which most proxies share processes. Measures the cost of the control plane, and checks its
     /// invariants while proxies, machines, racks and zones fail and regions are partitioned.
     Scale(crate::fault_test_scale::Scale),
@@ -88,6 +90,7 @@
         FaultTest::Policy(options) => options,
         FaultTest::ColdStart(options) => return crate::fault_test_cold_start::run(&options),
         FaultTest::Drains(options) => return crate::fault_test_drains::run(&options),
+        FaultTest::Soak(options) => return crate::fault_test_soak::run(&options),
         FaultTest::Scale(options) => return crate::fault_test_scale::run(&options),
     };
     let runtime = tokio::runtime::Builder::new_multi_thread()
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -30,6 +30,7 @@
 mod fault_test_cold_start;
 mod fault_test_drains;
 mod fault_test_scale;
+mod fault_test_soak;
 pub mod generate;
 pub mod hollow_proxies;
 pub mod hunt;
--- a/crates/testkit/src/crowd/mod.rs
+++ b/crates/testkit/src/crowd/mod.rs
@@ -16,7 +16,7 @@
 pub use behavior::Behavior;
 pub use gate::Gate;
 pub use hosts::{ExecutionRecord, SizedHosts};
-pub use usual::{UsualClients, UsualTotals};
+pub use usual::{Loss, UsualClients, UsualTotals};
 
 use std::net::SocketAddr;
 use std::thread;
--- a/crates/testkit/src/crowd/usual.rs
+++ b/crates/testkit/src/crowd/usual.rs
@@ -15,8 +15,21 @@
 /// A response is late, but not lost, for this long after the time of its request.
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
 
+/// A request that got no final answer.
+#[derive(Clone, Debug)]
+pub struct Loss {
+    /// Id of the request.
+    pub id: String,
+    /// Whether its connection was closed; otherwise nothing came.
+    pub is_closed: bool,
+    /// When the client began to send it.
+    pub sent_at: std::time::Instant,
+    /// How long the client waited.
+    pub waited: Duration,
+}
+
 /// What became of the requests of usual clients.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct UsualTotals {
     /// Requests that were written completely.
     pub sent: usize,
@@ -30,7 +43,7 @@
     pub late: usize,
     /// Requests with no final answer half a second after their time, or whose connection was closed after they had
     /// been sent on a new one.
-    pub lost: usize,
+    pub lost: Vec<Loss>,
     /// The longest time that a request took to be answered.
     pub slowest: Duration,
 }
@@ -72,7 +85,7 @@
             totals.refused += client.refused;
             totals.failed += client.failed;
             totals.late += client.late;
-            totals.lost += client.lost;
+            totals.lost.extend(client.lost);
             totals.slowest = totals.slowest.max(client.slowest);
         }
         totals
@@ -102,7 +115,12 @@
             Ended::Answered(429 | 503) => totals.refused += 1,
             Ended::Answered(_) => totals.failed += 1,
             Ended::Late => totals.late += 1,
-            Ended::Closed | Ended::Nothing => totals.lost += 1,
+            Ended::Closed | Ended::Nothing => totals.lost.push(Loss {
+                id,
+                is_closed: matches!(ended, Ended::Closed),
+                sent_at: started.into_std(),
+                waited: started.elapsed(),
+            }),
         }
         let pause = random.gen_range(5..60);
         tokio::time::sleep(Duration::from_millis(pause)).await;
