--- a/crates/proxy/src/net/client_connection/mod.rs
+++ b/crates/proxy/src/net/client_connection/mod.rs
@@ -5,11 +5,13 @@
 //!
 //! - `eviction`: which connections may be closed for others, and in which order.
 //! - `head_scan`: detection of the end of a request head.
+//! - `memory`: the memory that a connection holds, and heads that wait for it.
 //! - `observed_stream`: the stream that hyper reads and writes.
 //! - `registry`: all connections, with eviction and timeouts.
 
 mod eviction;
 mod head_scan;
+mod memory;
 mod observed_stream;
 mod registry;
 #[cfg(test)]
@@ -20,19 +22,19 @@
 pub use registry::ClientConnections;
 
 use super::clock::Clock;
-use super::memory_budget::{Purpose, WantedMemory, CLIENT_CONNECTION_COST, LONG_HEAD_COST};
-use super::socket::{Stream, MAX_READ_LEN};
+use super::socket::Stream;
 use super::upstream::Client;
 use super::{Descriptor, Reservation};
 use badgerramp_decisions::Micros;
 use eviction::EvictionClass;
 use head_scan::HeadScan;
+use memory::StalledHead;
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::io;
 use std::net::IpAddr;
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker};
+use std::task::Poll;
 use tokio::io::ReadBuf;
 use tokio::sync::Notify;
 
@@ -45,8 +47,6 @@
 const MAX_READ_AHEAD: usize = 32 * 1024;
 /// The maximum number of bytes that are read and discarded for the same purpose at once.
 const MAX_DISCARDED: usize = 1 << 20;
-/// The length of a head up to which the read buffer of a connection need not grow, in bytes.
-const SHORT_HEAD_LEN: usize = MAX_READ_LEN;
 /// The maximum number of bytes that are read and discarded after the last response.
 const MAX_LINGER_LEN: usize = 64 * 1024;
 
@@ -67,12 +67,6 @@
     Closing,
 }
 
-/// A head that waits for memory.
-struct StalledHead {
-    waker: Waker,
-    _wanted: WantedMemory,
-}
-
 /// One connection of a client.
 pub struct ClientConnection {
     id: u64,
@@ -236,76 +230,6 @@
         self.head_len.get()
     }
 
-    /// Holds the memory of the request in flight until its response has been written.
-    pub fn hold_request_memory(&self, memory: Reservation) {
-        *self.request_memory.borrow_mut() = Some(memory);
-    }
-
-    /// Releases the memory of the body of the request in flight. What exceeds `head_cost` is the body's.
-    pub fn release_body_memory(&self, head_cost: usize) {
-        if let Some(memory) = &mut *self.request_memory.borrow_mut() {
-            memory.shrink_to(head_cost);
-        }
-    }
-
-    /// The memory that is released when the connection is closed, in bytes.
-    fn held_memory(&self) -> usize {
-        let request_memory = self.request_memory.borrow();
-        self.memory.borrow().bytes() + request_memory.as_ref().map_or(0, Reservation::bytes)
-    }
-
-    /// Adjusts the memory of the connection to its buffers.
-    fn account_buffers(&self) {
-        let grown = if self.has_long_head.get() {
-            LONG_HEAD_COST
-        } else {
-            0
-        };
-        let read_ahead = self.read_ahead.borrow().capacity();
-        self.memory
-            .borrow_mut()
-            .resize(CLIENT_CONNECTION_COST + grown + read_ahead);
-    }
-
-    /// Whether more of a head may be read. A long head waits until there is memory for it, and the response to its request
-    /// closes the connection, whose buffer has grown.
-    fn poll_read_head(&self, cx: &Context<'_>) -> Poll<()> {
-        let needs_memory = self.phase.get() == Phase::ReadingHead
-            && self.head_len.get() >= SHORT_HEAD_LEN
-            && !self.has_long_head.get();
-        if !needs_memory {
-            return Poll::Ready(());
-        }
-        let mut memory = self.memory.borrow_mut();
-        match memory.try_add(Purpose::LongRequest, LONG_HEAD_COST) {
-            Ok(()) => {
-                self.stalled_head.take();
-                self.has_long_head.set(true);
-                self.set_close_after_response();
-                Poll::Ready(())
-            }
-            Err(wanted) => {
-                *self.stalled_head.borrow_mut() = Some(StalledHead {
-                    waker: cx.waker().clone(),
-                    _wanted: wanted,
-                });
-                Poll::Pending
-            }
-        }
-    }
-
-    /// Wakes the task of the connection if a long head waits for memory.
-    fn resume_head(&self) {
-        if let Some(stalled) = &*self.stalled_head.borrow() {
-            stalled.waker.wake_by_ref();
-        }
-    }
-
-    /// Whether a long head waits for memory.
-    fn is_stalled(&self) -> bool {
-        self.stalled_head.borrow().is_some()
-    }
-
     /// Records that the response has been written completely.
     fn response_written(&self) {
         if self.phase.get() == Phase::Responding {
@@ -369,6 +293,7 @@
     /// 9.6).
     pub async fn linger(&self) {
         self.phase.set(Phase::Closing);
+        self.stalled_head.take();
         self.stream.shutdown();
         let mut bytes = [0; 1024];
         let mut left = MAX_LINGER_LEN;
