Proxy: joined writes in place of a system call that the platform may not know

What matters for memory stays: nothing keeps the joined copy, and what is left of a body after a partial write is written from where it is.

--- a/crates/proxy/src/net/socket.rs
+++ b/crates/proxy/src/net/socket.rs
@@ -25,14 +25,20 @@
     /// Writes data, as [`AsyncWrite::poll_write`] does. The written bytes have been handed to the operating system.
     fn poll_write(&self, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>>;
 
-    /// Writes several buffers at once, as [`AsyncWrite::poll_write_vectored`] does.
+    /// Writes several buffers at once, as [`AsyncWrite::poll_write_vectored`] does. They are joined in a buffer that is
+    /// freed after the write.
     fn poll_write_vectored(
         &self,
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let joined: Vec<u8> = bufs.iter().flat_map(|buf| buf.iter()).copied().collect();
-        self.poll_write(cx, &joined)
+        match bufs {
+            [buf] => self.poll_write(cx, buf),
+            _ => {
+                let slices: Vec<&[u8]> = bufs.iter().map(|buf| &**buf).collect();
+                self.poll_write(cx, &slices.concat())
+            }
+        }
     }
 
     /// Shuts down the write side.
@@ -119,21 +125,6 @@
         }
     }
 
-    fn poll_write_vectored(
-        &self,
-        cx: &mut Context<'_>,
-        bufs: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            match self.try_write_vectored(bufs) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    ready!(self.poll_write_ready(cx))?;
-                }
-                written => return Poll::Ready(written),
-            }
-        }
-    }
-
     fn shutdown(&self) {
         // This fails if the connection has been closed by the other side, which is not an error here.
         let _ = SockRef::from(self).shutdown(std::net::Shutdown::Write);
