--- a/crates/proxy/tests/memory.rs
+++ b/crates/proxy/tests/memory.rs
@@ -138,6 +138,32 @@
     assert_limit_is_kept(LEAST_MEMORY_MB, &[(fields, CROWD)]);
 }
 
+/// The budget follows the limit: crowds of all kinds at once, at the other limits that are usual.
+#[test]
+fn memory_limit_is_kept_by_a_mixed_crowd_at_each_limit() {
+    let kept = Behavior::Kept {
+        request: 64 << 10,
+        response: 64 << 10,
+        pause: 50,
+    };
+    let fields = Behavior::ManyFields {
+        fields: 90,
+        length: 300,
+        work: 50,
+    };
+    let unread = Behavior::UnreadResponse { response: 64 << 10 };
+    let crowd = CROWD / 4;
+    let members = [
+        (kept, crowd),
+        (fields, crowd),
+        (unread, crowd),
+        (slow_body(true), crowd),
+    ];
+    for memory_mb in [LEAST_MEMORY_MB, 64, 192] {
+        assert_limit_is_kept(memory_mb, &members);
+    }
+}
+
 #[test]
 fn memory_limit_is_kept_under_heads_without_end() {
     for field in [SHORT_FIELD, LONG_FIELD] {
--- a/crates/simulator/src/fault_test.rs
+++ b/crates/simulator/src/fault_test.rs
@@ -8,6 +8,7 @@
 use badgerramp_fault_injection::report;
 use badgerramp_fault_injection::schedule::{Fault, FaultSchedule, Kind, KINDS};
 use clap::{Args, Subcommand};
+use std::future::Future;
 use std::io::Write;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -93,12 +94,19 @@
         FaultTest::Soak(options) => return crate::fault_test_soak::run(&options),
         FaultTest::Scale(options) => return crate::fault_test_scale::run(&options),
     };
+    block_on(run_policy_tests(&options))
+}
+
+/// Runs a test on a runtime of its own.
+pub(crate) fn block_on(
+    test: impl Future<Output = Result<bool, String>>,
+) -> Result<bool, simulation::SimulationError> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build();
     let runtime = runtime.map_err(|e| simulation::SimulationError::Other(e.to_string()))?;
     runtime
-        .block_on(run_policy_tests(&options))
+        .block_on(test)
         .map_err(simulation::SimulationError::Other)
 }
 
--- a/crates/simulator/src/fault_test_cold_start.rs
+++ b/crates/simulator/src/fault_test_cold_start.rs
@@ -138,13 +138,7 @@
     if options.in_virtual_time {
         return Ok(run_in_virtual_time(options));
     }
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build();
-    let runtime = runtime.map_err(|e| simulation::SimulationError::Other(e.to_string()))?;
-    runtime
-        .block_on(run_all(options))
-        .map_err(simulation::SimulationError::Other)
+    crate::fault_test::block_on(run_all(options))
 }
 
 /// Simulates the start in virtual time. Returns whether in each run all proxies received the newest list. Without faults, no
--- a/crates/simulator/src/fault_test_drains.rs
+++ b/crates/simulator/src/fault_test_drains.rs
@@ -56,13 +56,7 @@
 /// # Errors
 /// If a run could not be executed.
 pub(crate) fn run(options: &Drains) -> Result<bool, simulation::SimulationError> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build();
-    let runtime = runtime.map_err(|e| simulation::SimulationError::Other(e.to_string()))?;
-    runtime
-        .block_on(run_all(options))
-        .map_err(simulation::SimulationError::Other)
+    crate::fault_test::block_on(run_all(options))
 }
 
 async fn run_all(options: &Drains) -> Result<bool, String> {
--- a/crates/simulator/src/fault_test_scale.rs
+++ b/crates/simulator/src/fault_test_scale.rs
@@ -84,13 +84,7 @@
 /// # Errors
 /// If a run could not be executed.
 pub(crate) fn run(options: &Scale) -> Result<bool, simulation::SimulationError> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build();
-    let runtime = runtime.map_err(|e| simulation::SimulationError::Other(e.to_string()))?;
-    runtime
-        .block_on(run_until_signal(options))
-        .map_err(simulation::SimulationError::Other)
+    crate::fault_test::block_on(run_until_signal(options))
 }
 
 /// Runs the test until it ends, or until SIGTERM or SIGINT arrives. In both cases all processes of the fleet are terminated.
--- a/crates/simulator/src/fault_test_soak.rs
+++ b/crates/simulator/src/fault_test_soak.rs
@@ -38,13 +38,7 @@
 /// # Errors
 /// If a run could not be executed.
 pub(crate) fn run(options: &Soak) -> Result<bool, simulation::SimulationError> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build();
-    let runtime = runtime.map_err(|e| simulation::SimulationError::Other(e.to_string()))?;
-    runtime
-        .block_on(run_all(options))
-        .map_err(simulation::SimulationError::Other)
+    crate::fault_test::block_on(run_all(options))
 }
 
 async fn run_all(options: &Soak) -> Result<bool, String> {
