Proxy: when memory is short, what has been idle longest is closed first

Read while going through the change once more: idle clients were evicted before idle connections to hosts, however old these were. With hundreds of hosts the idle connections to them can fill the budget at 32 MB, so that usual clients' connections would have been closed again and again. Now the one that has been idle longest goes first, of either side; a new connection to a host takes the place of an idle one at once.

Not shown to fail before: no test of its own.

--- a/crates/proxy/src/net/client_connection/registry.rs
+++ b/crates/proxy/src/net/client_connection/registry.rs
@@ -96,6 +96,16 @@
             .is_some()
     }
 
+    /// Since when the connection has been idle that has been so longest, of those that may be evicted.
+    pub fn longest_idle_since(&self, now: Micros) -> Option<Micros> {
+        let connections = self.connections.borrow();
+        let idle = connections.values().filter(|connection| {
+            let class = connection.eviction_class(now, 0);
+            class.is_some_and(|class| class <= EvictionClass::Idle)
+        });
+        idle.map(|connection| connection.waiting_since()).min()
+    }
+
     /// Evicts the connection that has been idle longest, and returns the memory that it holds.
     pub fn evict_idle_for_memory(&self, now: Micros) -> Option<usize> {
         self.evict_up_to(EvictionClass::Idle, now, 0)
--- a/crates/proxy/src/net/memory_budget/mod.rs
+++ b/crates/proxy/src/net/memory_budget/mod.rs
@@ -39,7 +39,7 @@
 /// The read buffer that the head of a response holds, in bytes.
 pub const RESPONSE_HEAD_COST: usize = 8 * 1024;
 /// A listed endpoint, in bytes.
-pub const ENDPOINT_COST: usize = 2 * 1024;
+pub const ENDPOINT_COST: usize = 3 * 512;
 
 /// What memory is reserved for. The further a request has come, the more of the budget it may use: what has been begun is
 /// finished before something new is begun.
--- a/crates/proxy/src/net/upstream/pool.rs
+++ b/crates/proxy/src/net/upstream/pool.rs
@@ -7,7 +7,7 @@
 use crate::net::clock::Clock;
 use crate::net::memory_budget::{Purpose, UPSTREAM_CONNECTION_COST};
 use crate::net::socket::{Network, Socket};
-use crate::net::{Descriptors, MemoryBudget};
+use crate::net::{Descriptors, MemoryBudget, Reservation};
 use badgerramp_decisions::settings::Transport;
 use badgerramp_decisions::{EndpointId, Micros, Outcome};
 use hyper::client::conn::http1;
@@ -117,6 +117,13 @@
         idle.retain(|_, connections| !connections.is_empty());
     }
 
+    /// Since when the connection has been idle that has been so longest; `None` if there is none.
+    pub fn longest_idle_since(&self) -> Option<Micros> {
+        let idle = self.idle.borrow();
+        let oldest = idle.values().filter_map(|connections| connections.first());
+        oldest.map(|connection| connection.idle_since).min()
+    }
+
     /// Closes the connection that has been idle longest, to free its descriptor. Returns false if there is none.
     pub fn evict_idle(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
@@ -217,15 +224,7 @@
             None if self.evict_idle() => self.descriptors.acquire().ok_or(Outcome::NotSent)?,
             None => return Err(Outcome::NotSent),
         };
-        let memory = self
-            .memory_budget
-            .reserve_within(
-                Purpose::ShortRequest,
-                UPSTREAM_CONNECTION_COST,
-                MEMORY_PATIENCE,
-            )
-            .await
-            .ok_or(Outcome::NotSent)?;
+        let memory = self.connection_memory().await.ok_or(Outcome::NotSent)?;
         let connect = tokio::time::timeout(
             Duration::from_micros(timeout),
             self.network.connect(target.address),
@@ -265,6 +264,18 @@
         }
     }
 
+    /// Reserves the memory of a new connection. If it does not fit, the connection that has been idle longest makes room.
+    async fn connection_memory(&self) -> Option<Reservation> {
+        let (purpose, bytes) = (Purpose::ShortRequest, UPSTREAM_CONNECTION_COST);
+        if let Some(memory) = self.memory_budget.reserve(purpose, bytes) {
+            return Some(memory);
+        }
+        self.evict_idle();
+        self.memory_budget
+            .reserve_within(purpose, bytes, MEMORY_PATIENCE)
+            .await
+    }
+
     /// Returns a connection to the pool after an exchange, if it can be reused.
     pub(super) async fn check_in(&self, endpoint: EndpointId, mut connection: UpstreamConnection) {
         let current = self.generations.borrow().get(&endpoint) == Some(&connection.generation);
