--- a/review/10/main.rs
+++ b/review/10/main.rs
@@ -151,6 +151,19 @@
         );
     }
     let file = folder.join("batch.toml");
+    let single = Command::new("/bin/sh")
+        .arg("-c")
+        .arg(format!(
+            "exec target/release/badgerramp check '{}'",
+            file.display()
+        ))
+        .current_dir(root())
+        .output()
+        .unwrap_or_else(|e| cannot_run(&format!("check: {e}")));
+    rec(&format!("badgerramp check batch.toml: {}", single.status));
+    if !single.status.success() {
+        verdict(false, "the file is refused by itself");
+    }
     let command = format!("exec target/release/badgerramp run '{}'", file.display());
     let child = start_command(&command, &[], &temporary.join("batch.log"));
     let mut proxy = wait_healthy("batch", batch, child);
