--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -628,7 +628,11 @@
 /// Where the ids of started processes are kept for the script, which ends what this program could not.
 static PID_FILE: OnceLock<PathBuf> = OnceLock::new();
 
+/// Ends the client proxies that still run. The file of their ids goes first: a number may belong to another process later.
 pub fn kill_children() {
+    if let Some(path) = PID_FILE.get() {
+        let _ = std::fs::remove_file(path);
+    }
     // After a panic the lock may be held by this thread.
     if let Ok(mut children) = CHILDREN.try_lock() {
         for pid in children.drain(..) {
@@ -637,6 +641,20 @@
     }
 }
 
+fn write_ids(children: &[u32]) {
+    if let Some(path) = PID_FILE.get() {
+        let ids: Vec<String> = children.iter().map(u32::to_string).collect();
+        let _ = std::fs::write(path, ids.join("\n") + "\n");
+    }
+}
+
+/// A child that has been waited for: its id may be given to another process.
+fn forget_child(pid: u32) {
+    let mut children = CHILDREN.lock().expect("children");
+    children.retain(|&child| child != pid);
+    write_ids(&children);
+}
+
 pub fn signal(pid: u32, name: &str) {
     let _ = Command::new("sh")
         .arg("-c")
@@ -704,10 +722,7 @@
         .unwrap_or_else(|e| cannot_run(&format!("{command}: {e}")));
     let mut children = CHILDREN.lock().expect("children");
     children.push(child.id());
-    if let Some(path) = PID_FILE.get() {
-        let ids: Vec<String> = children.iter().map(u32::to_string).collect();
-        let _ = std::fs::write(path, ids.join("\n") + "\n");
-    }
+    write_ids(&children);
     drop(children);
     child
 }
@@ -767,6 +782,7 @@
     let until = Instant::now() + Duration::from_secs(20);
     while Instant::now() < until {
         if let Ok(Some(status)) = child.try_wait() {
+            forget_child(child.id());
             cannot_run(&format!("{name} ended at its start: {status}"));
         }
         if let Ok(stream) = TcpStream::connect(address) {
@@ -795,7 +811,17 @@
 impl Proxy {
     /// Whether the process still runs.
     pub fn runs(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
+        let runs = matches!(self.child.try_wait(), Ok(None));
+        if !runs {
+            forget_child(self.child.id());
+        }
+        runs
+    }
+    /// Kills the process if it still runs, and waits for its end.
+    pub fn end(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        forget_child(self.child.id());
     }
     pub fn signal(&self, name: &str) {
         rec(&format!("{name} to {}", self.name));
