--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -624,26 +624,53 @@
 
 // ---------------------------------------------------------------- client proxies
 
-static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+static CHILDREN: Mutex<Vec<Process>> = Mutex::new(Vec::new());
 /// Where the ids of started processes are kept for the script, which ends what this program could not.
 static PID_FILE: OnceLock<PathBuf> = OnceLock::new();
 
-/// Ends the client proxies that still run. The file of their ids goes first: a number may belong to another process later.
+/// A process that this program has started. Clones stand for the same one.
+#[derive(Clone)]
+pub struct Process {
+    id: u32,
+    child: Arc<Mutex<Child>>,
+}
+
+impl Process {
+    pub fn id(&self) -> u32 {
+        self.id
+    }
+
+    /// Its status if it has ended.
+    pub fn try_wait(&self) -> std::io::Result<Option<std::process::ExitStatus>> {
+        self.child.lock().expect("a child").try_wait()
+    }
+
+    /// Kills it if it still runs, and waits for its end, so that nothing is left of it.
+    pub fn end(&self) {
+        // After a panic the lock may be held by this thread.
+        if let Ok(mut child) = self.child.try_lock() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// Ends the client proxies that still run, and waits for them. The file of their ids goes first: a number may belong to
+/// another process later.
 pub fn kill_children() {
     if let Some(path) = PID_FILE.get() {
         let _ = std::fs::remove_file(path);
     }
-    // After a panic the lock may be held by this thread.
     if let Ok(mut children) = CHILDREN.try_lock() {
-        for pid in children.drain(..) {
-            signal(pid, "KILL");
+        for child in children.drain(..) {
+            child.end();
         }
     }
 }
 
-fn write_ids(children: &[u32]) {
+fn write_ids(children: &[Process]) {
     if let Some(path) = PID_FILE.get() {
-        let ids: Vec<String> = children.iter().map(u32::to_string).collect();
+        let ids: Vec<String> = children.iter().map(|c| c.id.to_string()).collect();
         let _ = std::fs::write(path, ids.join("\n") + "\n");
     }
 }
@@ -651,7 +678,7 @@
 /// A child that has been waited for: its id may be given to another process.
 fn forget_child(pid: u32) {
     let mut children = CHILDREN.lock().expect("children");
-    children.retain(|&child| child != pid);
+    children.retain(|child| child.id != pid);
     write_ids(&children);
 }
 
@@ -666,7 +693,7 @@
 pub struct Proxy {
     pub name: String,
     pub address: SocketAddr,
-    pub child: Child,
+    pub child: Process,
 }
 
 /// A free loopback port.
@@ -705,7 +732,7 @@
 }
 
 /// Starts a command from the root with `/bin/sh -c`; its log goes into the temporary folder.
-pub fn start_command(command: &str, variables: &[(&str, String)], log: &Path) -> Child {
+pub fn start_command(command: &str, variables: &[(&str, String)], log: &Path) -> Process {
     let log = File::create(log).unwrap_or_else(|e| cannot_run(&format!("log: {e}")));
     let mut start = Command::new("/bin/sh");
     start
@@ -721,7 +748,11 @@
         .spawn()
         .unwrap_or_else(|e| cannot_run(&format!("{command}: {e}")));
     let mut children = CHILDREN.lock().expect("children");
-    children.push(child.id());
+    let child = Process {
+        id: child.id(),
+        child: Arc::new(Mutex::new(child)),
+    };
+    children.push(child.clone());
     write_ids(&children);
     drop(children);
     child
@@ -778,7 +809,7 @@
 }
 
 /// Waits until the health check answers 200.
-pub fn wait_healthy(name: &str, address: SocketAddr, mut child: Child) -> Proxy {
+pub fn wait_healthy(name: &str, address: SocketAddr, child: Process) -> Proxy {
     let until = Instant::now() + Duration::from_secs(20);
     while Instant::now() < until {
         if let Ok(Some(status)) = child.try_wait() {
@@ -819,8 +850,7 @@
     }
     /// Kills the process if it still runs, and waits for its end.
     pub fn end(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.child.end();
         forget_child(self.child.id());
     }
     pub fn signal(&self, name: &str) {
