Proxy: a response that other data follows is not served, as it may be cut off

Cause: an attempt took its response for sound as soon as its framing was complete. What lay behind was looked at only to decide about reuse of the connection, after which the response was classified all the same; with Connection: close, HTTP/1.0 and long heads it was not looked at at all. So were served, or passed on as errors: a Content-Length that is too small (also 0), a last chunk that comes too early, bodies behind 204, 304 and responses to HEAD. A cut 503 with X-Not-Processed was taken for proof that nothing ran.

Change: when a response is complete, the connection is polled and the socket peeked at. Is anything behind it, the attempt ends as an error that may have run, for every method and status. Only a second copy of the whole response, and nothing else, is no error: the bytes are parsed as a response to the same request and have to be equal. Nothing is waited for. Rare paths are boxed; opening an HTTP connection has moved from the pool to the connection.

bytes_after_a_response_are_never_read_as_another_response is replaced: it asked that a response with noise, a line end or another response behind it is served. Byte for byte that is a cut response, and the rule on lost requests forbids to serve one. It holds the same three forms now to 502, one attempt and no reuse; a_second_copy_of_a_response_is_never_read_as_another_response holds the second copy to 200 and no reuse.

The simulator's hosts spoil responses so, too; its defect used-with-noise follows the code, truncated-served is new.

--- a/crates/proxy/src/net/upstream/attempt.rs
+++ b/crates/proxy/src/net/upstream/attempt.rs
@@ -2,17 +2,20 @@
 //! request and classifies the response.
 
 use super::body::ReceivedBody;
-use super::connection::ExchangeError;
+use super::connection::{ExchangeError, UpstreamConnection};
 use super::exchange::{AttemptResult, AttemptTarget, Request, UpstreamResponse};
 use super::load_report;
 use super::pool::ConnectionPool;
+use super::trailing_data::{FramedResponse, TrailingData};
+use crate::log::CALLS;
 use badgerramp_decisions::{Micros, Outcome};
 use badgerramp_route::Verdict;
 use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
-use hyper::{Response, StatusCode, Uri};
+use hyper::{Response, Uri};
 use std::fmt::Write;
+use tracing::debug;
 
 const X_TIMEOUT: HeaderName = HeaderName::from_static("x-timeout");
 
@@ -39,7 +42,7 @@
         },
     };
     if !may_start() {
-        pool.check_in(target.endpoint, connection).await;
+        pool.return_unused(target.endpoint, connection).await;
         return Outcome::NotSent.into();
     }
     let Some(message) = upstream_request(request, time_left()) else {
@@ -66,12 +69,40 @@
         Err(ExchangeError::ConnectionLost) => return Outcome::ConnectFailed.into(),
     };
     let has_long_head = has_long_head || headers_len(response.headers()) > MAX_KEPT_HEAD_LEN;
-    if response.status() != StatusCode::SWITCHING_PROTOCOLS && !has_long_head {
-        pool.check_in(target.endpoint, connection).await;
+    if connection.is_idle().await {
+        if !has_long_head {
+            pool.check_in(target.endpoint, connection);
+        }
+    } else {
+        let framed = FramedResponse::new(&request.method, &response, &body);
+        // Boxed for the same reason as above.
+        if Box::pin(may_be_truncated(pool, &target, connection, framed)).await {
+            return Outcome::Error.into();
+        }
     }
     classify(request, response, body)
 }
 
+/// Closes the connection of a response, and returns whether the response may be truncated, as other data than a second
+/// copy of it follows.
+async fn may_be_truncated(
+    pool: &ConnectionPool,
+    target: &AttemptTarget,
+    connection: UpstreamConnection,
+    framed: FramedResponse<'_>,
+) -> bool {
+    let trailing_data = framed.trailing_data(connection, &pool.memory_budget).await;
+    if trailing_data != TrailingData::None {
+        pool.record_unsolicited_data();
+    }
+    let TrailingData::Other(length) = trailing_data else {
+        return false;
+    };
+    let (host, status) = (target.address, framed.response.status().as_u16());
+    debug!(target: CALLS, %host, status, length, "response discarded, as other data follows it");
+    true
+}
+
 /// The length of the head of a request, but for its method and version.
 fn head_len(uri: &Uri, headers: &HeaderMap) -> usize {
     uri.path_and_query().map_or(0, |path| path.as_str().len()) + headers_len(headers)
--- a/crates/proxy/src/net/upstream/connection.rs
+++ b/crates/proxy/src/net/upstream/connection.rs
@@ -2,12 +2,12 @@
 
 use super::body::{read_complete_body, ReceivedBody};
 use super::write_tracking::WriteTrackingStream;
-use crate::net::socket::Stream;
+use crate::net::socket::{Socket, Stream};
 use crate::net::{Descriptor, MemoryBudget, Reservation};
 use badgerramp_decisions::Micros;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::{Connection, SendRequest};
+use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::{Method, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::Cell;
@@ -17,22 +17,61 @@
 use std::task::Poll;
 use thiserror::Error;
 
+/// The maximum length of a response head, and of the part of a body that is read at once, in bytes.
+pub(super) const MAX_HEAD_LEN: usize = 16 * 1024;
+/// The length of the parts in which data behind a response is read, in bytes.
+const TRAILING_DATA_READ_LEN: usize = 4 * 1024;
+
 /// An open HTTP/1.1 connection to an endpoint.
 pub(super) struct UpstreamConnection {
-    pub(super) sender: SendRequest<Full<Bytes>>,
-    pub(super) http_connection: Connection<TokioIo<WriteTrackingStream>, Full<Bytes>>,
-    pub(super) stream: Rc<dyn Stream>,
+    sender: SendRequest<Full<Bytes>>,
+    http_connection: Connection<TokioIo<WriteTrackingStream>, Full<Bytes>>,
+    stream: Rc<dyn Stream>,
     /// Whether the request has been written completely.
     pub(super) all_written: Rc<Cell<bool>>,
     /// When the last response was complete; 0 before the first request.
     pub(super) idle_since: Micros,
     /// The generation of the endpoint when the connection was opened.
     pub(super) generation: u64,
+    _resources: Option<ConnectionResources>,
+}
+
+/// What a connection takes of the limits of the process.
+pub(super) struct ConnectionResources {
     pub(super) _descriptor: Descriptor,
     pub(super) _memory: Reservation,
 }
 
 impl UpstreamConnection {
+    /// Creates a connection over an open stream. Without `resources` it counts towards no limit.
+    ///
+    /// # Errors
+    /// If the HTTP library can't use the stream.
+    pub(super) async fn open(
+        stream: Rc<dyn Stream>,
+        generation: u64,
+        resources: Option<ConnectionResources>,
+    ) -> hyper::Result<Self> {
+        let all_written = Rc::new(Cell::new(false));
+        let tracking_stream = WriteTrackingStream {
+            socket: Socket::new(&stream),
+            all_written: Rc::clone(&all_written),
+        };
+        let (sender, http_connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_LEN)
+            .handshake(TokioIo::new(tracking_stream))
+            .await?;
+        Ok(UpstreamConnection {
+            sender,
+            http_connection,
+            stream,
+            all_written,
+            idle_since: 0,
+            generation,
+            _resources: resources,
+        })
+    }
+
     /// Checks whether the connection is open and ready for a request. The socket itself is checked for received data:
     /// the runtime may not have been notified of it yet, and hyper would read the duplicate of an earlier response as
     /// the response to the next request.
@@ -66,6 +105,24 @@
         }
     }
 
+    /// Whether the connection is open, ready for a request, and nothing has been received on it, also by the socket itself.
+    pub(super) async fn is_idle(&mut self) -> bool {
+        self.poll_state().await == ConnectionState::Ready && self.stream.nothing_to_read()
+    }
+
+    /// Closes the connection and returns what was received and is not part of a response, up to about `max_len` bytes.
+    pub(super) fn into_trailing_data(self, max_len: usize) -> Vec<u8> {
+        let mut data = Vec::from(self.http_connection.into_parts().read_buf);
+        let mut part = [0; TRAILING_DATA_READ_LEN];
+        while data.len() < max_len {
+            match self.stream.try_read(&mut part) {
+                Ok(count) if count > 0 => data.extend_from_slice(&part[..count]),
+                _ => break,
+            }
+        }
+        data
+    }
+
     /// Sends a request and reads its response. The connection makes progress only while this future is polled.
     ///
     /// # Errors
--- a/crates/proxy/src/net/upstream/mod.rs
+++ b/crates/proxy/src/net/upstream/mod.rs
@@ -6,6 +6,7 @@
 //! - `attempt`: one attempt, from checking out a connection to classifying the response.
 //! - `pool`: idle connections, and opening new ones.
 //! - `connection`: one exchange, and whether a connection can be used again.
+//! - `trailing_data`: data that follows a response on its connection.
 //! - `idle_failures`: estimates how long idle connections stay usable, from the failures of reused connections.
 //! - `write_tracking`: tracks whether a request was written completely.
 //! - `body`, `headers`, `load_report`: handling of the parts of a message.
@@ -21,6 +22,7 @@
 mod pool;
 #[cfg(test)]
 mod tests;
+mod trailing_data;
 mod write_tracking;
 
 pub use attempt::attempt;
--- a/crates/proxy/src/net/upstream/pool.rs
+++ b/crates/proxy/src/net/upstream/pool.rs
@@ -1,25 +1,19 @@
 //! The pool of idle connections to endpoints, and opening of new connections.
 
-use super::connection::{ConnectionState, UpstreamConnection};
+use super::connection::{ConnectionResources, ConnectionState, UpstreamConnection};
 use super::exchange::AttemptTarget;
 use super::idle_failures::IdleFailureStats;
-use super::write_tracking::WriteTrackingStream;
 use crate::net::clock::Clock;
 use crate::net::memory_budget::{Purpose, UPSTREAM_CONNECTION_COST};
-use crate::net::socket::{Network, Socket};
+use crate::net::socket::Network;
 use crate::net::{Descriptors, MemoryBudget, Reservation};
 use badgerramp_decisions::settings::Transport;
 use badgerramp_decisions::{EndpointId, Micros, Outcome};
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The maximum length of a response head, and of the part of a body that is read at once, in bytes.
-const MAX_HEAD_LEN: usize = 16 * 1024;
-
 /// After unsolicited data, the minimum idle time before a connection is reused, in microseconds. A duplicate of the
 /// last response arrives some milliseconds after it, and would be read as the response to the next request.
 const REUSE_DELAY: Micros = 10_000;
@@ -204,11 +198,16 @@
     /// Delays the reuse of connections if there was unsolicited data.
     fn record_state(&self, state: ConnectionState) {
         if state == ConnectionState::UnsolicitedData {
-            self.delay_reuse_until
-                .set(self.clock.now() + REUSE_DELAY_PERIOD);
+            self.record_unsolicited_data();
         }
     }
 
+    /// Delays the reuse of connections, as an endpoint has sent data that is not a response to a request.
+    pub(super) fn record_unsolicited_data(&self) {
+        self.delay_reuse_until
+            .set(self.clock.now() + REUSE_DELAY_PERIOD);
+    }
+
     /// Opens a connection within `timeout` microseconds.
     ///
     /// # Errors
@@ -237,26 +236,13 @@
             }
             _ => return Err(Outcome::ConnectFailed),
         };
-        let all_written = Rc::new(Cell::new(false));
-        let tracking_stream = WriteTrackingStream {
-            socket: Socket::new(&stream),
-            all_written: Rc::clone(&all_written),
-        };
-        let handshake = http1::Builder::new()
-            .max_buf_size(MAX_HEAD_LEN)
-            .handshake(TokioIo::new(tracking_stream))
-            .await;
-        let (sender, http_connection) = handshake.map_err(|_| Outcome::ConnectFailed)?;
-        let mut connection = UpstreamConnection {
-            sender,
-            http_connection,
-            stream,
-            all_written,
-            idle_since: 0,
-            generation: target.generation,
+        let resources = ConnectionResources {
             _descriptor: descriptor,
             _memory: memory,
         };
+        let mut connection = UpstreamConnection::open(stream, target.generation, Some(resources))
+            .await
+            .map_err(|_| Outcome::ConnectFailed)?;
         if self.is_ready(&mut connection).await {
             Ok(connection)
         } else {
@@ -276,13 +262,24 @@
             .await
     }
 
-    /// Returns a connection to the pool after an exchange, if it can be reused.
-    pub(super) async fn check_in(&self, endpoint: EndpointId, mut connection: UpstreamConnection) {
-        let current = self.generations.borrow().get(&endpoint) == Some(&connection.generation);
+    /// Returns a connection on which no request was sent to the pool, if it can be reused.
+    pub(super) async fn return_unused(
+        &self,
+        endpoint: EndpointId,
+        mut connection: UpstreamConnection,
+    ) {
         // The socket itself is checked before the next use, by when more data may have arrived.
         let state = connection.poll_state().await;
         self.record_state(state);
-        if !current || state != ConnectionState::Ready {
+        if state == ConnectionState::Ready {
+            self.check_in(endpoint, connection);
+        }
+    }
+
+    /// Returns a connection that is ready for the next request to the pool, if it leads to the current process of its
+    /// endpoint.
+    pub(super) fn check_in(&self, endpoint: EndpointId, mut connection: UpstreamConnection) {
+        if self.generations.borrow().get(&endpoint) != Some(&connection.generation) {
             return;
         }
         connection.idle_since = self.clock.now();
--- a/crates/proxy/tests/proxy.rs
+++ b/crates/proxy/tests/proxy.rs
@@ -112,8 +112,45 @@
     }
 }
 
-/// Bytes after a valid response, also while the connection is idle, must not be read as the response to the next request.
-/// The valid response is served, and its connection is not reused.
+/// Sends ten unsafe calls to a host that appends `trailing(response)` to every other response, and checks that only the
+/// others' connections are reused. `followed_is_served` says whether the responses with an appendix are served; otherwise
+/// their calls fail and are not sent again.
+fn check_calls_with_trailing_data(
+    trailing: impl Fn(&str) -> String + Send + Sync + 'static,
+    followed_is_served: bool,
+) {
+    let host = Host::start(move |n| {
+        let response = answer("200 OK", "", &format!("answer {n}"));
+        let appendix = (n % 2 == 0).then(|| trailing(&response));
+        Reply::Write(response + &appendix.unwrap_or_default())
+    });
+    let discovery = Discovery::start();
+    let proxy = Proxy::start(PROGRAM, &discovery, &[up("s-1", &host)]);
+    let mut closed_connections = Vec::new();
+    for n in 0..10 {
+        let is_followed = n % 2 == 0;
+        let answer = proxy.call("unsafe", "2000m");
+        let expected = if !is_followed || followed_is_served {
+            (200, format!("answer {n}"))
+        } else {
+            (502, "failed".to_owned())
+        };
+        let body = String::from_utf8_lossy(&answer.body).into_owned();
+        assert_eq!((answer.status(), body), expected);
+        let (connection, _) = host.request();
+        assert!(
+            !closed_connections.contains(&connection),
+            "a connection is reused"
+        );
+        if is_followed {
+            closed_connections.push(connection);
+        }
+    }
+    assert_eq!(host.further_requests(), 0, "no call is sent twice");
+}
+
+/// Bytes after a response, also while the connection is idle, must not be read as the response to the next request, and
+/// the connection is not reused. They may be the rest of a response whose length is too short, so that it is not served.
 #[test]
 fn bytes_after_a_response_are_never_read_as_another_response() {
     for trailing in [
@@ -121,24 +158,16 @@
         "noise".to_owned(),
         "\r\n".to_owned(),
     ] {
-        let host = Host::start(move |n| {
-            Reply::Write(
-                answer("200 OK", "", &format!("answer {n}"))
-                    + if n % 2 == 0 { &trailing } else { "" },
-            )
-        });
-        let discovery = Discovery::start();
-        let proxy = Proxy::start(PROGRAM, &discovery, &[up("s-1", &host)]);
-        for n in 0..10 {
-            let answer = proxy.call("unsafe", "2000m");
-            assert_eq!(
-                (answer.status(), answer.body),
-                (200, format!("answer {n}").into_bytes())
-            );
-        }
+        check_calls_with_trailing_data(move |_| trailing.clone(), false);
     }
 }
 
+/// The same for a second copy of the response, which confirms where the response ends.
+#[test]
+fn a_second_copy_of_a_response_is_never_read_as_another_response() {
+    check_calls_with_trailing_data(str::to_owned, true);
+}
+
 /// A single malformed response says little about its host. It used to count as a broken connection, which ejected the host
 /// at once.
 #[test]
--- a/crates/proxy/tests/race_conditions/in_process.rs
+++ b/crates/proxy/tests/race_conditions/in_process.rs
@@ -26,6 +26,8 @@
 pub(crate) enum HookPoint {
     /// A read has returned `Pending`.
     ReadPending,
+    /// A read has returned data.
+    DataRead,
     /// The check for unread bytes has found none.
     NothingUnread,
     /// The program is about to shut down its sending side.
@@ -141,9 +143,11 @@
 impl Stream for HookedStream {
     fn poll_read(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let read = Stream::poll_read(&*self.stream, cx, buf);
-        if read.is_pending() {
-            self.hooks.run_hook(HookPoint::ReadPending, self);
-        }
+        let point = match read {
+            Poll::Pending => HookPoint::ReadPending,
+            Poll::Ready(_) => HookPoint::DataRead,
+        };
+        self.hooks.run_hook(point, self);
         read
     }
 
--- a/crates/simulator/src/defects.rs
+++ b/crates/simulator/src/defects.rs
@@ -234,10 +234,18 @@
         description: "reuses a connection even if unexpected bytes have arrived on it",
         backend: "sockets",
         edits: &[
-            (UPSTREAM_POOL, "if !current || state != ConnectionState::Ready {", "if !current {"),
+            (UPSTREAM_ATTEMPT, "if connection.is_idle().await {", "if connection.is_idle().await || !has_long_head {"),
             (UPSTREAM_POOL, "&& connection.generation == target.generation && self.is_ready(&mut connection).await {", "&& connection.generation == target.generation {"),
         ],
     },
+    Defect {
+        name: "truncated-served",
+        description: "serves a response that other data follows, as if its framing were right",
+        backend: "sockets",
+        edits: &[
+            (UPSTREAM_ATTEMPT, "let TrailingData::Other(length) = trailing_data else {", "let Some(length) = None::<usize> else {"),
+        ],
+    },
     Defect {
         name: "time-out-is-proof",
         description: "reports a timed-out attempt as a failed connect",
--- a/crates/simulator/src/sockets/stand_ins.rs
+++ b/crates/simulator/src/sockets/stand_ins.rs
@@ -373,7 +373,7 @@
             false,
         ),
         JobOutcome::Reset => return None,
-        JobOutcome::Spoilt => match draw(0x5b02, 5) {
+        JobOutcome::Spoilt => match draw(0x5b02, 6) {
             0 => (
                 "\u{1}\u{2}noise that is no answer\r\n\r\n".to_owned(),
                 false,
@@ -400,6 +400,14 @@
                 format!("HTTP/1.1 200 OK\r\nX-Long: {}\r\n", "x".repeat(40_000)),
                 false,
             ),
+            5 => (
+                format!(
+                    "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}",
+                    truncated_body(op).len(),
+                    response_body(op)
+                ),
+                false,
+            ),
             _ => (
                 format!("HTTP/1.1 200 OK\r\n\r\n{}", truncated_body(op)),
                 true,
