Proxy: a sidecar does not pass on a 101 that no request asked for

Callers saw: a host's 101 with Content-Length: 0 was passed on by a sidecar as the response to a plain request, without its Upgrade header; the connection then spoke no protocol at all.

Cause: the HTTP library hands out 101 like a final response. Without a length it failed as unframed, with one it was complete, classified as an error, and the last error is what a sidecar passes on. Requests never ask for an upgrade, as those headers are removed.

Change: a 101 is no final response and ends its attempt as an error that may have run.

Test: an_unrequested_switch_of_protocols_is_not_passed_on_by_a_sidecar, with and without data behind it; before: 101 in place of 502.

--- a/crates/proxy/src/net/upstream/connection.rs
+++ b/crates/proxy/src/net/upstream/connection.rs
@@ -126,8 +126,8 @@
     /// Sends a request and reads its response. The connection makes progress only while this future is polled.
     ///
     /// # Errors
-    /// If the connection ends first, or the response is malformed, larger than `max_body_len` bytes or not provably
-    /// complete.
+    /// If the connection ends first, or the response is malformed, not final, larger than `max_body_len` bytes or not
+    /// provably complete.
     pub(super) async fn exchange(
         &mut self,
         request: hyper::Request<Full<Bytes>>,
@@ -139,6 +139,10 @@
         let mut exchange = pin!(async {
             let response = self.sender.send_request(request).await?;
             let (parts, body) = response.into_parts();
+            // Not a final response (RFC 9110, 15.2). No request asks for another protocol.
+            if parts.status == StatusCode::SWITCHING_PROTOCOLS {
+                return Err(ExchangeError::InvalidResponse);
+            }
             // These responses have no body, whatever their headers say (RFC 9110, 6.4.1).
             let no_content =
                 [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&parts.status);
@@ -186,8 +190,8 @@
     /// The connection broke or ended.
     #[error("the connection broke or ended before the response was complete")]
     ConnectionLost,
-    /// The response is malformed, too large or not provably complete. The request may have been executed.
-    #[error("the response is malformed, too large or not provably complete")]
+    /// The response is malformed, not final, too large or not provably complete. The request may have been executed.
+    #[error("the response is malformed, not final, too large or not provably complete")]
     InvalidResponse,
 }
 
--- a/crates/proxy/tests/response_framing.rs
+++ b/crates/proxy/tests/response_framing.rs
@@ -204,3 +204,12 @@
         assert_eq!((host.request().0, host.request().0), (0, 1));
     }
 }
+
+/// A 101 that nobody asked for is not a final response. It was passed on to the client as if it were one.
+#[test]
+fn an_unrequested_switch_of_protocols_is_not_passed_on_by_a_sidecar() {
+    let text = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: upgrade\r\nContent-Length: 0\r\n\r\n";
+    for rest in ["", "data of the other protocol"] {
+        assert_sidecar_fails_call("GET", Reply::Write(text.to_owned() + rest));
+    }
+}
