Config: a failure or a common header is no proof that a charge never ran

Cause: the check of proofs asked only whether there is a header at all. Any status from 400 to 599 and any header passed, also a status of a failure, and a header that every response has.

Change: NotExecutedProof::weakness tells why a response proves nothing: no header; a status of a failure (5xx but 503 and 504); a header that servers and intermediaries set in any response, by name or by the beginning of the name, with or without a value; X-Not-Processed with another value than 1. A file with such a proof for a keyed or unsafe class is refused with that reason, in [defaults], a class or a route; safe classes are free as before. All ways into force parse a file with these checks: write, check, start, reload, the control plane and the proxies that get a policy from it.

A header of its own without a value stays accepted, as it was documented, and so does each 4xx with such a header: whether an endpoint sets it after a charge has run can't be told from the file.

The random driver of the decisions knew no responses, so that neither the property test nor the mutation test could see the fault: its hosts now send what the file would misjudge, and both failed with the old check.

--- a/crates/config-tool/tests/mutation.rs
+++ b/crates/config-tool/tests/mutation.rs
@@ -309,6 +309,8 @@
     "served = [\"200\"]",
     "never_ran = [{ status = 500 }]",
     "never_ran = [{ status = 500, header = \"X-Any\" }]",
+    "never_ran = [{ status = 503, header = \"Retry-After\" }]",
+    "never_ran = [{ status = 503, header = \"X-Not-Processed\", value = \"1\" }]",
     "key = { cookie = \"k\" }",
     "key = { header = \"X-Other\" }",
     "headers = { \"x-a\" = \"1\" }",
--- a/crates/config/src/timing.rs
+++ b/crates/config/src/timing.rs
@@ -3,7 +3,7 @@
 
 use crate::{values, RESPONSE_RESERVE};
 use badgerramp_decisions::{Hedge, Idempotency, Micros, RetryOn};
-use badgerramp_route::{NotExecutedProof, ResponseRules, StatusSet, Timing};
+use badgerramp_route::{NotExecutedProof, ProofWeakness, ResponseRules, StatusSet, Timing};
 use badgerramp_toml_diagnostics::units::format_duration;
 use badgerramp_toml_diagnostics::{
     display_value, DeValue, Diagnostic, DiagnosticSink, Located, Section, Span,
@@ -460,20 +460,48 @@
         self.check_proofs(sink, context);
     }
 
-    /// Requires a header for each proof. A status alone proves nothing: any intermediary may send it, even after the
-    /// call has run.
+    /// Refuses responses that an endpoint may also send after it has executed a call, as proof that it has not.
     fn check_proofs(&self, sink: &mut DiagnosticSink, context: &TimingContext<'_>) {
         let Some(proofs) = &self.never_ran else {
             return;
         };
-        for proof in proofs.value.iter().filter(|p| p.header.is_none()) {
-            let reason = "a status alone does not prove that an attempt never ran: the call could be retried and run twice";
-            let found = format!("status {} and no header", proof.status);
-            add_with_context(sink, context, proofs, reason, found, "a header that only the endpoint sets, as in { status = 503, header = \"X-Not-Processed\", value = \"1\" }");
+        for proof in &proofs.value {
+            let Some(weakness) = proof.weakness() else {
+                continue;
+            };
+            let (reason, found) = (weakness.to_string(), display_proof(proof));
+            add_with_context(
+                sink,
+                context,
+                proofs,
+                &reason,
+                found,
+                allowed_proof(weakness),
+            );
         }
     }
 }
 
+/// What is allowed in place of a proof with this weakness.
+fn allowed_proof(weakness: ProofWeakness) -> &'static str {
+    match weakness {
+        ProofWeakness::StatusAlone => "a header that only the endpoint sets, as in { status = 503, header = \"X-Not-Processed\", value = \"1\" }",
+        ProofWeakness::FailureStatus => "a status from 400 to 499, 503 or 504 for calls that may not run twice",
+        ProofWeakness::CommonHeader => "a header that an endpoint sets only if it has rejected the call, as in { status = 503, header = \"X-Not-Processed\", value = \"1\" }",
+        ProofWeakness::OtherValue => "value = \"1\"",
+    }
+}
+
+/// Formats a proof for messages.
+fn display_proof(proof: &NotExecutedProof) -> String {
+    let status = proof.status;
+    match &proof.header {
+        None => format!("status {status} and no header"),
+        Some((name, None)) => format!("status {status} with header {name}"),
+        Some((name, Some(value))) => format!("status {status} with header {name}: {value:?}"),
+    }
+}
+
 /// Adds a diagnostic about a value, with the class or route that it applies to as a related place.
 fn add_with_context<'n, T>(
     sink: &'n mut DiagnosticSink,
--- a/crates/config/tests/property.rs
+++ b/crates/config/tests/property.rs
@@ -4,6 +4,7 @@
 
 use badgerramp_config::{parse, Config};
 use badgerramp_decisions::Idempotency;
+use badgerramp_route::ResponseRules;
 use badgerramp_testkit::decision_driver::{BalancerDriver, Request};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -43,6 +44,17 @@
     ]
 }
 
+/// Responses that a file may take for a proof that an attempt was not executed. Some prove nothing.
+const PROOFS: &[&str] = &[
+    "status = 503, header = 'X-Not-Processed', value = '1'",
+    "status = 425, header = 'X-Not-Processed', value = '1'",
+    "status = 429, header = 'X-Untouched'",
+    "status = 504, header = 'X-Untouched', value = 'yes'",
+    "status = 500, header = 'X-Not-Processed', value = '1'",
+    "status = 500, header = 'Content-Type'",
+    "status = 503, header = 'Retry-After'",
+];
+
 /// Timing settings of one table, some of them invalid.
 fn timing() -> impl Strategy<Value = String> {
     let setting = prop_oneof![
@@ -60,6 +72,7 @@
             Just("retry = 'failed'".to_owned()),
             Just("retry = 'never-ran'".to_owned())
         ],
+        prop::sample::select(PROOFS).prop_map(|proof| format!("never_ran = [{{ {proof} }}]")),
     ];
     prop::collection::vec(setting, 0..4).prop_map(|lines| {
         let mut by_key: BTreeMap<String, String> = BTreeMap::new();
@@ -132,6 +145,7 @@
     let mut runner = TestRunner::deterministic();
     let (mut accepted, mut hedged, mut keyed_classes, mut unsafe_classes, mut rejected) =
         (0, 0, 0, 0, 0);
+    let (mut own_proofs, standard) = (0, ResponseRules::standard());
     for _ in 0..2_000 {
         let text = file().new_tree(&mut runner).expect("a file").current();
         let Ok(config) = parse("generated.toml", &text) else {
@@ -145,9 +159,18 @@
         hedged += u32::from(config.settings().limits.hedging);
         keyed_classes += any(|r| matches!(r, Idempotency::Keyed { .. }));
         unsafe_classes += any(|r| r == Idempotency::NonIdempotent);
+        own_proofs += u32::from(config.routes.routes().iter().any(|route| {
+            let class = &config.classes[route.class].class;
+            class.idempotency != Idempotency::Idempotent
+                && route.response_rules.never_ran != standard.never_ran
+        }));
     }
     assert!(
         accepted > 300 && hedged > 30 && keyed_classes > 60 && unsafe_classes > 60 && rejected > 300,
         "{accepted} accepted, {hedged} with second copies, {keyed_classes} keyed, {unsafe_classes} unsafe, {rejected} refused"
     );
+    assert!(
+        own_proofs > 30,
+        "{own_proofs} with proofs of their own for calls that may not run twice"
+    );
 }
--- a/crates/control-plane/tests/replica.rs
+++ b/crates/control-plane/tests/replica.rs
@@ -326,6 +326,30 @@
     assert!(matches!(missing.downcast_ref(), Some(StoreError::Missing)));
 }
 
+/// A policy that took a failure for a proof that a charge had not run came into force, and charges ran twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn policy_that_takes_a_failure_for_a_proof_is_rejected() {
+    let replicas = Replicas::start("proof", 1).await;
+    let policy = POLICY.replace(
+        "effect = \"unsafe\"",
+        "effect = \"unsafe\"\nnever_ran = [{ status = 500, header = \"Content-Type\" }]",
+    );
+    let publish = request::Kind::Publish(Publish {
+        files: HashMap::from([("caja".to_owned(), policy)]),
+        revision: 0,
+    });
+    let reply = replicas.client().call_with_retry(&publish, TIMEOUT).await;
+    let Err(ClientError::Rejected(rejection)) = reply else {
+        panic!("{reply:?}");
+    };
+    assert_eq!(rejection.code(), rejection::Code::Invalid);
+    let text = rejection.message;
+    assert!(
+        text.contains("caja.toml") && text.contains("class.cobro-mensual.never_ran"),
+        "{text}"
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn invalid_requests_are_rejected_and_change_nothing() {
     let replicas = Replicas::start("invalid", 1).await;
--- a/crates/proxy/tests/sidecar.rs
+++ b/crates/proxy/tests/sidecar.rs
@@ -776,6 +776,13 @@
             ),
             "would run it twice",
         ),
+        (
+            good.replace(
+                "effect = \"unsafe\"\n",
+                "effect = \"unsafe\"\nnever_ran = [{ status = 500, header = \"Content-Type\" }]\n",
+            ),
+            "class.unsafe.never_ran",
+        ),
         (
             good.replace("aim = \"1500ms\"", "aim = 7"),
             "class.safe.aim",
--- a/crates/route/src/answers.rs
+++ b/crates/route/src/answers.rs
@@ -1,5 +1,6 @@
 //! Classifies responses by their status and headers. The decisions see only the verdict.
 
+use crate::proof::NotExecutedProof;
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::StatusCode;
 
@@ -30,25 +31,6 @@
     }
 }
 
-/// A response that proves that the endpoint did not execute the attempt.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct NotExecutedProof {
-    /// Status of the response.
-    pub status: u16,
-    /// Header that the response must have; with a value, the header must have exactly this value.
-    pub header: Option<(HeaderName, Option<HeaderValue>)>,
-}
-
-impl NotExecutedProof {
-    fn matches(&self, status: StatusCode, headers: &HeaderMap) -> bool {
-        let header = |(name, value): &(HeaderName, Option<HeaderValue>)| match value {
-            Some(value) => headers.get_all(name).iter().any(|v| v == value),
-            None => headers.contains_key(name),
-        };
-        status.as_u16() == self.status && self.header.as_ref().is_none_or(header)
-    }
-}
-
 /// Classification of a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -6,13 +6,15 @@
 
 mod answers;
 mod path;
+mod proof;
 mod source;
 mod table;
 mod timing;
 
-pub use answers::{NotExecutedProof, ResponseRules, StatusSet, Verdict};
+pub use answers::{ResponseRules, StatusSet, Verdict};
 pub use badgerramp_expr::Head;
 pub use path::{normalize, PathError, MAX_PATH_BYTES};
+pub use proof::{NotExecutedProof, ProofWeakness};
 pub use source::{Expression, Source};
 pub use table::{
     compile_pattern, HeaderPattern, PathPattern, PatternError, Route, Shadow, Table, TableError,
--- a/crates/testkit/src/decision_driver.rs
+++ b/crates/testkit/src/decision_driver.rs
@@ -4,10 +4,38 @@
 
 use badgerramp_config::Config;
 use badgerramp_decisions::*;
+use badgerramp_route::{ResponseRules, Verdict};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::BTreeMap;
 
+/// Statuses of responses to calls that were executed and failed, each with headers that such a response may have. Any
+/// header may come with a failure status, and those that all responses have with any other.
+const FAILURE_RESPONSES: [(StatusCode, &[(&str, &str)]); 6] = [
+    (StatusCode::INTERNAL_SERVER_ERROR, ANY_HEADERS),
+    (StatusCode::BAD_GATEWAY, ANY_HEADERS),
+    (StatusCode::SERVICE_UNAVAILABLE, COMMON_HEADERS),
+    (StatusCode::GATEWAY_TIMEOUT, COMMON_HEADERS),
+    (StatusCode::TOO_MANY_REQUESTS, COMMON_HEADERS),
+    (StatusCode::CONFLICT, COMMON_HEADERS),
+];
+const COMMON_HEADERS: &[(&str, &str)] = &[
+    ("content-type", "text/plain"),
+    ("content-length", "0"),
+    ("date", "Sat, 05 Dec 2026 06:00:00 GMT"),
+    ("retry-after", "1"),
+    ("server", "access"),
+    ("via", "1.1 gateway"),
+    ("x-request-id", "7"),
+    ("x-server-load", "TEXT inflight=1"),
+];
+const ANY_HEADERS: &[(&str, &str)] = &[
+    ("content-type", "text/plain"),
+    ("x-any", "1"),
+    ("x-not-processed", "1"),
+];
+
 /// An attempt as the I/O layer would see it.
 pub struct Attempt {
     /// Endpoint that the attempt was sent to.
@@ -16,8 +44,10 @@
     pub sent_at: Micros,
     /// Time at which the attempt ends; for an attempt that times out, its own deadline.
     ends_at: Micros,
-    /// How the attempt will end.
+    /// How the attempt will end, as the file has its response classified.
     outcome: Outcome,
+    /// Whether the call is executed although the outcome may say otherwise.
+    executed: bool,
     /// How the attempt has ended; None: it is outstanding.
     ended: Option<Outcome>,
 }
@@ -25,6 +55,8 @@
 /// A call with its attempts and its answer.
 pub struct CallState {
     class: Class,
+    /// Whether the response to a failed execution counts as a rejection.
+    takes_failure_for_proof: bool,
     hedged: bool,
     max_attempts: u32,
     deadline: Micros,
@@ -35,13 +67,29 @@
 }
 
 impl Attempt {
-    /// Whether the attempt may have been executed: it is outstanding, or its outcome does not prove the opposite.
+    /// Whether the attempt may have been executed: it was, or is outstanding, or its outcome does not prove the opposite.
     pub fn may_have_executed(&self) -> bool {
-        self.ended
-            .is_none_or(|outcome| !outcome.proves_not_executed())
+        self.executed
+            || self
+                .ended
+                .is_none_or(|outcome| !outcome.proves_not_executed())
     }
 }
 
+/// Whether these rules take the response to a call that was executed and failed for a proof that it was not executed.
+fn takes_failure_for_proof(rules: &ResponseRules) -> bool {
+    FAILURE_RESPONSES.iter().any(|(status, headers)| {
+        let headers: HeaderMap = headers
+            .iter()
+            .map(|&(name, value)| {
+                let name = HeaderName::from_static(name);
+                (name, HeaderValue::from_static(value))
+            })
+            .collect();
+        rules.verdict(*status, &headers) == Verdict::NotExecuted
+    })
+}
+
 /// The decisions of one sidecar, with its calls and its clock.
 pub struct BalancerDriver<'c> {
     config: &'c Config,
@@ -126,6 +174,9 @@
     pub fn request(&mut self, request: Request) -> CallId {
         let route = &self.config.routes.routes()[request.route];
         let mut class = self.config.classes[route.class].class;
+        // Calls of a safe class may run twice, so that their file may take any response for a proof.
+        let takes_failure_for_proof = class.idempotency != Idempotency::Idempotent
+            && takes_failure_for_proof(&route.response_rules);
         if request.key_missing {
             class.idempotency = Idempotency::NonIdempotent;
         }
@@ -140,6 +191,7 @@
         let policy = route.timing.call_policy(request.key_missing);
         let call_state = CallState {
             class,
+            takes_failure_for_proof,
             hedged: policy.hedge != Hedge::Never,
             max_attempts: policy.max_attempts,
             deadline: self.now + time_left,
@@ -272,11 +324,18 @@
         } else {
             (ends, outcome)
         };
+        // A host that has executed the call and failed sends the response that the file misjudges, if there is one.
+        let misjudged = outcome == Outcome::Error && call_state.takes_failure_for_proof;
         call_state.attempts.push(Attempt {
             endpoint,
             sent_at: now,
             ends_at: ends.max(now + 1),
-            outcome,
+            outcome: if misjudged {
+                Outcome::Rejected
+            } else {
+                outcome
+            },
+            executed: misjudged,
             ended: None,
         });
     }
