Configuration tool: applications must agree on what proves that a call never ran

Cause: class-differs compared effect (with group and window), deadline and the source of the key. What a response proves is a property of the endpoints, as those are, and decides as they do whether a call is sent again; it was not compared.

Change: a module of its own compares the proofs of each keyed or unsafe class, as its routes have them, between applications that share endpoints: by the name of the upstream, or, for files without a manifest, by an address or the list service. The order of proofs does not count. The finding names the key that sets proofs of its own: a route's, the class's or the default. Applications of different upstreams, safe classes and classes of one application may differ as before.

Tests, failed before: two edits of a description (class and route of one application), files_without_a_manifest_are_checked_together with proofs of one file, proofs_may_differ_between_upstreams (its second half). proofs_may_differ_between_applications_if_that_contradicts_nothing passed before and after.

--- a/crates/config-tool/src/config_set.rs
+++ b/crates/config-tool/src/config_set.rs
@@ -1,5 +1,6 @@
 //! All files together with the contracts of clients and upstreams, and the checks that need more than one file.
 
+use crate::class_proofs;
 use crate::contract::{display_scope, ApplicationContract, RetryOn, UpstreamContract};
 use crate::finding::{Finding, Location, Report};
 use crate::overlap::{
@@ -120,6 +121,7 @@
     pub fn check(&self, report: &mut Report) {
         self.check_names(report);
         self.check_classes(report);
+        class_proofs::check(&self.applications, report);
         self.check_listeners(report);
         self.check_fleets(report);
         for app in &self.applications {
--- a/crates/config-tool/src/lib.rs
+++ b/crates/config-tool/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`contract`]: what the checks know of clients and upstreams beyond the operators' files.
 //! - [`render`]: generates one application's file and maps its lines back to the description.
 //! - [`config_set`]: all files with the contracts of their clients and upstreams, and the checks across files.
+//! - `class_proofs`: whether applications agree on which responses prove that a call was not executed.
 //! - [`overlap`]: which routes can match requests under a path.
 //! - [`finding`]: the report of a check and its output formats.
 //! - [`manifest`]: the list of generated files, with the contracts that later checks need.
@@ -22,6 +23,7 @@
     reason = "long functions are still to be split"
 )]
 
+mod class_proofs;
 pub mod commands;
 pub mod config_set;
 pub mod contract;
--- a/crates/config-tool/tests/tool.rs
+++ b/crates/config-tool/tests/tool.rs
@@ -109,6 +109,8 @@
     ("a key from another source", ("class = \"registro-entrada\" },\n    { name = \"charges\"", "class = \"registro-entrada\", key = { cookie = \"k\" } },\n    { name = \"charges\""), NO_EDIT, "class-differs", "cookie = \"k\""),
     ("an application-specific deadline", ("[app.torniquete.class.registro-entrada]", "[app.torniquete.class.registro-entrada]\ndeadline = \"1300ms\""), NO_EDIT, "class-differs", "deadline = \"1300ms\""),
     ("an application-specific window", ("[app.torniquete.class.registro-entrada]", "[app.torniquete.class.registro-entrada]\nwindow = \"1100ms\""), NO_EDIT, "class-differs", "effect = \"keyed\""),
+    ("application-specific proofs that an attempt never ran", ("[app.torniquete.class.registro-entrada]", "[app.torniquete.class.registro-entrada]\nnever_ran = [{ status = 429, header = \"X-Shed\", value = \"1\" }]"), NO_EDIT, "class-differs", "never_ran"),
+    ("proofs of a route that another application's route of the class lacks", ("{ name = \"charges\", prefix = \"/cobro-mensual\", methods = [\"POST\"], class = \"cobro-mensual\" }", "{ name = \"charges\", prefix = \"/cobro-mensual\", methods = [\"POST\"], class = \"cobro-mensual\", never_ran = [{ status = 425, header = \"X-Shed\" }] }"), NO_EDIT, "class-differs", "name = \"charges\""),
     ("a higher rate than the endpoints can serve", ("rate = 40\n", "rate = 4000\n"), NO_EDIT, "rate", "rate = 100"),
     ("a higher rate than an endpoint in slow start can serve", ("rate = 100\n", "rate = 38\n"), NO_EDIT, "cold", "rate = 38"),
     ("names that differ only in case", ("[app.oficina]", "[app.Kiosko]"), NO_EDIT, "name-alike", "[app."),
@@ -285,15 +287,96 @@
         .expect("a file")
         .replace("window = \"1200ms\"", "window = \"1250ms\"");
     let changed = other_folder.write("tableta.toml", &changed);
-    let output = run(&[
-        "check",
-        &file("kiosko.toml"),
-        changed.to_str().expect("a path"),
-    ]);
+    let own_proofs = std::fs::read_to_string(file("tableta.toml"))
+        .expect("a file")
+        .replace(
+            "effect = \"keyed\"",
+            "never_ran = [{ status = 425, header = \"X-Shed\" }]\neffect = \"keyed\"",
+        );
+    let own_proofs = other_folder.write("own.toml", &own_proofs);
+    for path in [changed, own_proofs] {
+        let output = run(&[
+            "check",
+            &file("kiosko.toml"),
+            path.to_str().expect("a path"),
+        ]);
+        assert!(
+            output.status.code() == Some(1) && text(&output.stdout).contains("class-differs"),
+            "{}",
+            output_text(&output)
+        );
+    }
+}
+
+/// Proofs of a class may be the applications' own where no two of them speak of the same endpoints, or where a call may run
+/// twice.
+#[test]
+fn proofs_may_differ_between_applications_if_that_contradicts_nothing() {
+    const PROOFS: &str = "never_ran = [{ status = 429, header = \"X-Shed\", value = \"1\" }]";
+    let own = |class: &str| format!("[app.oficina.class.{class}]\n{PROOFS}\n\n[app.kiosko]");
+    for (case, apps_edit, classes_edit) in [
+        (
+            "all applications have them",
+            NO_EDIT,
+            ("worth = 10", &*format!("worth = 10\n{PROOFS}")),
+        ),
+        ("a safe class", ("[app.kiosko]", &*own("consulta")), NO_EDIT),
+        (
+            "a class of one application",
+            NO_EDIT,
+            (
+                "deadline = \"20s\"",
+                &*format!("deadline = \"20s\"\n{PROOFS}"),
+            ),
+        ),
+    ] {
+        let folder = TempFolder::new();
+        let classes_edit = (classes_edit.0, classes_edit.1);
+        let description = write_description(&folder, apps_edit, classes_edit);
+        generate(&description).unwrap_or_else(|report| panic!("{case}: {}", report.human()));
+    }
+    // Another order of the same proofs is no difference.
+    let standard = "{ status = 503, header = \"X-Not-Processed\", value = \"1\" }";
+    let standard_504 = standard.replace("503", "504");
+    let reordered = format!(
+        "[app.oficina.class.cobro-mensual]\nnever_ran = [{standard_504}, {standard}]\n\n[app.kiosko]"
+    );
+    let folder = TempFolder::new();
+    let description = write_description(&folder, ("[app.kiosko]", &reordered), NO_EDIT);
+    generate(&description).unwrap_or_else(|report| panic!("{}", report.human()));
+}
+
+/// Applications of different upstreams may have different proofs for a class: the endpoints are not the same.
+#[test]
+fn proofs_may_differ_between_upstreams() {
+    let upstream = |name: &str, port: u16| {
+        format!(
+            "[upstream.{name}]\nendpoints = [{{ address = \"127.0.0.1:{port}\" }}]\nconnections = 76\nrate = 100\n\
+             unsafe = [\"/charges\"]\nkeyed = []\n"
+        )
+    };
+    let app = |name: &str, upstream: &str, port: u16| {
+        format!(
+            "[app.{name}]\nlisten = \"127.0.0.1:{port}\"\nupstream = \"{upstream}\"\nwaits = \"2s\"\nrate = 1\n\
+             send = [{{ prefix = \"/charges\", methods = [\"POST\"], class = \"charge\" }}]\n"
+        )
+    };
+    let description = |second_upstream: &str| {
+        let class = "[class.charge]\naim = \"800ms\"\ndeadline = \"1500ms\"\neffect = \"unsafe\"\n";
+        let own = "[app.b.class.charge]\nnever_ran = [{ status = 429, header = \"X-Shed\" }]\n";
+        let (north, south) = (upstream("north", 9_001), upstream("south", 9_002));
+        let (a, b) = (app("a", "north", 8_001), app("b", second_upstream, 8_002));
+        [class, &north, &south, &a, &b, own].concat()
+    };
+    let folder = TempFolder::new();
+    let different = folder.write("different.toml", &description("south"));
+    generate(&different).unwrap_or_else(|report| panic!("{}", report.human()));
+    let same = folder.write("same.toml", &description("north"));
+    let report = generate(&same).expect_err("one upstream");
     assert!(
-        output.status.code() == Some(1) && text(&output.stdout).contains("class-differs"),
+        report.findings.iter().any(|f| f.code == "class-differs"),
         "{}",
-        output_text(&output)
+        report.human()
     );
 }
 
--- a/crates/config/src/timing.rs
+++ b/crates/config/src/timing.rs
@@ -469,7 +469,7 @@
             let Some(weakness) = proof.weakness() else {
                 continue;
             };
-            let (reason, found) = (weakness.to_string(), display_proof(proof));
+            let (reason, found) = (weakness.to_string(), proof.to_string());
             add_with_context(
                 sink,
                 context,
@@ -492,16 +492,6 @@
     }
 }
 
-/// Formats a proof for messages.
-fn display_proof(proof: &NotExecutedProof) -> String {
-    let status = proof.status;
-    match &proof.header {
-        None => format!("status {status} and no header"),
-        Some((name, None)) => format!("status {status} with header {name}"),
-        Some((name, Some(value))) => format!("status {status} with header {name}: {value:?}"),
-    }
-}
-
 /// Adds a diagnostic about a value, with the class or route that it applies to as a related place.
 fn add_with_context<'n, T>(
     sink: &'n mut DiagnosticSink,
--- a/crates/route/src/proof.rs
+++ b/crates/route/src/proof.rs
@@ -5,6 +5,7 @@
 
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::StatusCode;
+use std::fmt;
 use thiserror::Error;
 
 /// The header by which endpoints of the platform say that they have not executed a call.
@@ -142,6 +143,18 @@
     pub header: Option<(HeaderName, Option<HeaderValue>)>,
 }
 
+/// For messages.
+impl fmt::Display for NotExecutedProof {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let status = self.status;
+        match &self.header {
+            None => write!(f, "status {status} and no header"),
+            Some((name, None)) => write!(f, "status {status} with header {name}"),
+            Some((name, Some(value))) => write!(f, "status {status} with header {name}: {value:?}"),
+        }
+    }
+}
+
 /// Why a response does not prove that the endpoint did not execute the attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum ProofWeakness {
