Policy: one that is in force since an earlier release is read without its weak proofs

Trial with processes of the build before and of this one: a policy with never_ran = [{ status = 500, header = "Content-Type" }] was published with the old build; after an upgrade its proxy rejected generation 1 and refused all calls, and a corrected policy was not accepted either ("the floor of generation 1 cannot be read").

Cause: what is published and what is stored went through the same parse, both in the control plane, which compares floors with earlier generations, and in the proxies.

Change: badgerramp_config::parse_stored leaves weak proofs out of keyed and unsafe classes, with a warning each, and refuses all else as before. Without a proof a response counts as a failure after which the call may have run, so that nothing is sent again. Used for generations in force and copies on disk in proxies, and for stored generations in the control plane. What is published, also by rollback, is parsed strictly, in the control plane and by proxies that get it from a control plane of an earlier release.

--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -18,8 +18,8 @@
 };
 use badgerramp_toml_diagnostics::units::{format_duration, format_size};
 use badgerramp_toml_diagnostics::{
-    display_value, parse_document, suggest_names, DeTable, DeValue, DiagnosticSink, Diagnostics,
-    Located, Section, Span, Value,
+    display_value, parse_document, suggest_names, DeTable, DeValue, Diagnostic, DiagnosticSink,
+    Diagnostics, Located, Section, Span, Value,
 };
 use http::{HeaderName, HeaderValue, Method};
 use std::collections::HashMap;
@@ -376,23 +376,60 @@
     }
 }
 
+/// What becomes of a file with proofs that prove nothing, for calls that may not be executed twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum WeakProofs {
+    /// The file is refused.
+    Refuse,
+    /// The proofs are left out, each with a warning.
+    LeaveOut,
+}
+
 /// Parses and validates the text of the file `name`.
-pub(crate) fn parse(name: &str, text: &str) -> Result<Config, Diagnostics> {
+pub(crate) fn parse(
+    name: &str,
+    text: &str,
+    weak_proofs: WeakProofs,
+) -> Result<Config, Diagnostics> {
     let mut sink = DiagnosticSink::default();
     let table = parse_document(&mut sink, text);
     if !sink.is_empty() {
         return Err(sink.into_diagnostics(name, text));
     }
-    let config = FileParser { sink: &mut sink }.file(name, text, &table);
+    let mut proof_sink = DiagnosticSink::default();
+    let mut parser = FileParser {
+        sink: &mut sink,
+        proof_sink: &mut proof_sink,
+    };
+    let config = parser.file(name, text, &table);
+    let (mut diagnostics, weak) = (sink.into_list(), proof_sink.into_list());
+    let mut warnings = Vec::new();
+    match weak_proofs {
+        WeakProofs::Refuse => diagnostics.extend(weak),
+        WeakProofs::LeaveOut => warnings.extend(weak.iter().map(left_out_warning)),
+    }
     match config {
-        Some(config) if sink.is_empty() => Ok(config),
-        _ => Err(sink.into_diagnostics(name, text)),
+        Some(mut config) if diagnostics.is_empty() => {
+            config.warnings.extend(warnings);
+            Ok(config)
+        }
+        _ => Err(Diagnostics::new(name, text, diagnostics)),
     }
 }
 
+/// The warning about a proof that is left out.
+fn left_out_warning(diagnostic: &Diagnostic) -> String {
+    let Diagnostic {
+        key, reason, found, ..
+    } = diagnostic;
+    format!("{key}: left out: {reason} (found {found})")
+}
+
 /// Parses a file and adds its mistakes to a sink.
 struct FileParser<'n> {
     sink: &'n mut DiagnosticSink,
+    /// Proofs that prove nothing, for calls that may not be executed twice.
+    proof_sink: &'n mut DiagnosticSink,
 }
 
 impl FileParser<'_> {
@@ -847,6 +884,9 @@
         }
         class.draft.check(self.sink, &class.timing_context());
         class
+            .draft
+            .check_proofs(self.proof_sink, &class.timing_context());
+        class
     }
 
     fn routes(
@@ -881,7 +921,7 @@
             .collect();
         let response_rules: Vec<Arc<ResponseRules>> = classes
             .iter()
-            .map(|c| Arc::new(c.draft.response_rules()))
+            .map(|c| Arc::new(c.draft.response_rules(c.idempotency)))
             .collect();
         let mut names = HashMap::new();
         let (mut routes, mut drafts) = (Vec::new(), Vec::new());
@@ -953,6 +993,7 @@
             };
             if overrides.has_values() {
                 draft.check(sink, &timing_context);
+                draft.check_proofs(self.proof_sink, &timing_context);
             }
             let is_keyed = matches!(class.idempotency, Some(Idempotency::Keyed { .. }));
             if section.has("key")
@@ -980,7 +1021,7 @@
             let default_key =
                 is_keyed.then(|| Source::Header(HeaderName::from_static("idempotency-key")));
             let response_rules = if overrides.has_values() {
-                Arc::new(draft.response_rules())
+                Arc::new(draft.response_rules(class.idempotency))
             } else {
                 Arc::clone(&response_rules[index])
             };
@@ -1117,7 +1158,11 @@
     name: &str,
 ) -> Option<Upstream> {
     let section = parent.section(sink, name, &UPSTREAM_KEYS)?;
-    Some(FileParser { sink }.upstream(&section))
+    let mut parser = FileParser {
+        sink,
+        proof_sink: &mut DiagnosticSink::default(),
+    };
+    Some(parser.upstream(&section))
 }
 
 /// The empty span at the start of a value, by which diagnostics locate a route without a name.
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -35,6 +35,7 @@
 pub use policy::PolicySettings;
 pub use subset::{ListSettings, SubsetSettings};
 
+use file::WeakProofs;
 use std::path::Path;
 
 /// Time reserved for sending the final response to the client, in microseconds. A call may last at most as long as its
@@ -68,7 +69,17 @@
 /// # Errors
 /// Returns all mistakes in the file.
 pub fn parse(name: &str, text: &str) -> Result<Config, Diagnostics> {
-    file::parse(name, text)
+    file::parse(name, text, WeakProofs::Refuse)
+}
+
+/// Parses the text of a file that was accepted before, maybe by an earlier release, and is in force since. Proofs that
+/// this release refuses are left out, with a warning each: the file is no less safe without them, and a fleet could not be
+/// upgraded if it could not be read.
+///
+/// # Errors
+/// Returns all other mistakes in the file.
+pub fn parse_stored(name: &str, text: &str) -> Result<Config, Diagnostics> {
+    file::parse(name, text, WeakProofs::LeaveOut)
 }
 
 /// Reads, parses and validates a file.
--- a/crates/config/src/timing.rs
+++ b/crates/config/src/timing.rs
@@ -223,7 +223,9 @@
         ]
     }
 
-    pub(crate) fn response_rules(&self) -> ResponseRules {
+    /// The rules for responses to calls of this idempotency. Proofs that prove nothing are left out if the calls may not be
+    /// executed twice.
+    pub(crate) fn response_rules(&self, idempotency: Option<Idempotency>) -> ResponseRules {
         let mut response_rules = ResponseRules::standard();
         if let Some(served) = &self.served {
             response_rules.served = served.value;
@@ -231,6 +233,10 @@
         if let Some(proofs) = &self.never_ran {
             response_rules.never_ran.clone_from(&proofs.value);
         }
+        if needs_proofs(idempotency) {
+            let proves = |proof: &NotExecutedProof| proof.weakness().is_none();
+            response_rules.never_ran.retain(proves);
+        }
         response_rules
     }
 
@@ -240,7 +246,7 @@
         match context.idempotency {
             Some(Idempotency::NonIdempotent) => self.check_unsafe(sink, context),
             Some(Idempotency::Keyed { window, .. }) => self.check_keyed(sink, context, window),
-            _ => {}
+            Some(Idempotency::Idempotent) | None => {}
         }
         if let (Some(served), Some(proofs)) = (&self.served, &self.never_ran) {
             if let Some(proof) = proofs
@@ -420,7 +426,6 @@
                 "\"never-ran\" for an unsafe class",
             );
         }
-        self.check_proofs(sink, context);
     }
 
     fn check_keyed(&self, sink: &mut DiagnosticSink, context: &TimingContext<'_>, window: Micros) {
@@ -457,14 +462,17 @@
             }
             _ => {}
         }
-        self.check_proofs(sink, context);
     }
 
-    /// Refuses responses that an endpoint may also send after it has executed a call, as proof that it has not.
-    fn check_proofs(&self, sink: &mut DiagnosticSink, context: &TimingContext<'_>) {
+    /// Finds responses that an endpoint may also send after it has executed a call, among the proofs that it has not. They
+    /// don't count ([`TimingDraft::response_rules`]).
+    pub(crate) fn check_proofs(&self, sink: &mut DiagnosticSink, context: &TimingContext<'_>) {
         let Some(proofs) = &self.never_ran else {
             return;
         };
+        if !needs_proofs(context.idempotency) {
+            return;
+        }
         for proof in &proofs.value {
             let Some(weakness) = proof.weakness() else {
                 continue;
@@ -482,6 +490,11 @@
     }
 }
 
+/// Whether a call may be sent again only after a proof that it was not executed, be it anywhere or at some endpoints.
+fn needs_proofs(idempotency: Option<Idempotency>) -> bool {
+    idempotency.is_some_and(|kind| kind != Idempotency::Idempotent)
+}
+
 /// What is allowed in place of a proof with this weakness.
 fn allowed_proof(weakness: ProofWeakness) -> &'static str {
     match weakness {
--- a/crates/control-plane/src/check.rs
+++ b/crates/control-plane/src/check.rs
@@ -106,7 +106,7 @@
 
 fn parsed_generation(record: &Record, generation: Generation) -> Option<Files> {
     let files = decode_files(record.text(generation)?).ok()?;
-    fallback::parse(&files).ok()
+    fallback::parse_stored(&files).ok()
 }
 
 /// Checks a policy that another region has published, from its text in that region's record.
--- a/crates/control-plane/src/fallback.rs
+++ b/crates/control-plane/src/fallback.rs
@@ -10,15 +10,30 @@
 /// Parsed files of a policy, by application.
 pub(crate) type Files = BTreeMap<String, Config>;
 
-/// Parses the files of a policy.
+/// Parses the files of a policy that is to be published.
 ///
 /// # Errors
 /// Returns the diagnostics of each invalid file, with file, line and key.
 pub(crate) fn parse(files: &BTreeMap<String, String>) -> Result<Files, Vec<Diagnostics>> {
+    parse_each(files, badgerramp_config::parse)
+}
+
+/// Parses the files of a policy that was published before, maybe by an earlier release.
+///
+/// # Errors
+/// Returns the diagnostics of each invalid file, with file, line and key.
+pub(crate) fn parse_stored(files: &BTreeMap<String, String>) -> Result<Files, Vec<Diagnostics>> {
+    parse_each(files, badgerramp_config::parse_stored)
+}
+
+fn parse_each(
+    files: &BTreeMap<String, String>,
+    parse_file: impl Fn(&str, &str) -> Result<Config, Diagnostics>,
+) -> Result<Files, Vec<Diagnostics>> {
     let mut parsed = Files::new();
     let mut diagnostics = Vec::new();
     for (name, text) in files {
-        match badgerramp_config::parse(&format!("{name}.toml"), text) {
+        match parse_file(&format!("{name}.toml"), text) {
             Ok(config) => {
                 parsed.insert(name.clone(), config);
             }
--- a/crates/proxy/src/policy_client.rs
+++ b/crates/proxy/src/policy_client.rs
@@ -87,7 +87,7 @@
         match copy {
             Some(Ok(Some(copy))) => {
                 for (generation, text) in copy.into_texts() {
-                    if let Ok(config) = parse(&text, &local_config) {
+                    if let Ok(config) = parse(&text, PolicyOrigin::InForce, &local_config) {
                         loaded.insert(Generation(generation), LoadedGeneration::new(text, config));
                     }
                 }
@@ -250,7 +250,12 @@
         let mut newly_loaded = false;
         for text in &wire.policies {
             let generation = Generation(text.generation);
-            match self.load_generation(generation, text) {
+            let origin = if generation == grant.mode.old {
+                PolicyOrigin::InForce
+            } else {
+                PolicyOrigin::Published
+            };
+            match self.load_generation(generation, text, origin) {
                 Ok(()) => {
                     holder.accept_generation(generation);
                     newly_loaded = true;
@@ -290,12 +295,16 @@
         &self,
         generation: Generation,
         text: &wire::PolicyFiles,
+        origin: PolicyOrigin,
     ) -> Result<(), String> {
         let application = &self.terms.application;
         let text = text.files.get(application);
         let text =
             text.ok_or_else(|| format!("the policy has no file for application {application:?}"))?;
-        let config = parse(text, &self.local_config.borrow())?;
+        let config = parse(text, origin, &self.local_config.borrow())?;
+        for warning in &config.warnings {
+            warn!("{generation}: {warning}");
+        }
         self.loaded
             .borrow_mut()
             .insert(generation, LoadedGeneration::new(text.clone(), config));
@@ -407,8 +416,9 @@
         }
         let mut reparsed = BTreeMap::new();
         for (&generation, loaded) in self.loaded.borrow().iter() {
-            let config =
-                parse(&loaded.text, &local_config).map_err(|e| format!("{generation}: {e}"))?;
+            // It was checked when it was loaded.
+            let config = parse(&loaded.text, PolicyOrigin::InForce, &local_config)
+                .map_err(|e| format!("{generation}: {e}"))?;
             reparsed.insert(
                 generation,
                 LoadedGeneration::new(loaded.text.clone(), config),
@@ -428,10 +438,22 @@
     }
 }
 
+/// Where a policy stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PolicyOrigin {
+    /// It has been published and is not in force yet.
+    Published,
+    /// It is or was in force, maybe since an earlier release.
+    InForce,
+}
+
 /// Parses an application's file of a policy and completes it with the settings of the proxy's own file.
-fn parse(text: &str, local_config: &Config) -> Result<Config, String> {
-    let config =
-        badgerramp_config::parse("policy", text).map_err(|mistakes| mistakes.to_single_line())?;
+fn parse(text: &str, origin: PolicyOrigin, local_config: &Config) -> Result<Config, String> {
+    let config = match origin {
+        PolicyOrigin::Published => badgerramp_config::parse("policy", text),
+        PolicyOrigin::InForce => badgerramp_config::parse_stored("policy", text),
+    };
+    let config = config.map_err(|mistakes| mistakes.to_single_line())?;
     if config.deployment != Deployment::Standalone {
         return Err("a policy can't have `platform = true`: it is for sidecars".to_owned());
     }
--- a/crates/toml-diagnostics/src/diagnostic.rs
+++ b/crates/toml-diagnostics/src/diagnostic.rs
@@ -102,6 +102,11 @@
         &self.diagnostics
     }
 
+    /// All mistakes, in the order in which they were found.
+    pub fn into_list(self) -> Vec<Diagnostic> {
+        self.diagnostics
+    }
+
     /// The error that reports all mistakes of the file `name` with this text.
     pub fn into_diagnostics(self, name: &str, text: &str) -> Diagnostics {
         Diagnostics::new(name, text, self.diagnostics)
