Policy: a keyed class does not hold at a proxy whose endpoints have no group

A policy with a class deduplicated within a group came into force at proxies whose endpoints have no group. To the decisions all endpoints without one are one group, so that a keyed call that may have run was sent again to an endpoint that had not seen its key.

Cause: that endpoints tell the scope was checked in the text of a file only, before the proxy's own upstream takes the place of the policy's (with_local_settings). Neither a publish, a start nor a reload checked the combination.

Change: the check has a module of its own and is made for the combination as well: the proxy rejects such a generation with class, key and endpoint, and a reload of its own file that would take the groups away is refused.

Test: a_policy_whose_dedup_scope_the_proxys_endpoints_lack_is_not_applied, for groups and zones; before: in force.

--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -1,5 +1,6 @@
 //! Schema of the file, and the checks that concern more than one key.
 
+use crate::dedup_scope::{self, MissingDedupScope};
 use crate::expressions::{self, Expressions};
 use crate::log::{self, Log};
 use crate::subset::{self, ListSettings, SubsetSettings};
@@ -298,6 +299,12 @@
         self
     }
 
+    /// A keyed class whose dedup scope one of the endpoints does not tell, which [`Config::with_local_settings`] may bring
+    /// about; a single file has none.
+    pub fn missing_dedup_scope(&self) -> Option<MissingDedupScope> {
+        dedup_scope::find_missing(&self.classes, &self.upstream)
+    }
+
     /// Timing of a class, with the place at which each value was set.
     pub fn class_timing_values(&self, index: usize) -> Vec<TimingValue> {
         let Some(((_, draft), class)) = self.source.classes.get(index).zip(self.classes.get(index))
@@ -1122,31 +1129,16 @@
             return;
         };
         for class in classes {
-            let Some(Idempotency::Keyed { scope, .. }) = class.idempotency else {
+            let missing = dedup_scope::endpoint_without_scope(class.idempotency, upstream);
+            let Some((scope, endpoint)) = missing else {
                 continue;
             };
-            let (scope_key, endpoint_without) = match scope {
-                DedupScope::All => continue,
-                DedupScope::Zone => (
-                    "zone",
-                    upstream.endpoints.iter().find(|e| e.zone.is_empty()),
-                ),
-                DedupScope::Cell => ("group", upstream.endpoints.iter().find(|e| e.group == 0)),
-            };
-            if let Some(endpoint_without) = endpoint_without {
-                let reason = format!(
-                    "retries are deduplicated within a {scope_key}, but an endpoint has none"
-                );
-                let key = format!("class.{}.group", class.name);
-                let found = format!("endpoint {:?} without a {scope_key}", endpoint_without.name);
-                self.sink.add(
-                    &key,
-                    &class.span,
-                    reason,
-                    found,
-                    format!("a `{scope_key}` for each endpoint"),
-                );
-            }
+            let reason =
+                format!("retries are deduplicated within a {scope}, but an endpoint has none");
+            let key = format!("class.{}.group", class.name);
+            let found = format!("endpoint {:?} without a {scope}", endpoint.name);
+            let allowed = format!("a `{scope}` for each endpoint");
+            self.sink.add(&key, &class.span, reason, found, allowed);
         }
     }
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -15,6 +15,7 @@
     reason = "long functions are still to be split"
 )]
 
+mod dedup_scope;
 mod expressions;
 mod file;
 mod log;
@@ -25,6 +26,7 @@
 mod timing;
 mod values;
 
+pub use dedup_scope::MissingDedupScope;
 pub use timing::TimingValue;
 
 pub use badgerramp_toml_diagnostics::{Diagnostic, Diagnostics};
--- a/crates/proxy/src/policy_client.rs
+++ b/crates/proxy/src/policy_client.rs
@@ -302,9 +302,6 @@
         let text =
             text.ok_or_else(|| format!("the policy has no file for application {application:?}"))?;
         let config = parse(text, origin, &self.local_config.borrow())?;
-        for warning in &config.warnings {
-            warn!("{generation}: {warning}");
-        }
         self.loaded
             .borrow_mut()
             .insert(generation, LoadedGeneration::new(text.clone(), config));
@@ -454,6 +451,9 @@
         PolicyOrigin::InForce => badgerramp_config::parse_stored("policy", text),
     };
     let config = config.map_err(|mistakes| mistakes.to_single_line())?;
+    for warning in &config.warnings {
+        warn!("policy: {warning}");
+    }
     if config.deployment != Deployment::Standalone {
         return Err("a policy can't have `platform = true`: it is for sidecars".to_owned());
     }
@@ -471,5 +471,9 @@
             "this proxy's cut_off is \"narrow\", and the policy declares no floor".to_owned(),
         );
     }
-    Ok(config.with_local_settings(local_config))
+    let config = config.with_local_settings(local_config);
+    match config.missing_dedup_scope() {
+        Some(missing) => Err(missing.to_string()),
+        None => Ok(config),
+    }
 }
--- a/crates/proxy/tests/fleet.rs
+++ b/crates/proxy/tests/fleet.rs
@@ -395,6 +395,39 @@
     }
 }
 
+/// A policy's keyed class names a group, and its own endpoints have one. The endpoints of a proxy are those of its own
+/// file: if they had no group, all of them counted as one, and calls were sent again to endpoints that had not seen them.
+#[test]
+fn a_policy_whose_dedup_scope_the_proxys_endpoints_lack_is_not_applied() {
+    for (scope, key) in [("group", "group = 1"), ("zone", "zone = \"a\"")] {
+        let mut fixture = Fixture::start(&format!("scope-{scope}"), false);
+        let own = fixture.file("p", "/own", "refuse");
+        let endpoint = format!("{{ address = \"{}\"", fixture.host.address);
+        let with_scope = own.replace(&endpoint, &format!("{endpoint}, {key}"));
+        let keyed = format!("effect = \"keyed\"\ngroup = \"{scope}\"\nwindow = \"1s\"");
+        let policy = with_scope.replace("effect = \"unsafe\"", &keyed);
+        let proxy = Proxy::sidecar(PROXY, &[], &own);
+        assert_eq!(fixture.publish("caja", "/one").outcome, Outcome::InForce);
+        get_until_status(&proxy, "/one", "200");
+        let published = fixture.publish_text("caja", &policy);
+        assert_eq!(published.outcome, Outcome::NotInForce);
+        let names_all = ["p", "class.entry.group", scope]
+            .iter()
+            .all(|part| published.reason.contains(part));
+        assert!(names_all, "{}", published.reason);
+        // With endpoints that tell it the policy is applied, and they can't be replaced by others while it is.
+        drop(proxy);
+        let proxy = Proxy::sidecar(PROXY, &[], &with_scope);
+        let published = fixture.publish_text("caja", &policy);
+        assert_eq!(published.outcome, Outcome::InForce, "{}", published.reason);
+        get_until_status(&proxy, "/_health", "200");
+        proxy.reload(&own);
+        let line = proxy.wait_for_log("reload failed, keeping the old configuration");
+        assert!(line.contains("class.entry.group"), "{line}");
+        fixture.replica.shut_down();
+    }
+}
+
 #[test]
 fn of_two_concurrent_publishes_one_starts() {
     let mut fixture = Fixture::start("two", false);
