Configuration tool: a keyed pattern must lie within the upstream's keyed paths

A route of a keyed class with a pattern that matches paths within and outside of the upstream's keyed prefixes passed write and check. Outside of them the hosts drop no repeats, so that a call that may have run ran again.

Cause: for a pattern the check asked whether it can match any path under a keyed prefix, the question that is right for unsafe paths. For paths and prefixes it asked, rightly, whether all are under one.

Change: the automaton of the pattern is searched together with how far a path agrees with each prefix; a match outside of all is found. As before, a pattern whose automaton exceeds its limits counts as one that matches any path.

Tests: two edits of a description, failed before; a_keyed_pattern_within_the_upstreams_keyed_paths_is_accepted passed before and after.

--- a/crates/config-tool/src/config_set.rs
+++ b/crates/config-tool/src/config_set.rs
@@ -4,7 +4,8 @@
 use crate::contract::{display_scope, ApplicationContract, RetryOn, UpstreamContract};
 use crate::finding::{Finding, Location, Report};
 use crate::overlap::{
-    is_under, loosely_normalize, matches_all_under, matches_under, matches_writes_of, may_write,
+    is_under, loosely_normalize, matches_all_under, matches_only_under, matches_under,
+    matches_writes_of, may_write,
 };
 use badgerramp_config::{max_idle_connections, Config, Upstream, RESPONSE_RESERVE};
 use badgerramp_decisions::{DedupScope, Idempotency, Micros};
@@ -703,16 +704,12 @@
     // A keyed class is only valid on paths where the upstream deduplicates retries.
     for (index, route) in routes.iter().enumerate().filter(|(_, r)| may_write(r)) {
         let idempotency = app.config.classes[route.class].class.idempotency;
-        let is_within = |prefix: &str| match &route.path {
-            PathPattern::Exact(path) | PathPattern::Prefix(path) => is_under(path, prefix),
-            PathPattern::Regex(_) => matches_under(route, prefix),
-        };
-        let is_deduplicated = upstream
-            .contract
-            .keyed_paths
-            .iter()
-            .any(|k| is_within(&k.prefix));
-        if matches!(idempotency, Idempotency::Keyed { .. }) && !is_deduplicated {
+        if !matches!(idempotency, Idempotency::Keyed { .. }) {
+            continue;
+        }
+        let keyed_paths = upstream.contract.keyed_paths.iter();
+        let prefixes: Vec<&str> = keyed_paths.map(|keyed| keyed.prefix.as_str()).collect();
+        if !matches_only_under(route, &prefixes) {
             let class = &app.config.classes[route.class].name;
             let mut finding = app.finding(
                 "keyed-unhonoured",
--- a/crates/config-tool/src/overlap.rs
+++ b/crates/config-tool/src/overlap.rs
@@ -3,6 +3,7 @@
 use badgerramp_route::{PathPattern, Route};
 use http::Method;
 use regex_automata::dfa::{dense, Automaton, StartKind};
+use regex_automata::util::primitives::StateID;
 use regex_automata::util::start;
 use regex_automata::Anchored;
 use std::collections::HashSet;
@@ -60,17 +61,107 @@
         || (!later.methods.is_empty() && later.methods.iter().all(|m| earlier.methods.contains(m)))
 }
 
-/// Whether the pattern matches the prefix or any path that continues it after a slash. Runs the automaton over the prefix
-/// and then searches all states that are reachable from there.
-fn pattern_matches_under(pattern: &str, prefix: &str) -> bool {
+/// Whether every path that the route matches is one of the prefixes or below one.
+pub fn matches_only_under(route: &Route, prefixes: &[&str]) -> bool {
+    match &route.path {
+        PathPattern::Exact(path) | PathPattern::Prefix(path) => {
+            prefixes.iter().any(|prefix| is_under(path, prefix))
+        }
+        PathPattern::Regex(regex) => pattern_matches_only_under(regex.as_str(), prefixes),
+    }
+}
+
+/// The automaton of a pattern and its start state; `None` if it exceeds a limit.
+fn automaton(pattern: &str) -> Option<(dense::DFA<Vec<u32>>, StateID)> {
     let config = dense::Config::new()
         .start_kind(StartKind::Anchored)
         .dfa_size_limit(Some(MAX_DFA_BYTES))
         .determinize_size_limit(Some(MAX_DETERMINIZE_BYTES));
-    let Ok(dfa) = dense::Builder::new().configure(config).build(pattern) else {
-        return true;
+    let dfa = dense::Builder::new()
+        .configure(config)
+        .build(pattern)
+        .ok()?;
+    let anchored = start::Config::new().anchored(Anchored::Yes);
+    let start = dfa.start_state(&anchored).ok()?;
+    Some((dfa, start))
+}
+
+/// How far the beginning of a path agrees with a prefix.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum PrefixMatch {
+    /// The whole beginning agrees with this many bytes of the prefix.
+    Partial(usize),
+    /// The path is below the prefix, however it goes on.
+    Below,
+    /// The path is neither the prefix nor below it.
+    Outside,
+}
+
+impl PrefixMatch {
+    /// The match of an empty beginning.
+    fn start(prefix: &str) -> Self {
+        if prefix == "/" {
+            PrefixMatch::Below
+        } else {
+            PrefixMatch::Partial(0)
+        }
+    }
+
+    /// The match after one more byte of the path.
+    fn next(self, prefix: &str, byte: u8) -> Self {
+        let PrefixMatch::Partial(length) = self else {
+            return self;
+        };
+        match prefix.as_bytes().get(length) {
+            Some(&expected) if expected == byte => PrefixMatch::Partial(length + 1),
+            None if byte == b'/' => PrefixMatch::Below,
+            _ => PrefixMatch::Outside,
+        }
+    }
+
+    /// Whether a path that ends here is the prefix or below it.
+    fn is_under(self, prefix: &str) -> bool {
+        match self {
+            PrefixMatch::Partial(length) => length == prefix.len(),
+            PrefixMatch::Below => true,
+            PrefixMatch::Outside => false,
+        }
+    }
+}
+
+/// Whether the pattern matches no path outside of the prefixes. Searches all states of the automaton together with how far
+/// the path agrees with each prefix.
+fn pattern_matches_only_under(pattern: &str, prefixes: &[&str]) -> bool {
+    let Some((dfa, start)) = automaton(pattern) else {
+        return false;
     };
-    let Ok(mut state) = dfa.start_state(&start::Config::new().anchored(Anchored::Yes)) else {
+    let matches: Vec<PrefixMatch> = prefixes.iter().map(|p| PrefixMatch::start(p)).collect();
+    let mut seen = HashSet::new();
+    let mut pending = vec![(start, matches)];
+    while let Some((state, matches)) = pending.pop() {
+        if dfa.is_dead_state(state)
+            || matches.contains(&PrefixMatch::Below)
+            || !seen.insert((state, matches.clone()))
+        {
+            continue;
+        }
+        let is_under = prefixes.iter().zip(&matches).any(|(p, m)| m.is_under(p));
+        let is_match = dfa.is_match_state(dfa.next_eoi_state(state));
+        if dfa.is_quit_state(state) || is_match && !is_under {
+            return false;
+        }
+        pending.extend((0..=u8::MAX).map(|byte| {
+            let next = prefixes.iter().zip(&matches).map(|(p, m)| m.next(p, byte));
+            (dfa.next_state(state, byte), next.collect())
+        }));
+    }
+    true
+}
+
+/// Whether the pattern matches the prefix or any path that continues it after a slash. Runs the automaton over the prefix
+/// and then searches all states that are reachable from there.
+fn pattern_matches_under(pattern: &str, prefix: &str) -> bool {
+    let Some((dfa, mut state)) = automaton(pattern) else {
         return true;
     };
     let path = if prefix == "/" { "" } else { prefix };
--- a/crates/config-tool/tests/tool.rs
+++ b/crates/config-tool/tests/tool.rs
@@ -105,6 +105,8 @@
     ("a path that is unsafe after decoding", ("{ name = \"members\", prefix = \"/socios\", class = \"consulta\" }", "{ name = \"members\", path = \"/cobro-mensual%2F7\", class = \"consulta\" }"), NO_EDIT, "path-alike", "%2F7"),
     ("an unsafe request with an unusual method", ("methods = [\"GET\"], class = \"consulta\" },\n    { name = \"members\", prefix = \"/socios\", class", "methods = [\"GET\", \"DELETE\"], class = \"consulta\" },\n    { name = \"members\", prefix = \"/socios\", class"), NO_EDIT, "charge-lax", "\"DELETE\""),
     ("a keyed class where retries are not deduplicated", ("{ name = \"members\", prefix = \"/socios\", methods = [\"GET\"], class = \"consulta\" }", "{ name = \"members\", prefix = \"/socios\", methods = [\"PUT\"], class = \"registro-entrada\" }"), NO_EDIT, "keyed-unhonoured", "\"PUT\""),
+    ("a keyed pattern that also matches paths where retries are not deduplicated", ("{ name = \"exits\", path = \"/registro-entrada/salida\"", "{ name = \"exits\", regex = '/registro-(entrada|salida)(/.*)?'"), NO_EDIT, "keyed-unhonoured", "name = \"exits\""),
+    ("a keyed pattern that matches a path that only begins like the upstream's", ("{ name = \"exits\", path = \"/registro-entrada/salida\"", "{ name = \"exits\", regex = '/registro-entrada[a-z]*(/salida)?'"), NO_EDIT, "keyed-unhonoured", "name = \"exits\""),
     ("a wider deduplication scope than the upstream's", NO_EDIT, ("group = \"group\"", "group = \"all\""), "keyed-unhonoured", "name = \"entries\""),
     ("a key from another source", ("class = \"registro-entrada\" },\n    { name = \"charges\"", "class = \"registro-entrada\", key = { cookie = \"k\" } },\n    { name = \"charges\""), NO_EDIT, "class-differs", "cookie = \"k\""),
     ("an application-specific deadline", ("[app.torniquete.class.registro-entrada]", "[app.torniquete.class.registro-entrada]\ndeadline = \"1300ms\""), NO_EDIT, "class-differs", "deadline = \"1300ms\""),
@@ -308,6 +310,21 @@
     }
 }
 
+#[test]
+fn a_keyed_pattern_within_the_upstreams_keyed_paths_is_accepted() {
+    for pattern in [
+        "/registro-entrada(/salida)?",
+        "/registro-entrada/(salida|puerta-[0-9]+)/.*",
+        "/registro-entrada(/[^/]+){0,3}",
+    ] {
+        let folder = TempFolder::new();
+        let exits = "{ name = \"exits\", path = \"/registro-entrada/salida\"";
+        let edit = format!("{{ name = \"exits\", regex = '{pattern}'");
+        let description = write_description(&folder, (exits, &edit), NO_EDIT);
+        generate(&description).unwrap_or_else(|report| panic!("{pattern}: {}", report.human()));
+    }
+}
+
 /// Proofs of a class may be the applications' own where no two of them speak of the same endpoints, or where a call may run
 /// twice.
 #[test]
