Config: beside the platform a file may not allow a resend of an unsafe class either

Nothing was sent again, as the decisions go by the class, but check and start said that the file is good.

Cause: the effect of a class is not known when such a file is parsed, and narrowing it to the platform's settings compared attempts, times and proofs, but not these two keys with the effect.

Test: platform::a_resend_or_second_copy_of_an_unsafe_class_is_rejected; before: accepted.

--- a/crates/config/src/platform.rs
+++ b/crates/config/src/platform.rs
@@ -1,10 +1,10 @@
 //! Applies a file to the platform's settings, which it may only narrow.
 
 use crate::file::Config;
-use crate::timing::{display_hedge, TimingDraft};
+use crate::timing::{display_hedge, TimingContext, TimingDraft};
 use crate::RESPONSE_RESERVE;
 use badgerramp_decisions::settings::PlatformSettings;
-use badgerramp_decisions::Hedge;
+use badgerramp_decisions::{Hedge, Idempotency};
 use badgerramp_route::{Table, Timing};
 use badgerramp_toml_diagnostics::units::format_duration;
 use badgerramp_toml_diagnostics::{suggest_names, DiagnosticSink, Diagnostics, Span};
@@ -77,6 +77,15 @@
     draft: &TimingDraft,
 ) -> Timing {
     let class = &platform.settings.classes[index];
+    if class.idempotency == Idempotency::NonIdempotent {
+        let context = TimingContext {
+            name,
+            span,
+            deadline: Some(class.deadline),
+            idempotency: Some(class.idempotency),
+        };
+        draft.check_unsafe(sink, &context);
+    }
     let mut timing = Timing::UNLIMITED;
     let mut report_widening = |key: &str, key_span: &Span, found: String, allowed: String| {
         let reason = format!("this would widen what the platform sets for {name:?}");
--- a/crates/config/src/timing.rs
+++ b/crates/config/src/timing.rs
@@ -395,7 +395,8 @@
         }
     }
 
-    fn check_unsafe(&self, sink: &mut DiagnosticSink, context: &TimingContext<'_>) {
+    /// Refuses second copies and resends of a class that must not be executed twice.
+    pub(crate) fn check_unsafe(&self, sink: &mut DiagnosticSink, context: &TimingContext<'_>) {
         if let Some(hedge) = self
             .second_copy
             .as_ref()
--- a/crates/config/tests/files.rs
+++ b/crates/config/tests/files.rs
@@ -163,6 +163,43 @@
         assert!(narrow(&config, &platform_settings()).is_ok());
     }
 
+    /// A file could allow a resend or a second copy of a class that the platform sets as unsafe. The decisions made none, but
+    /// nobody was told that the file says otherwise.
+    #[test]
+    fn a_resend_or_second_copy_of_an_unsafe_class_is_rejected() {
+        for (line, key, reason) in [
+            ("retry = 'failed'", "retry", "would run twice"),
+            ("second_copy = 'auto'", "second_copy", "would run it twice"),
+        ] {
+            let route = "[[route]]\nname = 'r'\nprefix = '/charge'\nclass = 'charge'\n";
+            for (table, text) in [
+                ("defaults", format!("[defaults]\n{line}\n[class.charge]\n")),
+                ("class.charge", format!("[class.charge]\n{line}\n")),
+                ("route[0]", format!("[class.charge]\n{route}{line}\n")),
+            ] {
+                let text = format!("platform = true\n{text}");
+                let config = parse("p.toml", &text).unwrap_or_else(|m| panic!("{m}"));
+                let diagnostics = narrow(&config, &platform_settings()).expect_err(&text);
+                let found = diagnostics
+                    .iter()
+                    .any(|d| d.key == format!("{table}.{key}") && d.reason.contains(reason));
+                assert!(found, "{diagnostics}");
+                // The same for a safe class only keeps what the platform sets.
+                let safe = parse("p.toml", &text.replace("charge", "entry"));
+                let safe = safe.unwrap_or_else(|m| panic!("{m}"));
+                assert!(narrow(&safe, &platform_settings()).is_ok(), "{text}");
+            }
+        }
+        for line in ["retry = 'never-ran'", "second_copy = 'off'"] {
+            let config = parse(
+                "p.toml",
+                &format!("platform = true\n[class.charge]\n{line}\n"),
+            );
+            let config = config.unwrap_or_else(|m| panic!("{m}"));
+            assert!(narrow(&config, &platform_settings()).is_ok(), "{line}");
+        }
+    }
+
     #[test]
     fn settings_wider_than_the_platforms_are_rejected() {
         for (line, key) in [
