Configuration tool: publish checks the files that the manifest does not list

A file that the folder's manifest does not list was published with the others, and was only noted by the check: a safe class for paths under the upstream's unsafe ones, or a class that the others describe differently, came into force.

Cause: what is checked and what is published were told by two functions, one by the manifest and one by the folder.

Change: before a publish the unlisted files are applications of the set, without a contract. Files without a contract are also held to the contract of each upstream with which they share an endpoint or the list service. check notes them as before, as a folder may hold other files.

Test: a_file_beside_the_manifest_is_checked_before_it_is_published, with a sound file and one that sends charges as safe calls; before: "is not in the manifest and was not checked".

--- a/crates/config-tool/src/class_proofs.rs
+++ b/crates/config-tool/src/class_proofs.rs
@@ -38,10 +38,7 @@
     if let (Some((_, one)), Some((_, other))) = (&one.contract, &other.contract) {
         return one.upstream.value == other.upstream.value;
     }
-    let (one, other) = (&one.config.upstream, &other.config.upstream);
-    let has_address = |address| other.endpoints.iter().any(|e| e.address == address);
-    one.discovery.is_some() && one.discovery == other.discovery
-        || one.endpoints.iter().any(|e| has_address(e.address))
+    one.config.upstream.shares_endpoints(&other.config.upstream)
 }
 
 /// The routes of a class in an application.
--- a/crates/config-tool/src/commands.rs
+++ b/crates/config-tool/src/commands.rs
@@ -3,7 +3,7 @@
 use crate::config_set::{Application, ConfigSet, DescribedUpstream};
 use crate::description::{self, Description};
 use crate::finding::{Finding, Location, Report};
-use crate::manifest::{self, digest, file_name, read_digests, read_folder};
+use crate::manifest::{self, digest, file_name, read_digests, read_folder, UnlistedFiles};
 use crate::render::{map_to_description, render, Rendered, Sources};
 use crate::rollout;
 use badgerramp_config::read_upstream;
@@ -294,7 +294,7 @@
     let mut set = ConfigSet::default();
     for path in paths {
         if path.is_dir() {
-            let folder_set = read_folder(&mut report, path);
+            let folder_set = read_folder(&mut report, path, UnlistedFiles::Note);
             folder_set.check(&mut report);
             set.applications.extend(folder_set.applications);
             set.upstreams.extend(folder_set.upstreams);
@@ -342,12 +342,21 @@
     (report, set)
 }
 
+/// Checks a folder with a manifest before all of its files are published, including those that the manifest does not list.
+pub fn check_before_publish(folder: &Path) -> Report {
+    let mut report = Report::default();
+    let set = read_folder(&mut report, folder, UnlistedFiles::Include);
+    set.check(&mut report);
+    report.merge();
+    report
+}
+
 /// Checks a folder, and whether a rollout from another folder to it is safe.
 pub fn check_against(old: &Path, new: &Path) -> Report {
     let (mut report, new_set) = check(&[new]);
     let first_old_file = report.files.len();
     let mut old_report = Report::default();
-    let mut old_set = read_folder(&mut old_report, old);
+    let mut old_set = read_folder(&mut old_report, old, UnlistedFiles::Note);
     // Only the errors in reading the old folder matter, and they become notes: the old folder itself is not checked.
     report.notes.extend(
         old_report
--- a/crates/config-tool/src/config_set.rs
+++ b/crates/config-tool/src/config_set.rs
@@ -120,13 +120,18 @@
 impl ConfigSet {
     /// Runs all checks across files and adds the findings to the report.
     pub fn check(&self, report: &mut Report) {
-        self.check_names(report);
-        self.check_classes(report);
-        class_proofs::check(&self.applications, report);
+        self.check_agreement(report);
         self.check_listeners(report);
         self.check_fleets(report);
         for app in &self.applications {
             let Some((file, contract)) = &app.contract else {
+                // Which upstream it uses is known only by its endpoints.
+                let upstream = &app.config.upstream;
+                let shared = self
+                    .upstreams
+                    .iter()
+                    .filter(|u| u.upstream.shares_endpoints(upstream));
+                shared.for_each(|upstream| check_contract(report, app, upstream));
                 continue;
             };
             check_client(report, app, *file, contract);
@@ -155,6 +160,13 @@
         }
     }
 
+    /// Reports what applications describe differently, wherever they run.
+    pub fn check_agreement(&self, report: &mut Report) {
+        self.check_names(report);
+        self.check_classes(report);
+        class_proofs::check(&self.applications, report);
+    }
+
     /// Reports names of applications and classes that differ only in case or Unicode form.
     fn check_names(&self, report: &mut Report) {
         let mut seen: HashMap<String, &Application> = HashMap::new();
--- a/crates/config-tool/src/fleet.rs
+++ b/crates/config-tool/src/fleet.rs
@@ -1,6 +1,8 @@
 //! Publishes, inspects and rolls back the policy of a fleet through its control plane. Only the control plane decides
 //! which policy is in force.
 
+use crate::commands;
+use crate::finding::Report;
 use badgerramp_control_protocol::wire::{
     self, change::Status as ChangeStatus, rejection, reply, request,
 };
@@ -734,21 +736,21 @@
 /// The manifest, which is in a generated folder but is not published.
 const MANIFEST: &str = "manifest.toml";
 
-/// The paths to check before a folder is published: the folder itself if it has a manifest, or else each file that would
-/// be published.
+/// Checks the files of a folder that is to be published.
 ///
 /// # Errors
-/// Returns a message if the folder can't be read.
-pub fn paths_to_check(path: &Path) -> Result<Vec<PathBuf>, String> {
+/// Returns a message if the folder can't be read or contains no file of an application.
+pub fn check_folder(path: &Path) -> Result<Report, String> {
     if path.join(MANIFEST).exists() {
-        return Ok(vec![path.to_owned()]);
+        return Ok(commands::check_before_publish(path));
     }
-    let mut files: Vec<PathBuf> = read_folder(path)?
-        .into_keys()
+    let names = read_folder(path)?.into_keys();
+    let mut files: Vec<PathBuf> = names
         .map(|name| path.join(format!("{name}.toml")))
         .collect();
     files.sort();
-    Ok(files)
+    let files: Vec<&Path> = files.iter().map(PathBuf::as_path).collect();
+    Ok(commands::check(&files).0)
 }
 
 /// Reads the files of a folder: each `NAME.toml` but the manifest.
--- a/crates/config-tool/src/main.rs
+++ b/crates/config-tool/src/main.rs
@@ -219,11 +219,10 @@
 }
 
 fn publish(folder: &Path, scope: Scope, control_args: &ControlArgs, format: Format) -> ExitCode {
-    let paths = match fleet::paths_to_check(folder) {
-        Ok(paths) => paths,
+    let report = match fleet::check_folder(folder) {
+        Ok(report) => report,
         Err(error) => return fail(error),
     };
-    let report = commands::check(&paths.iter().map(PathBuf::as_path).collect::<Vec<_>>()).0;
     if !report.is_clean() {
         return print_report(&report, format);
     }
--- a/crates/config-tool/src/manifest.rs
+++ b/crates/config-tool/src/manifest.rs
@@ -88,8 +88,17 @@
     tables.filter_map(entry).collect()
 }
 
-/// Reads all files of a folder and the contracts of its manifest. Findings are added to the report.
-pub fn read_folder(report: &mut Report, folder: &Path) -> ConfigSet {
+/// What is done with files of a folder that its manifest does not list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnlistedFiles {
+    /// They are noted and not checked.
+    Note,
+    /// They are applications without a contract.
+    Include,
+}
+
+/// Reads the files of a folder and the contracts of its manifest. Findings are added to the report.
+pub fn read_folder(report: &mut Report, folder: &Path, unlisted_files: UnlistedFiles) -> ConfigSet {
     let path = folder.join(FILE_NAME);
     let shown = path.display().to_string();
     let text = match std::fs::read_to_string(&path) {
@@ -114,6 +123,7 @@
         top.require(&mut sink, "version", "1");
         top.integer(&mut sink, "version", FORMAT_VERSION..=FORMAT_VERSION);
         set = read_manifest(report, &mut sink, file, folder, &top);
+        add_unlisted(report, &mut set, folder, unlisted_files);
     }
     report.findings.extend(
         sink.diagnostics()
@@ -144,7 +154,6 @@
     top: &Section<'_>,
 ) -> ConfigSet {
     let mut set = ConfigSet::default();
-    let mut listed = std::collections::HashSet::new();
     for (name, section) in subsections(
         sink,
         top,
@@ -171,7 +180,6 @@
             );
             continue;
         }
-        listed.insert(file_name.value.clone());
         let path = folder.join(&file_name.value);
         match std::fs::read_to_string(&path) {
             Ok(text) => {
@@ -233,22 +241,52 @@
             }
         }
     }
+    set
+}
+
+/// Notes the files of a folder that its manifest does not list, or adds them to the set, and sorts the applications.
+fn add_unlisted(
+    report: &mut Report,
+    set: &mut ConfigSet,
+    folder: &Path,
+    unlisted_files: UnlistedFiles,
+) {
+    let listed = read_digests(folder);
     let folder_files = std::fs::read_dir(folder)
         .into_iter()
         .flatten()
         .filter_map(|e| e.ok()?.file_name().into_string().ok());
     let mut unlisted: Vec<String> = folder_files
-        .filter(|n| n.ends_with(".toml") && n != FILE_NAME && !listed.contains(n))
+        .filter(|n| n.ends_with(".toml") && n != FILE_NAME && !listed.contains_key(n))
         .collect();
     unlisted.sort();
     for name in unlisted {
-        report.notes.push(format!(
-            "{} is not in the manifest and was not checked",
-            folder.join(name).display()
-        ));
+        let path = folder.join(&name);
+        match unlisted_files {
+            UnlistedFiles::Note => report.notes.push(format!(
+                "{} is not in the manifest and was not checked",
+                path.display()
+            )),
+            UnlistedFiles::Include => add_unlisted_file(report, set, &path),
+        }
     }
     set.applications.sort_by(|a, b| a.name.cmp(&b.name));
-    set
+}
+
+/// Adds an application of which there is no more than its file.
+fn add_unlisted_file(report: &mut Report, set: &mut ConfigSet, path: &Path) {
+    let name = path.file_stem().map(|n| n.to_string_lossy().into_owned());
+    let name = name.unwrap_or_default();
+    match std::fs::read_to_string(path) {
+        Ok(text) => add_application(report, set, &name, path, &text, None),
+        Err(error) => {
+            let file = report.add_file(path.display().to_string(), "");
+            let location = Location::new(file, &(0..0));
+            report
+                .findings
+                .push(unreadable(location, &name, &error.to_string()));
+        }
+    }
 }
 
 /// Adds an application to the set if its file has no errors; otherwise, the errors are added to the report.
--- a/crates/config-tool/tests/tool.rs
+++ b/crates/config-tool/tests/tool.rs
@@ -8,6 +8,7 @@
 
 use badgerramp_config_tool::commands::{check, check_against, count_by_code, generate};
 use badgerramp_config_tool::finding::Report;
+use badgerramp_config_tool::fleet::check_folder;
 use common::*;
 use std::process::{Command, Output};
 
@@ -310,6 +311,52 @@
     }
 }
 
+/// The text of an application that is in no description: its clients send charges as safe calls to the same endpoints.
+fn lax_application() -> String {
+    let folder = examples().join("cordillera/sidecars");
+    let office = std::fs::read_to_string(folder.join("oficina.toml")).expect("a file");
+    let charges = "[[route]]\nname = \"refunds\"\npath = \"/cobro-mensual/devolucion\"\nclass = \"consulta\"\n";
+    let first_route = office.find("[[route]]").expect("a route");
+    let (head, routes) = office.split_at(first_route);
+    let text = format!("{head}{charges}\n{routes}").replace("127.0.0.1:8085", "127.0.0.1:8090");
+    badgerramp_config::parse("devoluciones.toml", &text).unwrap_or_else(|d| panic!("{d}"));
+    text
+}
+
+/// `publish` publishes each file of a folder. One that the manifest does not list was published without a check against the
+/// upstream's contract or the other files.
+#[test]
+fn a_file_beside_the_manifest_is_checked_before_it_is_published() {
+    let folder = TempFolder::new();
+    for entry in std::fs::read_dir(examples().join("cordillera/sidecars"))
+        .expect("a folder")
+        .flatten()
+    {
+        let text = std::fs::read_to_string(entry.path()).expect("a file");
+        folder.write(entry.file_name().to_str().expect("a name"), &text);
+    }
+    let check_published = || check_folder(&folder.0).expect("a folder");
+    assert!(
+        check_published().is_clean(),
+        "{}",
+        check_published().human()
+    );
+    let sound = lax_application().replace("class = \"consulta\"", "class = \"cobro-mensual\"");
+    folder.write("devoluciones.toml", &sound);
+    assert!(
+        check_published().is_clean(),
+        "{}",
+        check_published().human()
+    );
+    folder.write("devoluciones.toml", &lax_application());
+    let report = check_published();
+    let found = report.findings.iter().find(|f| f.code == "charge-lax");
+    let found = found.unwrap_or_else(|| panic!("{}", report.human()));
+    assert!(report.files[found.location.file]
+        .0
+        .ends_with("devoluciones.toml"));
+}
+
 #[test]
 fn a_keyed_pattern_within_the_upstreams_keyed_paths_is_accepted() {
     for pattern in [
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -158,6 +158,15 @@
     pub rules: decisions::EndpointRules,
 }
 
+impl Upstream {
+    /// Whether both upstreams have an endpoint in common, as far as the files tell: by an address or the list service.
+    pub fn shares_endpoints(&self, other: &Upstream) -> bool {
+        let has_address = |address| other.endpoints.iter().any(|e| e.address == address);
+        self.discovery.is_some() && self.discovery == other.discovery
+            || self.endpoints.iter().any(|e| has_address(e.address))
+    }
+}
+
 /// An endpoint that the file names.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Endpoint {
