Configuration tool: rollback checks the files of the earlier generation together

Control parses each by itself, so that a contradiction between two applications, which publish finds, came into force again: one that an earlier release did not look for, such as proofs that differ.

Change: the files are checked against one another first, by what they describe differently. Listeners are not compared, as the machines are not known.

Test: files_of_an_earlier_generation_are_checked_together; it failed with a check that finds nothing.

--- a/crates/config-tool/src/commands.rs
+++ b/crates/config-tool/src/commands.rs
@@ -351,6 +351,21 @@
     report
 }
 
+/// Checks the texts of a policy's files, by application name, one by one and together. On which machines the applications
+/// run is not known.
+pub fn check_texts(files: &HashMap<String, String>) -> Report {
+    let mut report = Report::default();
+    let mut set = ConfigSet::default();
+    let files: BTreeMap<&String, &String> = files.iter().collect();
+    for (name, text) in files {
+        let path = file_name(name);
+        manifest::add_application(&mut report, &mut set, name, Path::new(&path), text, None);
+    }
+    set.check_agreement(&mut report);
+    report.merge();
+    report
+}
+
 /// Checks a folder, and whether a rollout from another folder to it is safe.
 pub fn check_against(old: &Path, new: &Path) -> Report {
     let (mut report, new_set) = check(&[new]);
--- a/crates/config-tool/src/main.rs
+++ b/crates/config-tool/src/main.rs
@@ -240,6 +240,11 @@
     with_control(control_args, async |control| {
         select_region(control, scope, format).await?;
         let files = control.files(generation).await.map_err(|e| e.to_string())?;
+        // An earlier release may have accepted what is a mistake now.
+        let report = commands::check_texts(&files);
+        if !report.is_clean() {
+            return Ok(print_report(&report, format));
+        }
         publish_and_wait(control, scope, files, format).await
     })
 }
--- a/crates/config-tool/tests/tool.rs
+++ b/crates/config-tool/tests/tool.rs
@@ -6,7 +6,9 @@
 
 mod common;
 
-use badgerramp_config_tool::commands::{check, check_against, count_by_code, generate};
+use badgerramp_config_tool::commands::{
+    check, check_against, check_texts, count_by_code, generate,
+};
 use badgerramp_config_tool::finding::Report;
 use badgerramp_config_tool::fleet::check_folder;
 use common::*;
@@ -357,6 +359,31 @@
         .ends_with("devoluciones.toml"));
 }
 
+/// A generation that is published again was checked by the release that published it first, which knew fewer mistakes.
+#[test]
+fn files_of_an_earlier_generation_are_checked_together() {
+    let folder = examples().join("cordillera/sidecars");
+    let file = |name: &str| std::fs::read_to_string(folder.join(name)).expect("a file");
+    let mut files: std::collections::HashMap<String, String> = ["kiosko", "tableta"]
+        .map(|name| (name.to_owned(), file(&format!("{name}.toml"))))
+        .into();
+    // On another machine it may listen on the same port.
+    let same_port = file("tableta.toml").replace("127.0.0.1:8082", "127.0.0.1:8081");
+    files.insert("tableta".to_owned(), same_port);
+    let report = check_texts(&files);
+    assert!(report.is_clean(), "{}", report.human());
+    let own_proofs = "never_ran = [{ status = 425, header = \"X-Shed\" }]\neffect = \"keyed\"";
+    let contradicting = file("tableta.toml").replace("effect = \"keyed\"", own_proofs);
+    files.insert("tableta".to_owned(), contradicting);
+    let report = check_texts(&files);
+    assert_eq!(
+        count_by_code(&report).get("class-differs"),
+        Some(&1),
+        "{}",
+        report.human()
+    );
+}
+
 #[test]
 fn a_keyed_pattern_within_the_upstreams_keyed_paths_is_accepted() {
     for pattern in [
