Config: a key that every request has is no idempotency key

A keyed route with key = '"entry"', or with a default as in header["idempotency-key"] ?? "none", was accepted. A request whose client sent no key then had one for the sidecar, so that its call counted as keyed and was sent again after an error, to endpoints that had no key to recognize it by: it ran twice. With a description and its contract the configuration tool refused any key but the upstream's header; check, start, reload and control did not.

Cause: a keyed call without a key is never sent again, but whether a key can be absent at all was not asked.

Change: the expression is evaluated for two requests without headers, cookies and query, on different paths as far as the route allows and from different clients. If both have the same key, the file is refused. Keys that paths tell stay accepted. In a stored policy such a key is left out with a warning, so that its calls are not sent again.

--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -1,6 +1,7 @@
 //! Schema of the file, and the checks that concern more than one key.
 
 use crate::dedup_scope::{self, MissingDedupScope};
+use crate::default_keys;
 use crate::expressions::{self, Expressions};
 use crate::log::{self, Log};
 use crate::subset::{self, ListSettings, SubsetSettings};
@@ -392,12 +393,12 @@
     }
 }
 
-/// What becomes of a file with proofs that prove nothing, for calls that may not be executed twice.
+/// What becomes of a file with settings that would let calls be sent again, and without which the file is safe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum WeakProofs {
+pub(crate) enum UnsafeSettings {
     /// The file is refused.
     Refuse,
-    /// The proofs are left out, each with a warning.
+    /// They are left out, each with a warning.
     LeaveOut,
 }
 
@@ -405,24 +406,24 @@
 pub(crate) fn parse(
     name: &str,
     text: &str,
-    weak_proofs: WeakProofs,
+    unsafe_settings: UnsafeSettings,
 ) -> Result<Config, Diagnostics> {
     let mut sink = DiagnosticSink::default();
     let table = parse_document(&mut sink, text);
     if !sink.is_empty() {
         return Err(sink.into_diagnostics(name, text));
     }
-    let mut proof_sink = DiagnosticSink::default();
+    let mut unsafe_sink = DiagnosticSink::default();
     let mut parser = FileParser {
         sink: &mut sink,
-        proof_sink: &mut proof_sink,
+        unsafe_sink: &mut unsafe_sink,
     };
     let config = parser.file(name, text, &table);
-    let (mut diagnostics, weak) = (sink.into_list(), proof_sink.into_list());
+    let (mut diagnostics, found_unsafe) = (sink.into_list(), unsafe_sink.into_list());
     let mut warnings = Vec::new();
-    match weak_proofs {
-        WeakProofs::Refuse => diagnostics.extend(weak),
-        WeakProofs::LeaveOut => warnings.extend(weak.iter().map(left_out_warning)),
+    match unsafe_settings {
+        UnsafeSettings::Refuse => diagnostics.extend(found_unsafe),
+        UnsafeSettings::LeaveOut => warnings.extend(found_unsafe.iter().map(left_out_warning)),
     }
     match config {
         Some(mut config) if diagnostics.is_empty() => {
@@ -433,7 +434,7 @@
     }
 }
 
-/// The warning about a proof that is left out.
+/// The warning about a setting that is left out.
 fn left_out_warning(diagnostic: &Diagnostic) -> String {
     let Diagnostic {
         key, reason, found, ..
@@ -444,8 +445,8 @@
 /// Parses a file and adds its mistakes to a sink.
 struct FileParser<'n> {
     sink: &'n mut DiagnosticSink,
-    /// Proofs that prove nothing, for calls that may not be executed twice.
-    proof_sink: &'n mut DiagnosticSink,
+    /// Settings that would let calls be sent again, and that the parsed file is without.
+    unsafe_sink: &'n mut DiagnosticSink,
 }
 
 impl FileParser<'_> {
@@ -511,7 +512,7 @@
         let mut expressions = Expressions::default();
         let names: Vec<&str> = classes.iter().map(|c| c.name.as_str()).collect();
         let policy = policy::read(self.sink, &top, &names);
-        let (routes, route_drafts) =
+        let (mut routes, route_drafts) =
             self.routes(&top, &classes, deployment, text, &mut expressions);
         let no_route = self.no_route(&top);
         let log = log::read(self.sink, &top);
@@ -519,6 +520,10 @@
             self.check_groups(&classes, upstream.as_ref());
         }
         let program = Arc::new(expressions.program(self.sink));
+        // The platform's calls have the keys that it sets.
+        if self.sink.is_empty() && deployment == Deployment::Standalone {
+            self.remove_default_keys(&top, &mut routes, &program);
+        }
         let route_table = self.table(&top, routes, &route_drafts, program);
         let mut warnings = Vec::new();
         if let Some(table) = route_table.as_ref().filter(|_| self.sink.is_empty()) {
@@ -901,7 +906,7 @@
         class.draft.check(self.sink, &class.timing_context());
         class
             .draft
-            .check_proofs(self.proof_sink, &class.timing_context());
+            .check_proofs(self.unsafe_sink, &class.timing_context());
         class
     }
 
@@ -1009,7 +1014,7 @@
             };
             if overrides.has_values() {
                 draft.check(sink, &timing_context);
-                draft.check_proofs(self.proof_sink, &timing_context);
+                draft.check_proofs(self.unsafe_sink, &timing_context);
             }
             let is_keyed = matches!(class.idempotency, Some(Idempotency::Keyed { .. }));
             if section.has("key")
@@ -1059,6 +1064,25 @@
         (routes, drafts)
     }
 
+    /// Removes keys that requests have although their clients sent none. Calls without a key are not sent again.
+    fn remove_default_keys(&mut self, top: &Section<'_>, routes: &mut [Route], program: &Program) {
+        for (index, route) in routes.iter_mut().enumerate() {
+            let Some(default_key) = default_keys::default_key(route, program) else {
+                continue;
+            };
+            route.key = None;
+            let reason = "requests whose clients sent no key have this one: endpoints don't know it, and a retry would run again";
+            let allowed = "an expression that is absent where a request has no key, as `header[\"x\"]` without `??`";
+            self.unsafe_sink.add(
+                &format!("route[{index}].key"),
+                &route_value_span(top, index, "key"),
+                reason,
+                format!("{default_key:?} for requests without a key"),
+                allowed,
+            );
+        }
+    }
+
     fn table(
         &mut self,
         top: &Section<'_>,
@@ -1161,7 +1185,7 @@
     let section = parent.section(sink, name, &UPSTREAM_KEYS)?;
     let mut parser = FileParser {
         sink,
-        proof_sink: &mut DiagnosticSink::default(),
+        unsafe_sink: &mut DiagnosticSink::default(),
     };
     Some(parser.upstream(&section))
 }
@@ -1172,6 +1196,17 @@
     span.start..span.start
 }
 
+/// The span of a key of the route with this index; empty if it has none.
+fn route_value_span(top: &Section<'_>, index: usize, key: &str) -> Span {
+    let routes = top
+        .get("route")
+        .and_then(|value| value.get_ref().as_array());
+    let route = routes.and_then(|routes| routes.get(index)?.get_ref().as_table());
+    route
+        .and_then(|route| route.get(key))
+        .map_or(0..0, |value| value.span())
+}
+
 /// An upstream without endpoints, with the default of each setting.
 fn default_upstream() -> Upstream {
     let rules = decisions::EndpointRules {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -16,6 +16,7 @@
 )]
 
 mod dedup_scope;
+mod default_keys;
 mod expressions;
 mod file;
 mod log;
@@ -37,7 +38,7 @@
 pub use policy::PolicySettings;
 pub use subset::{ListSettings, SubsetSettings};
 
-use file::WeakProofs;
+use file::UnsafeSettings;
 use std::path::Path;
 
 /// Time reserved for sending the final response to the client, in microseconds. A call may last at most as long as its
@@ -71,17 +72,17 @@
 /// # Errors
 /// Returns all mistakes in the file.
 pub fn parse(name: &str, text: &str) -> Result<Config, Diagnostics> {
-    file::parse(name, text, WeakProofs::Refuse)
+    file::parse(name, text, UnsafeSettings::Refuse)
 }
 
-/// Parses the text of a file that was accepted before, maybe by an earlier release, and is in force since. Proofs that
-/// this release refuses are left out, with a warning each: the file is no less safe without them, and a fleet could not be
-/// upgraded if it could not be read.
+/// Parses the text of a file that was accepted before, maybe by an earlier release, and is in force since. Proofs and keys
+/// of requests that would let calls be sent again are left out, with a warning each, where [`parse`] refuses the file: a
+/// fleet could not be upgraded if it could not be read.
 ///
 /// # Errors
 /// Returns all other mistakes in the file.
 pub fn parse_stored(name: &str, text: &str) -> Result<Config, Diagnostics> {
-    file::parse(name, text, WeakProofs::LeaveOut)
+    file::parse(name, text, UnsafeSettings::LeaveOut)
 }
 
 /// Reads, parses and validates a file.
