Config: a header that all requests have is no idempotency key either

Test: a_key_that_every_request_has_is_refused with four such keys; before: accepted. Three more accepted keys passed before and after.

--- a/crates/config/tests/keys_of_calls.rs
+++ b/crates/config/tests/keys_of_calls.rs
@@ -3,14 +3,16 @@
 use badgerramp_config::{parse, parse_stored, Config, Diagnostics};
 use std::path::Path;
 
-/// The basic file with this key of its keyed route, which has this path.
+/// The basic file with this key of its keyed route, which has this path. The key is an expression, or a table.
 fn text_with(path: &str, key: &str) -> String {
     let base = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/good/base.toml");
     let text = std::fs::read_to_string(base).expect("a file");
-    let edited = text.replace(
-        "prefix = \"/entries\"\n",
-        &format!("{path}\nkey = '{key}'\n"),
-    );
+    let key = if key.starts_with('{') {
+        key.to_owned()
+    } else {
+        format!("'{key}'")
+    };
+    let edited = text.replace("prefix = \"/entries\"\n", &format!("{path}\nkey = {key}\n"));
     assert_ne!(edited, text);
     edited
 }
@@ -32,6 +34,11 @@
         (prefix, "method"),
         ("path = \"/entries\"", "path"),
         ("path = \"/entries\"", "header[\"x-visit\"] ?? path"),
+        // Headers that requests have in any case.
+        (prefix, "{ header = \"Host\" }"),
+        (prefix, "{ header = \"Content-Type\" }"),
+        (prefix, "header[\"user-agent\"]"),
+        (prefix, "concat(header[\"host\"], method)"),
     ] {
         let text = format!("{path} {key}");
         let diagnostics = parse_with(path, key).expect_err(&text);
@@ -65,6 +72,9 @@
         (prefix, "header[\"x-visit\"] ?? \"\""),
         (prefix, "path"),
         (prefix, "nth(segments, 1)"),
+        (prefix, "{ header = \"X-Visit\" }"),
+        (prefix, "{ cookie = \"visit\" }"),
+        (prefix, "concat(header[\"host\"], header[\"x-visit\"])"),
         ("regex = \"/entries/[0-9]+\"", "path"),
         ("path = \"/entries\"", "cookie[\"visit\"]"),
     ] {
