--- a/crates/config-tool/src/lib.rs
+++ b/crates/config-tool/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! - [`description`]: reads the description with its includes and class inheritance.
 //! - [`contract`]: what the checks know of clients and upstreams beyond the operators' files.
+//! - `contract_checks`: an application's file against the contracts of its client and its upstream.
 //! - [`render`]: generates one application's file and maps its lines back to the description.
 //! - [`config_set`]: all files with the contracts of their clients and upstreams, and the checks across files.
 //! - `class_proofs`: whether applications agree on which responses prove that a call was not executed.
@@ -27,6 +28,7 @@
 pub mod commands;
 pub mod config_set;
 pub mod contract;
+mod contract_checks;
 pub mod description;
 pub mod explain;
 pub mod finding;
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -23,6 +23,7 @@
 mod peers;
 mod platform;
 mod policy;
+mod response_rules;
 mod subset;
 mod timing;
 mod values;
--- a/crates/config/src/timing.rs
+++ b/crates/config/src/timing.rs
@@ -1,14 +1,13 @@
-//! Timing and response rules, which `[defaults]`, a class and a route may set. A class inherits from `[defaults]` and a
+//! Timing, which `[defaults]`, a class and a route may set together with response rules. A class inherits from `[defaults]` and a
 //! route from its class; the result is then validated.
 
+use crate::response_rules::{read_never_ran, read_served};
 use crate::{values, RESPONSE_RESERVE};
 use badgerramp_decisions::{Hedge, Idempotency, Micros, RetryOn};
-use badgerramp_route::{NotExecutedProof, ProofWeakness, ResponseRules, StatusSet, Timing};
+use badgerramp_route::{NotExecutedProof, StatusSet, Timing};
 use badgerramp_toml_diagnostics::units::format_duration;
-use badgerramp_toml_diagnostics::{
-    display_value, DeValue, Diagnostic, DiagnosticSink, Located, Section, Span,
-};
-use http::{HeaderName, HeaderValue};
+use badgerramp_toml_diagnostics::{Diagnostic, DiagnosticSink, Located, Section, Span};
+use http::HeaderName;
 
 /// Keys that are allowed in `[defaults]`, in a class and in a route.
 pub(crate) const KEYS: [&str; 9] = [
@@ -32,7 +31,6 @@
 /// Connect timeout if the file sets none, in microseconds.
 const DEFAULT_CONNECT_TIMEOUT: Micros = 250_000;
 const HEDGE_FORMS: &str = "\"off\", \"auto\", \"after 120ms\" or \"at 95%\" (from 50 to 99.9)";
-const STATUS_FORMS: &str = "statuses like \"200\", \"2xx\" or \"200-204\", from 200 to 599";
 
 /// The values that one table of the file sets, with their places.
 #[derive(Clone, Debug, Default)]
@@ -223,23 +221,6 @@
         ]
     }
 
-    /// The rules for responses to calls of this idempotency. Proofs that prove nothing are left out if the calls may not be
-    /// executed twice.
-    pub(crate) fn response_rules(&self, idempotency: Option<Idempotency>) -> ResponseRules {
-        let mut response_rules = ResponseRules::standard();
-        if let Some(served) = &self.served {
-            response_rules.served = served.value;
-        }
-        if let Some(proofs) = &self.never_ran {
-            response_rules.never_ran.clone_from(&proofs.value);
-        }
-        if needs_proofs(idempotency) {
-            let proves = |proof: &NotExecutedProof| proof.weakness().is_none();
-            response_rules.never_ran.retain(proves);
-        }
-        response_rules
-    }
-
     /// Validates the timing and response rules of a class or route.
     pub(crate) fn check(&self, sink: &mut DiagnosticSink, context: &TimingContext<'_>) {
         self.check_times(sink, context);
@@ -248,26 +229,7 @@
             Some(Idempotency::Keyed { window, .. }) => self.check_keyed(sink, context, window),
             Some(Idempotency::Idempotent) | None => {}
         }
-        if let (Some(served), Some(proofs)) = (&self.served, &self.never_ran) {
-            if let Some(proof) = proofs
-                .value
-                .iter()
-                .find(|p| served.value.contains(p.status))
-            {
-                let found = format!("status {}", proof.status);
-                let reason =
-                    "a status that counts as served can't prove that the attempt never ran";
-                let diagnostic = add_with_context(
-                    sink,
-                    context,
-                    proofs,
-                    reason,
-                    found,
-                    "statuses that are not in `served`",
-                );
-                diagnostic.add_related(served.span.clone(), "served here");
-            }
-        }
+        self.check_served(sink, context);
     }
 
     fn check_times(&self, sink: &mut DiagnosticSink, context: &TimingContext<'_>) {
@@ -464,50 +426,10 @@
             _ => {}
         }
     }
-
-    /// Finds responses that an endpoint may also send after it has executed a call, among the proofs that it has not. They
-    /// don't count ([`TimingDraft::response_rules`]).
-    pub(crate) fn check_proofs(&self, sink: &mut DiagnosticSink, context: &TimingContext<'_>) {
-        let Some(proofs) = &self.never_ran else {
-            return;
-        };
-        if !needs_proofs(context.idempotency) {
-            return;
-        }
-        for proof in &proofs.value {
-            let Some(weakness) = proof.weakness() else {
-                continue;
-            };
-            let (reason, found) = (weakness.to_string(), proof.to_string());
-            add_with_context(
-                sink,
-                context,
-                proofs,
-                &reason,
-                found,
-                allowed_proof(weakness),
-            );
-        }
-    }
-}
-
-/// Whether a call may be sent again only after a proof that it was not executed, be it anywhere or at some endpoints.
-fn needs_proofs(idempotency: Option<Idempotency>) -> bool {
-    idempotency.is_some_and(|kind| kind != Idempotency::Idempotent)
-}
-
-/// What is allowed in place of a proof with this weakness.
-fn allowed_proof(weakness: ProofWeakness) -> &'static str {
-    match weakness {
-        ProofWeakness::StatusAlone => "a header that only the endpoint sets, as in { status = 503, header = \"X-Not-Processed\", value = \"1\" }",
-        ProofWeakness::FailureStatus => "a status from 400 to 499, 503 or 504 for calls that may not run twice",
-        ProofWeakness::CommonHeader => "a header that an endpoint sets only if it has rejected the call, as in { status = 503, header = \"X-Not-Processed\", value = \"1\" }",
-        ProofWeakness::OtherValue => "value = \"1\"",
-    }
 }
 
 /// Adds a diagnostic about a value, with the class or route that it applies to as a related place.
-fn add_with_context<'n, T>(
+pub(crate) fn add_with_context<'n, T>(
     sink: &'n mut DiagnosticSink,
     context: &TimingContext<'_>,
     set: &Located<T>,
@@ -529,110 +451,6 @@
     }
 }
 
-fn read_served(sink: &mut DiagnosticSink, section: &Section<'_>) -> Option<Located<StatusSet>> {
-    let list = section.list(sink, "served", "statuses")?;
-    let mut set = StatusSet::default();
-    for (key, value) in &list {
-        let text = match value.get_ref() {
-            DeValue::String(text) => text.to_string(),
-            DeValue::Integer(number) => number.to_string(),
-            _ => String::new(),
-        };
-        if values::parse_statuses(&text, &mut set).is_none() {
-            let found = display_value(value.get_ref());
-            sink.add(
-                key,
-                &value.span(),
-                "this is not a status or a range of statuses",
-                found,
-                STATUS_FORMS,
-            );
-        }
-    }
-    let span = section.get("served")?.span();
-    if list.is_empty() {
-        sink.add(
-            &section.key_path("served"),
-            &span,
-            "no response would ever count as served",
-            "an empty list",
-            STATUS_FORMS,
-        );
-    }
-    // Clients take 429 and 503 as permission to retry, but a served call has run.
-    for status in [429, 503] {
-        if set.contains(status) {
-            let found = format!("status {status}");
-            let reason =
-                "clients take this status for a rejection and would retry a call that has run";
-            sink.add(
-                &section.key_path("served"),
-                &span,
-                reason,
-                found,
-                "statuses other than 429 and 503",
-            );
-        }
-    }
-    Some(Located {
-        value: set,
-        span,
-        key: section.key_path("served"),
-    })
-}
-
-fn read_never_ran(
-    sink: &mut DiagnosticSink,
-    section: &Section<'_>,
-) -> Option<Located<Vec<NotExecutedProof>>> {
-    const PROOF_FORM: &str =
-        "tables like { status = 503, header = \"X-Not-Processed\", value = \"1\" }";
-    let list = section.list(sink, "never_ran", PROOF_FORM)?;
-    let mut proofs = Vec::new();
-    for (key, value) in &list {
-        let DeValue::Table(table) = value.get_ref() else {
-            let found = display_value(value.get_ref());
-            sink.add(key, &value.span(), "this is not a proof", found, PROOF_FORM);
-            continue;
-        };
-        let proof = Section::new(
-            sink,
-            table,
-            key,
-            value.span(),
-            &["status", "header", "value"],
-        );
-        proof.require(sink, "status", "a status from 400 to 599");
-        let status = proof.integer(sink, "status", 400..=599);
-        let name = header_name(sink, &proof, "header");
-        let text = proof.read(sink, "value", "this is not a header value", "a text", |v| {
-            v.as_str().and_then(|t| HeaderValue::from_str(t).ok())
-        });
-        if proof.has("value") && !proof.has("header") {
-            sink.add(
-                &proof.key_path("value"),
-                &proof.span,
-                "a value without a header",
-                "no `header`",
-                PROOF_FORM,
-            );
-        }
-        if let Some(status) = status {
-            let header = name.map(|n| (n.value, text.map(|t| t.value)));
-            proofs.push(NotExecutedProof {
-                status: status.value as u16,
-                header,
-            });
-        }
-    }
-    let span = section.get("never_ran")?.span();
-    Some(Located {
-        value: proofs,
-        span,
-        key: section.key_path("never_ran"),
-    })
-}
-
 pub(crate) fn header_name(
     sink: &mut DiagnosticSink,
     section: &Section<'_>,
