--- a/crates/config/src/dedup_scope.rs
+++ b/crates/config/src/dedup_scope.rs
@@ -1,6 +1,7 @@
 //! Whether the endpoints tell the scope in which they deduplicate the calls of a keyed class.
 
-use crate::file::{Class, Endpoint, Upstream};
+use crate::file::Class;
+use crate::upstream::{Endpoint, Upstream};
 use badgerramp_decisions::{DedupScope, Idempotency};
 use thiserror::Error;
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -26,18 +26,20 @@
 mod response_rules;
 mod subset;
 mod timing;
+mod upstream;
 mod values;
 
 pub use dedup_scope::MissingDedupScope;
 pub use timing::TimingValue;
 
 pub use badgerramp_toml_diagnostics::{Diagnostic, Diagnostics};
-pub use file::{read_upstream, Class, Config, Deployment, Endpoint, Limits, NoRoute, Upstream};
+pub use file::{Class, Config, Deployment, Limits, NoRoute};
 pub use log::{Format, Level, Log};
 pub use peers::PeersSettings;
 pub use platform::narrow;
 pub use policy::PolicySettings;
 pub use subset::{ListSettings, SubsetSettings};
+pub use upstream::{read_upstream, Endpoint, Upstream};
 
 use file::UnsafeSettings;
 use std::path::Path;
--- a/crates/config/src/subset.rs
+++ b/crates/config/src/subset.rs
@@ -1,6 +1,7 @@
 //! `[subset]` and `[list]`: the endpoint subset of a proxy in a large fleet, and its polls of the list service.
 
-use crate::file::{Limits, Upstream};
+use crate::file::Limits;
+use crate::upstream::Upstream;
 use crate::{max_client_connections, RESERVED_DESCRIPTORS};
 use badgerramp_decisions::Micros;
 use badgerramp_endpoint_watch::PollConfig;
