Shutdown: a late request is answered before the process may be killed

Cause: a call had its client's whole time whenever it started, and nothing knew when the process may be killed.

A shutdown now has a schedule, in the decisions: a request that is complete within 0.7 s keeps its whole time; the answer to a later one is due 0.15 s before the process may be killed (the longest deadline of the newest settings, at most 3 s, and 0.7 s after the signal; a quarter of that deadline is kept back at most). All waits of a call, in the queue, between attempts, for a second copy, end by its deadline, and its host is told no more. A call with no time is rejected unsent; any other is tried. The balancer still sees the client's own timeout, as a shorter one counts as a client's retry, which gets little time in the queue.

a_request_completed_late_in_a_shutdown_is_answered_before_the_kill_if_its_host_hangs failed with the limit taken out (3 s told to a host at 2.999 s before the kill).

--- a/crates/adapter/src/instance.rs
+++ b/crates/adapter/src/instance.rs
@@ -91,6 +91,7 @@
                 .and_then(|name| position(&self.tenants, name))
                 .map(TenantId),
             time_left: input.require(input.time_budget_us, "time_budget_us")?,
+            time_until_exit: None,
             is_retry: input.resent,
             policy: CallPolicy::default(),
         })
--- a/crates/decisions/src/api/event.rs
+++ b/crates/decisions/src/api/event.rs
@@ -76,6 +76,9 @@
         tenant: Option<TenantId>,
         /// Time until the client's deadline, in microseconds.
         time_left: Micros,
+        /// Time until this process must have answered, in microseconds, if it shuts down; `None`
+        /// if only the client's deadline counts.
+        time_until_exit: Option<Micros>,
         /// Whether the client marks the call as a retry.
         is_retry: bool,
         /// The operator's policy for the call.
--- a/crates/decisions/src/api/settings.rs
+++ b/crates/decisions/src/api/settings.rs
@@ -145,6 +145,15 @@
     pub clients_mark_retries: bool,
 }
 
+impl Settings {
+    /// The longest deadline of all classes, in microseconds; 0 if there are none.
+    #[must_use]
+    pub fn longest_deadline(&self) -> Micros {
+        let deadlines = self.classes.iter().map(|class| class.deadline);
+        deadlines.max().unwrap_or_default()
+    }
+}
+
 impl Default for Settings {
     /// One balancer, a pushed list, and one class of calls that are not idempotent, with a latency
     /// objective of 500 ms.
--- a/crates/decisions/src/balancer/admission.rs
+++ b/crates/decisions/src/balancer/admission.rs
@@ -25,6 +25,8 @@
     /// The definition that the call was admitted under, if it may differ from that of the settings.
     pub(super) definition: Option<Class>,
     pub(super) time_left: Micros,
+    /// Time until the process must have answered, if it shuts down.
+    pub(super) time_until_exit: Option<Micros>,
     pub(super) is_retry: bool,
     pub(super) policy: CallPolicy,
 }
@@ -63,7 +65,9 @@
     pub(super) fn on_request(&mut self, now: Micros, new: NewCall, actions: &mut Actions) {
         let (id, ClassId(class_id)) = (new.id, new.class);
         let class = self.resolve_class(&new);
+        // The client's own timeout tells whether it has tried before.
         let first_tried_at = now.saturating_sub(self.time_already_spent(&new, &class));
+        let time_until_exit = new.time_until_exit.unwrap_or(Micros::MAX);
         let call = Call {
             class,
             class_id,
@@ -72,7 +76,8 @@
             policy: allowed_policy(new.policy, &self.settings.limits),
             arrived_at: now,
             first_tried_at,
-            deadline: now.saturating_add(new.time_left),
+            deadline: now.saturating_add(new.time_left.min(time_until_exit)),
+            ends_at_exit: time_until_exit < new.time_left,
             may_draw_slow_start: !new.is_retry,
             admission_draw: self.random_unit(),
             ..Call::default()
@@ -82,6 +87,10 @@
         if let Some(latency) = self.class_latencies.get_mut(class_id) {
             latency.requests += 1.0;
         }
+        if time_until_exit == 0 {
+            self.end_unserved(id, 0, actions);
+            return;
+        }
         let waited = self.current_queue_wait(now);
         if waited > self.max_queue_wait(id) {
             self.end_unserved(id, waited, actions);
--- a/crates/decisions/src/balancer/mod.rs
+++ b/crates/decisions/src/balancer/mod.rs
@@ -18,6 +18,7 @@
 mod outlier_detection;
 mod retry;
 mod selection;
+mod shutdown;
 mod slow_start;
 mod timers;
 mod wait_queue;
@@ -30,6 +31,8 @@
 use crate::endpoint_index::EndpointIndex;
 use crate::latency::{ClassLatency, EndpointGroups, EXPECTED_OBJECTIVE_SHARE};
 use crate::load_feedback::LoadFeedback;
+pub use shutdown::ShutdownSchedule;
+
 use admission::NewCall;
 use load_probe::ProbedAnswers;
 use rand::{Rng, SeedableRng};
@@ -135,11 +138,8 @@
 
     fn process_event(&mut self, now: Micros, event: Event, actions: &mut Actions) {
         match event {
-            Event::Start => {
-                if self.settings.poll_endpoint_list {
-                    actions.push(Action::Subscribe);
-                }
-            }
+            Event::Start if self.settings.poll_endpoint_list => actions.push(Action::Subscribe),
+            Event::Start => {}
             Event::ProbeCompleted {
                 endpoint,
                 outcome,
@@ -152,6 +152,7 @@
                 class,
                 definition,
                 time_left,
+                time_until_exit,
                 is_retry,
                 policy,
                 ..
@@ -161,6 +162,7 @@
                     class,
                     definition,
                     time_left,
+                    time_until_exit,
                     is_retry,
                     policy,
                 };
--- a/crates/decisions/src/balancer/wait_queue.rs
+++ b/crates/decisions/src/balancer/wait_queue.rs
@@ -37,7 +37,10 @@
             .saturating_sub(expected)
             .max(now + 1);
         if self.is_sparse() && call.full_probe_rounds == 0 {
-            give_up_at = give_up_at.min(now + self.max_queue_wait(id));
+            let max_wait = self.max_queue_wait(id);
+            // A call that the exit of the process cuts short is tried once, whatever is expected.
+            let min_wait = Micros::from(call.ends_at_exit);
+            give_up_at = give_up_at.min(now + max_wait.max(min_wait));
         }
         let last = call.deadline.saturating_sub(self.settings.tick).max(now);
         self.timers.set(id, Some(give_up_at.min(last)));
--- a/crates/decisions/src/call.rs
+++ b/crates/decisions/src/call.rs
@@ -40,6 +40,8 @@
     /// Estimated time of the client's first try.
     pub(crate) first_tried_at: Micros,
     pub(crate) deadline: Micros,
+    /// Whether the exit of the process makes the deadline earlier than that of the client.
+    pub(crate) ends_at_exit: bool,
     pub(crate) attempts: Vec<Attempt>,
     /// Whether the call may still draw an endpoint in slow start.
     pub(crate) may_draw_slow_start: bool,
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -31,6 +31,7 @@
 //!     definition: None,
 //!     tenant: None,
 //!     time_left: 500_000,
+//!     time_until_exit: None,
 //!     is_retry: false,
 //!     policy: CallPolicy::default(),
 //! };
@@ -56,7 +57,7 @@
 mod weighted_set;
 
 pub use api::*;
-pub use balancer::Balancer;
+pub use balancer::{Balancer, ShutdownSchedule};
 
 /// Compiles the examples in the README as doctests.
 #[cfg(doctest)]
--- a/crates/decisions/tests/call_policy.rs
+++ b/crates/decisions/tests/call_policy.rs
@@ -27,6 +27,7 @@
             definition: None,
             tenant: None,
             time_left,
+            time_until_exit: None,
             is_retry: false,
             policy,
         }),
@@ -431,6 +432,7 @@
             definition: Some(definition),
             tenant: None,
             time_left: 1_200 * MS,
+            time_until_exit: None,
             is_retry: false,
             policy: CallPolicy::default(),
         });
--- a/crates/decisions/tests/call_rules.rs
+++ b/crates/decisions/tests/call_rules.rs
@@ -605,6 +605,7 @@
         definition: None,
         tenant: None,
         time_left,
+        time_until_exit: None,
         is_retry: false,
         policy: CallPolicy::default(),
     };
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -84,6 +84,7 @@
             definition: None,
             tenant: None,
             time_left: 1_200 * MS,
+            time_until_exit: None,
             is_retry: false,
             policy: CallPolicy::default(),
         };
--- a/crates/decisions/tests/many_balancers.rs
+++ b/crates/decisions/tests/many_balancers.rs
@@ -333,6 +333,7 @@
             definition: None,
             tenant: None,
             time_left: 900 * MS,
+            time_until_exit: None,
             is_retry: false,
             policy: CallPolicy::default(),
         };
@@ -363,6 +364,7 @@
                 definition: None,
                 tenant: None,
                 time_left: 900 * MS,
+                time_until_exit: None,
                 is_retry,
                 policy: CallPolicy::default(),
             };
--- a/crates/decisions/tests/random_events.rs
+++ b/crates/decisions/tests/random_events.rs
@@ -336,6 +336,7 @@
                 definition: None,
                 tenant,
                 time_left,
+                time_until_exit: None,
                 is_retry: true,
                 policy: CallPolicy::default(),
             };
--- a/crates/decisions/tests/slow_start.rs
+++ b/crates/decisions/tests/slow_start.rs
@@ -424,6 +424,7 @@
                             definition: None,
                             tenant: None,
                             time_left: DEADLINE,
+                            time_until_exit: None,
                             is_retry,
                             policy,
                         },
--- a/crates/proxy/src/net/driver/calls.rs
+++ b/crates/proxy/src/net/driver/calls.rs
@@ -21,8 +21,10 @@
     pub definition: Option<Class>,
     /// The name of the tenant, if the request names one. Unknown tenants are ignored.
     pub tenant: Option<String>,
-    /// When the call must have ended, on the driver's clock.
+    /// When the client stops waiting, on the driver's clock.
     pub deadline: Micros,
+    /// When the call must have ended because the process shuts down; `None` if only its deadline counts.
+    pub answer_due: Option<Micros>,
     /// Whether the client marked the request as a retry.
     pub is_retry: bool,
     /// The restrictions of the operator for this call.
@@ -150,7 +152,12 @@
             .and_then(|v| v.to_str().ok())
             .unwrap_or_default();
         debug!(target: CALLS, call = call.0, request = request_id, class = new_call.class.0, "call accepted");
-        let deadline = new_call.deadline;
+        let now = self.clock.now();
+        let time_until_exit = new_call.answer_due.map(|due| due.saturating_sub(now));
+        let deadline = new_call
+            .answer_due
+            .unwrap_or(Micros::MAX)
+            .min(new_call.deadline);
         let entry = Call {
             client: new_call.client,
             request: Rc::new(request),
@@ -171,7 +178,8 @@
             class: new_call.class,
             definition: new_call.definition,
             tenant: tenant.map(TenantId),
-            time_left: deadline.saturating_sub(self.clock.now()),
+            time_left: new_call.deadline.saturating_sub(now),
+            time_until_exit,
             is_retry: new_call.is_retry,
             policy: new_call.policy,
         };
--- a/crates/proxy/src/net/driver/mod.rs
+++ b/crates/proxy/src/net/driver/mod.rs
@@ -8,6 +8,7 @@
 //! - `address_reuse`: endpoints whose address another process has taken.
 //! - `subset`: the part of a large fleet that the balancer knows.
 //! - `reconfiguration`: changes of the settings.
+//! - `shutdown`: the schedule of the shutdown.
 //! - `audit`: compares the balancer's counts with the driver's.
 
 mod address_reuse;
@@ -16,6 +17,7 @@
 mod calls;
 mod membership;
 mod reconfiguration;
+mod shutdown;
 mod subset;
 #[cfg(test)]
 mod tests;
@@ -30,7 +32,7 @@
 use badgerramp_decisions::settings::PlatformSettings;
 use badgerramp_decisions::{
     Action, Balancer, CallId, ClassId, EndpointId, Event, LoadReport, LogEvent, Micros, Outcome,
-    Settings,
+    Settings, ShutdownSchedule,
 };
 use badgerramp_endpoint_watch::StallDetector;
 use badgerramp_subset::Subset;
@@ -78,6 +80,10 @@
     list_memory: Reservation,
     /// When the last call was accepted.
     last_call_at: Micros,
+    /// The longest deadline of all classes in the newest settings.
+    longest_deadline: Micros,
+    /// The schedule of the shutdown, once it has started.
+    shutdown: Option<ShutdownSchedule>,
     stall: StallDetector,
 }
 
@@ -115,6 +121,8 @@
             alive_proxies: 0,
             list_memory: pool.memory_budget.charge(0),
             last_call_at: clock.now(),
+            longest_deadline: platform_settings.settings.longest_deadline(),
+            shutdown: None,
             stall: StallDetector::new(clock.now(), platform_settings.settings.rules.drain_grace),
             balancer: Balancer::new(seed, platform_settings.settings),
             tenants: platform_settings.tenants,
--- a/crates/proxy/src/net/driver/reconfiguration.rs
+++ b/crates/proxy/src/net/driver/reconfiguration.rs
@@ -16,6 +16,7 @@
         let mut core = self.core.borrow_mut();
         core.max_open_calls = max_open_calls;
         core.settings = settings.clone();
+        core.set_longest_deadline(settings.longest_deadline());
         settings.balancers = settings.balancers.max(core.alive_proxies);
         core.sharing_proxies = settings.balancers;
         if let Some(view) = &mut core.subset {
--- a/crates/proxy/src/net/driver/tests.rs
+++ b/crates/proxy/src/net/driver/tests.rs
@@ -277,6 +277,7 @@
         definition: None,
         tenant: None,
         deadline: driver.clock.now() + 60_000_000,
+        answer_due: None,
         is_retry: false,
         policy: CallPolicy::default(),
     };
@@ -305,3 +306,24 @@
     drop(second);
     assert!(!driver.in_use(ClassId(0)));
 }
+
+/// A new configuration before a shutdown decides when the process may be killed; one that comes during the shutdown can only
+/// bring that forward.
+#[tokio::test(flavor = "current_thread")]
+async fn the_shutdown_follows_the_longest_deadline_of_the_newest_settings() {
+    let settings_with = |deadline| {
+        let mut settings = Settings::default();
+        settings.classes[0].deadline = deadline;
+        settings
+    };
+    let driver = driver();
+    driver.reconfigure(settings_with(2_000_000), vec![], 9);
+    let schedule = driver.start_shutdown();
+    assert_eq!(schedule.kill_at() - schedule.late_after(), 2_000_000);
+    assert_eq!(driver.start_shutdown(), schedule, "a second signal");
+    driver.reconfigure(settings_with(2_500_000), vec![], 9);
+    assert_eq!(driver.shutdown(), Some(schedule));
+    driver.reconfigure(settings_with(400_000), vec![], 9);
+    let schedule = driver.shutdown().expect("a schedule");
+    assert_eq!(schedule.kill_at() - schedule.late_after(), 400_000);
+}
--- a/crates/proxy/src/net/server/accept.rs
+++ b/crates/proxy/src/net/server/accept.rs
@@ -19,9 +19,6 @@
 /// A shutdown ends once no request has been in flight for this long: clients that are still connected have nothing to
 /// send.
 const SHUTDOWN_QUIET_TIME: Duration = Duration::from_millis(100);
-/// How long the server waits, from the start of a shutdown, for requests that are still being received. No client
-/// relies on a response to a later request. Set by the protocol of the platform.
-const SHUTDOWN_REQUEST_TIME: Duration = Duration::from_millis(700);
 /// How long accepting is paused at capacity, or if the system has no descriptor left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// The length of the listener's queue: connections that wait to be accepted.
@@ -73,7 +70,9 @@
                     // move to another proxy before the listener is closed.
                     let now = Instant::now();
                     accept_until = Some(now + SHUTDOWN_ACCEPT_TIME);
-                    let _ = shutdown_sender.send(Some(now + SHUTDOWN_REQUEST_TIME));
+                    let schedule = self.driver.start_shutdown();
+                    let requests_until = self.driver.clock().instant(schedule.late_after());
+                    let _ = shutdown_sender.send(Some(requests_until));
                 }
                 accepted = accepted, if waiting.is_none() => match accepted {
                     Ok(stream) => waiting = Some(stream),
--- a/crates/proxy/src/net/server/request.rs
+++ b/crates/proxy/src/net/server/request.rs
@@ -92,6 +92,9 @@
         let started_at = self.confirm(pending, &mut parts, &mut admitted, body.len(), client)?;
         let deadline = started_at + admitted.timeout.saturating_sub(waited);
         client.set_deadline(deadline);
+        let complete_at = started_at.saturating_sub(waited);
+        let shutdown = self.driver.shutdown();
+        let answer_due = shutdown.and_then(|schedule| schedule.answer_due(complete_at));
         let call_client: Rc<dyn Client> = Rc::<ClientConnection>::clone(client);
         let new_call = NewCall {
             client: call_client,
@@ -99,6 +102,7 @@
             definition: admitted.definition,
             tenant: admitted.tenant,
             deadline,
+            answer_due,
             is_retry,
             policy: admitted.policy,
         };
--- a/crates/proxy/tests/race_conditions/in_process.rs
+++ b/crates/proxy/tests/race_conditions/in_process.rs
@@ -5,7 +5,6 @@
 use badgerramp::net::rules::{Platform, Rules};
 use badgerramp::net::socket::{Connecting, Listener, Network, Stream};
 use badgerramp::program::{serve_in, EndpointSource, Environment, Setup};
-use badgerramp_decisions::settings;
 use badgerramp_testkit::*;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -274,8 +273,18 @@
     }
 
     pub(crate) async fn start_at(descriptors: usize, host: SocketAddr) -> InProcessProxy {
-        let platform_settings = serde_json::from_str(SETTINGS).expect("JSON");
-        let platform_settings = settings::read(&platform_settings).expect("settings");
+        InProcessProxy::start_with(descriptors, host, SETTINGS).await
+    }
+
+    /// Starts the program with these settings of the platform.
+    pub(crate) async fn start_with(
+        descriptors: usize,
+        host: SocketAddr,
+        settings: &str,
+    ) -> InProcessProxy {
+        let platform_settings = serde_json::from_str(settings).expect("JSON");
+        let platform_settings =
+            badgerramp_decisions::settings::read(&platform_settings).expect("settings");
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("its address");
         let discovery = Discovery::start();
--- a/crates/proxy/tests/race_conditions/main.rs
+++ b/crates/proxy/tests/race_conditions/main.rs
@@ -7,6 +7,7 @@
 mod capacity;
 mod in_process;
 mod incomplete_requests;
+mod late_requests;
 mod segments;
 
 use badgerramp_testkit::*;
--- a/crates/simulator/src/check.rs
+++ b/crates/simulator/src/check.rs
@@ -390,6 +390,7 @@
                         definition: None,
                         tenant: None,
                         time_left: DEADLINE,
+                        time_until_exit: None,
                         is_retry: false,
                         policy,
                     },
--- a/crates/simulator/src/simulation/virtual_time.rs
+++ b/crates/simulator/src/simulation/virtual_time.rs
@@ -727,6 +727,7 @@
             definition: None,
             tenant: None,
             time_left,
+            time_until_exit: None,
             is_retry: request.try_number > 0,
             policy: route.policy,
         };
--- a/crates/testkit/src/decision_driver.rs
+++ b/crates/testkit/src/decision_driver.rs
@@ -207,6 +207,7 @@
             definition: None,
             tenant: None,
             time_left,
+            time_until_exit: None,
             is_retry: false,
             policy,
         });
