Shutdown: a head that is received late is waited for until answers are due

Callers that wrote the head of a request slowly across a SIGTERM had their connection closed 0.8 s after it without a word, unless another request happened to be in flight: a request whose last byte met that close was lost.

Cause: from 0.7 s after SIGTERM on the end of the program no longer waited for heads, only for bodies. It now waits for both until the answers to late requests are due; what has stopped in the middle still times out after 2.3 s.

a_head_completed_late_in_a_shutdown_is_served failed before (no answer in place of 200). The comment of an older test said that half a request does not delay a shutdown; it asserts no time and is otherwise unchanged.

--- a/crates/proxy/src/net/server/accept.rs
+++ b/crates/proxy/src/net/server/accept.rs
@@ -88,24 +88,31 @@
         }
         self.accept_queued(&*listener, &shutdown).await;
         drop(listener);
-        let requests_until = *shutdown.borrow();
-        self.finish_requests(requests_until.unwrap_or_else(Instant::now))
-            .await;
+        self.finish_requests().await;
     }
 
-    /// Waits until the requests in flight are answered, and until `requests_until` also for those that are being received.
-    async fn finish_requests(&self, requests_until: Instant) {
+    /// Waits until the requests in flight are answered, and until late answers are due also for those that are being
+    /// received.
+    async fn finish_requests(&self) {
         // A connection with an incomplete request may stay open indefinitely, and must not delay the shutdown until the
         // process is killed.
         let mut busy_at = Instant::now();
         while self.clients.count() > 0 && busy_at.elapsed() < SHUTDOWN_QUIET_TIME {
             tokio::time::sleep(SHUTDOWN_QUIET_TIME / 10).await;
-            if self.clients.has_pending(Instant::now() < requests_until) {
+            if self.clients.has_pending(!self.late_answers_are_due()) {
                 busy_at = Instant::now();
             }
         }
     }
 
+    /// Whether the answers to late requests of a shutdown are due: no further request can be answered before the process
+    /// may be killed.
+    pub(super) fn late_answers_are_due(&self) -> bool {
+        let now = self.driver.clock().now();
+        let shutdown = self.driver.shutdown();
+        shutdown.is_some_and(|schedule| schedule.late_answers_due() <= now)
+    }
+
     /// Whether there is a place for one more connection. If there is none, evicts a connection, so that a place becomes
     /// free as soon as that one is closed.
     fn has_place(&self, crowded_since: Option<Micros>) -> bool {
--- a/crates/proxy/tests/proxy.rs
+++ b/crates/proxy/tests/proxy.rs
@@ -780,7 +780,7 @@
     let mut slow = proxy.client();
     slow.send("unsafe", "1200m");
     host.request();
-    // Neither an unused connection nor one with half a request delays the shutdown.
+    // An unused connection does not delay the shutdown, and one with half a request only until late answers are due.
     let (_unused, mut half) = (proxy.client(), proxy.client());
     half.write("POST /safe HTTP/1.1\r\nHost:");
     proxy.terminate();
--- a/crates/proxy/tests/race_conditions/late_requests.rs
+++ b/crates/proxy/tests/race_conditions/late_requests.rs
@@ -37,10 +37,28 @@
     }
 }
 
+/// Settings with this longest deadline. An answer counts until the deadline, so that an attempt has the whole time of its
+/// call.
+fn settings_with(longest_deadline: Duration) -> String {
+    let micros = longest_deadline.as_micros().to_string();
+    SETTINGS
+        .replace(
+            "\"objective_us\":1500000",
+            &format!("\"objective_us\":{micros}"),
+        )
+        .replace(
+            "\"deadline_us\":3000000",
+            &format!("\"deadline_us\":{micros}"),
+        )
+}
+
 /// Starts the program, has one client send the beginning of each of these texts, and starts the shutdown.
-async fn shut_down_with(host: &Host, beginnings: &[&str]) -> (Shutdown, Vec<Client>) {
-    // An answer counts until the deadline, so that an attempt has the whole time of its call.
-    let settings = SETTINGS.replace("\"objective_us\":1500000", "\"objective_us\":3000000");
+async fn shut_down_with(
+    host: &Host,
+    longest_deadline: Duration,
+    beginnings: &[&str],
+) -> (Shutdown, Vec<Client>) {
+    let settings = settings_with(longest_deadline);
     let mut program = InProcessProxy::start_with(1_024, host.address, &settings).await;
     let (idle, _) = on_client_thread(program.client(), |c| {
         c.ask("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
@@ -114,7 +132,8 @@
                 request(class, timeout, &format!("late-{class}-{timeout}"))
             });
             let halves = texts.each_ref().map(|text| text.split_at(text.len() - 2));
-            let (mut shutdown, clients) = shut_down_with(&host, &halves.map(|half| half.0)).await;
+            let (mut shutdown, clients) =
+                shut_down_with(&host, LONGEST_DEADLINE, &halves.map(|half| half.0)).await;
             shutdown.advance_to(completed_at).await;
             let mut sent = Vec::new();
             for (mut client, (_, rest)) in clients.into_iter().zip(halves) {
@@ -140,7 +159,8 @@
             let host = Host::start(|_| Reply::Silence);
             let text = request("unsafe", "3000m", "early");
             let (beginning, rest) = text.split_at(text.len() - 2);
-            let (mut shutdown, mut clients) = shut_down_with(&host, &[beginning]).await;
+            let (mut shutdown, mut clients) =
+                shut_down_with(&host, LONGEST_DEADLINE, &[beginning]).await;
             shutdown.advance_to(completed_at).await;
             clients[0].write(rest);
             let timeout = told_timeout(&next_request(&host).await);
@@ -156,7 +176,8 @@
         let host = Host::serving("ok");
         let texts = ["keyed", "unsafe"].map(|class| request(class, "900m", class));
         let halves = texts.each_ref().map(|text| text.split_at(text.len() - 2));
-        let (mut shutdown, clients) = shut_down_with(&host, &halves.map(|half| half.0)).await;
+        let (mut shutdown, clients) =
+            shut_down_with(&host, LONGEST_DEADLINE, &halves.map(|half| half.0)).await;
         shutdown.advance_to(Duration::from_millis(2_250)).await;
         for (mut client, (_, rest)) in clients.into_iter().zip(halves) {
             client.write(rest);
@@ -167,3 +188,24 @@
         }
     });
 }
+
+/// A head of which the rest arrived over 0.7 s after SIGTERM was read only as long as another request was in flight; its
+/// connection was closed without a word.
+#[test]
+fn a_head_completed_late_in_a_shutdown_is_served() {
+    for class in ["safe", "keyed", "unsafe"] {
+        run_local(async || {
+            let host = Host::serving("ok");
+            let text = request(class, "900m", "head");
+            let (beginning, rest) = text.split_at(40);
+            let (mut shutdown, mut clients) =
+                shut_down_with(&host, LONGEST_DEADLINE, &[beginning]).await;
+            shutdown.advance_to(Duration::from_millis(2_000)).await;
+            let mut client = clients.remove(0);
+            assert!(is_open(&client), "{class}: the connection is closed");
+            client.write(rest);
+            let (_, answer) = on_client_thread(client, read_answer).await;
+            assert_eq!(answer.map(|answer| answer.status()), Some(200), "{class}");
+        });
+    }
+}
