Shutdown: a request that stays incomplete is refused before the process may be killed

A client that was still sending its request when the time until SIGKILL ran out heard nothing: with a longest deadline under 1.6 s the limit for receiving a request (2.3 s) ends after the kill, and nothing else gave up on it.

Cause: the end of the program knew no last moment for requests that are being received. When the answers to late requests are due, heads and bodies that are incomplete are refused now (503 and a close), as nothing of them has been sent; what has arrived unread by then is read first.

a_request_that_stays_incomplete_in_a_shutdown_is_refused_before_the_kill failed before (no answer a millisecond before the kill). It also shows that the program then ends by itself.

--- a/crates/proxy/src/net/server/connection.rs
+++ b/crates/proxy/src/net/server/connection.rs
@@ -23,6 +23,8 @@
 const MAX_HEAD_LEN: usize = 32 * 1024;
 /// How often a connection that is to be closed is checked again while it has a request in flight.
 const CLOSE_RECHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// The same interval once the answers to late requests of a shutdown are due.
+const LAST_RECHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// How long a client may take to close a connection after the proxy has shut down its side.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -116,9 +118,25 @@
         self.clients.unregister(&client);
     }
 
+    /// When a connection that is to be closed is checked again: after an interval, and when the answers to late requests of
+    /// a shutdown are due.
+    fn next_close_check(&self) -> Instant {
+        let now = Instant::now();
+        let shutdown = self.driver.shutdown();
+        let due = shutdown
+            .map(|schedule| self.driver.clock().instant(schedule.late_answers_due()))
+            .filter(|&due| due > now);
+        let interval = if self.late_answers_are_due() {
+            LAST_RECHECK_INTERVAL
+        } else {
+            CLOSE_RECHECK_INTERVAL
+        };
+        due.into_iter().fold(now + interval, Instant::min)
+    }
+
     /// Responds to a request whose head has been received in part, before its connection is closed.
     async fn reject_incomplete(&self, client: &ClientConnection) {
-        let error = if client.is_rejected() {
+        let error = if client.is_rejected() || self.late_answers_are_due() {
             RequestError::Shed
         } else {
             RequestError::HeadTimeout
@@ -167,19 +185,23 @@
                     } else if !client.is_idle() {
                         self.clients.cancel_eviction(client);
                     }
-                    check_at = Some(Instant::now() + CLOSE_RECHECK_INTERVAL);
+                    check_at = Some(self.next_close_check());
                 }
                 // A request that arrived just before the connection was to be closed is answered first.
                 () = next_check => {
+                    let is_last_moment = self.late_answers_are_due();
+                    if is_last_moment && client.is_reading_body() {
+                        client.reject_body();
+                    }
                     // A client that does not take the rejection of its request is not waited for.
-                    if client.is_rejected() || !client.owes_response() {
-                        return if client.has_incomplete_head() {
-                            ConnectionEnd::IncompleteRequest
-                        } else {
-                            ConnectionEnd::Done
-                        };
+                    let is_done = client.is_rejected() || !client.owes_response();
+                    if client.has_incomplete_head() && (is_done || is_last_moment) {
+                        return ConnectionEnd::IncompleteRequest;
+                    }
+                    if is_done {
+                        return ConnectionEnd::Done;
                     }
-                    check_at = Some(Instant::now() + CLOSE_RECHECK_INTERVAL);
+                    check_at = Some(self.next_close_check());
                     continue;
                 }
                 _ = shutdown.changed(), if !shutdown_seen => {
--- a/crates/proxy/tests/race_conditions/late_requests.rs
+++ b/crates/proxy/tests/race_conditions/late_requests.rs
@@ -18,7 +18,7 @@
 
 /// A program that shuts down, in frozen time.
 struct Shutdown {
-    _program: InProcessProxy,
+    program: InProcessProxy,
     time: FrozenTime,
     /// The time since the start of the shutdown.
     elapsed: Duration,
@@ -79,7 +79,7 @@
         tokio::task::yield_now().await;
     }
     let shutdown = Shutdown {
-        _program: program,
+        program,
         time,
         elapsed: Duration::ZERO,
     };
@@ -209,3 +209,29 @@
         });
     }
 }
+
+/// A request that was still incomplete when its process was killed had no answer, and neither had one whose last byte came just
+/// before. Both are refused in time.
+#[test]
+fn a_request_that_stays_incomplete_in_a_shutdown_is_refused_before_the_kill() {
+    /// A deadline so short that the time limit for receiving a request ends after the kill.
+    const SHORT_DEADLINE: Duration = Duration::from_secs(1);
+    let kill_after = REQUEST_TIME + SHORT_DEADLINE;
+    run_local(async || {
+        let host = Host::start(|_| Reply::Silence);
+        let texts = ["1", "2", "3", "4"].map(|id| request("unsafe", "900m", id));
+        let length = texts[0].len();
+        let lengths = [1, 40, length - "body".len(), length - 1];
+        let beginnings = [0, 1, 2, 3].map(|number| &texts[number][..lengths[number]]);
+        let (mut shutdown, clients) = shut_down_with(&host, SHORT_DEADLINE, &beginnings).await;
+        shutdown.advance_to(kill_after - TICK).await;
+        for client in clients {
+            assert_eq!(answer_so_far(client).await, 503);
+        }
+        assert_eq!(host.further_requests(), 0);
+        // All clients have their answers, and the process ends by itself.
+        shutdown.advance_to(2 * kill_after).await;
+        let ended = shutdown.program.ended.await;
+        assert_eq!(ended.expect("an end"), Ok(()));
+    });
+}
