Shutdown: on the platform the longest deadline follows from the newest configuration

A reload (SIGHUP) on the platform reads a file whose settings are not applied to calls. If they shortened the longest deadline, a later shutdown still counted by the old one, and refused incomplete requests and answered late ones after the process could be killed by the new one. The reload now passes the longest deadline of the file on to the schedule of the shutdown; a reload during a shutdown can only bring its end forward.

a_reload_on_the_platform_sets_the_longest_deadline_of_a_shutdown failed before (408 after the usual time limit in place of 503). a_reload_of_a_sidecar_sets_the_longest_deadline_of_a_shutdown passed before and after, by the schedule alone.

--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -94,7 +94,8 @@
     let (index, known) = config
         .known
         .map_or((None, Vec::new()), |k| (Some(k.index), k.endpoints));
-    // The settings don't change while the program runs; each reload narrows them by the operator's file as it is then.
+    // The settings of calls don't change while the program runs; each reload narrows them by the operator's file as it is
+    // then.
     let settings_for_reload = platform_settings.clone();
     let setup = Setup {
         listen: config.listen,
@@ -121,7 +122,7 @@
     // A reload may change the address of the list service and the operator's file. If either file is invalid, nothing
     // changes.
     let reload = move |running: &Running| {
-        let (config, _) = read(&path)?;
+        let (config, newest) = read(&path)?;
         if operator.is_some() {
             let rules =
                 rules(&settings_for_reload, operator.as_deref()).map_err(|error| match error {
@@ -130,6 +131,9 @@
                 })?;
             *running.server.rules.borrow_mut() = Rc::new(rules);
         }
+        // Whoever kills the process counts by the file that is there.
+        let longest_deadline = newest.settings.longest_deadline();
+        running.driver.set_longest_deadline(longest_deadline);
         running.set_list_service(config.discovery);
         Ok(())
     };
