Server: the deadline of the shutdown channel is described as what it is now

Since late heads are waited for, the time that connections are told at a shutdown only says from when those without a request are closed. Comment and the name of a variable; no change of behaviour.

--- a/crates/proxy/src/net/server/accept.rs
+++ b/crates/proxy/src/net/server/accept.rs
@@ -71,8 +71,8 @@
                     let now = Instant::now();
                     accept_until = Some(now + SHUTDOWN_ACCEPT_TIME);
                     let schedule = self.driver.start_shutdown();
-                    let requests_until = self.driver.clock().instant(schedule.late_after());
-                    let _ = shutdown_sender.send(Some(requests_until));
+                    let close_at = self.driver.clock().instant(schedule.late_after());
+                    let _ = shutdown_sender.send(Some(close_at));
                 }
                 accepted = accepted, if waiting.is_none() => match accepted {
                     Ok(stream) => waiting = Some(stream),
--- a/crates/proxy/src/net/server/mod.rs
+++ b/crates/proxy/src/net/server/mod.rs
@@ -34,8 +34,8 @@
 use std::rc::Rc;
 use tokio::time::Instant;
 
-/// During a shutdown, the time until which the server waits for requests that are still being received; otherwise
-/// `None`.
+/// During a shutdown, the time from which connections are closed on which no request is in flight or being received;
+/// otherwise `None`.
 type ShutdownDeadline = Option<Instant>;
 
 /// The server for clients of the proxy.
