--- a/crates/decisions/tests/call_rules.rs
+++ b/crates/decisions/tests/call_rules.rs
@@ -599,17 +599,7 @@
 /// Makes a call whose client waits for `time_left`.
 fn call_with_time_left(proxy: &mut Proxy, id: u64, time_left: Micros) -> (CallId, Vec<Action>) {
     let call = CallId(id);
-    let event = Event::Request {
-        call,
-        class: ClassId(0),
-        definition: None,
-        tenant: None,
-        time_left,
-        time_until_exit: None,
-        is_retry: false,
-        policy: CallPolicy::default(),
-    };
-    (call, proxy.event(event))
+    (call, proxy.event(request(call, time_left, None)))
 }
 
 /// A proxy with one call within the limit and one trial in flight, and a third call that has been
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -42,6 +42,21 @@
     }
 }
 
+/// A request of the first class whose client waits for `time_left`, and which must be answered within
+/// `time_until_exit`.
+pub(crate) fn request(call: CallId, time_left: Micros, time_until_exit: Option<Micros>) -> Event {
+    Event::Request {
+        call,
+        class: ClassId(0),
+        definition: None,
+        tenant: None,
+        time_left,
+        time_until_exit,
+        is_retry: false,
+        policy: CallPolicy::default(),
+    }
+}
+
 impl Proxy {
     /// Creates a started proxy with `endpoint_count` ready and warm endpoints, with ids from 1.
     pub(crate) fn new(settings: Settings, endpoint_count: u32) -> Proxy {
--- a/crates/decisions/tests/shutdown.rs
+++ b/crates/decisions/tests/shutdown.rs
@@ -46,16 +46,7 @@
     time_until_exit: Option<Micros>,
 ) -> (CallId, Vec<Action>) {
     let call = CallId(id);
-    let event = Event::Request {
-        call,
-        class: ClassId(0),
-        definition: None,
-        tenant: None,
-        time_left: 1_200 * MS,
-        time_until_exit,
-        is_retry: false,
-        policy: CallPolicy::default(),
-    };
+    let event = request(call, 1_200 * MS, time_until_exit);
     (call, proxy.event(event))
 }
 
@@ -104,3 +95,21 @@
     let actions = proxy.end_attempt(call, 0, Outcome::ConnectFailed, 10 * MS);
     assert_eq!(sent(&actions).len(), 1, "there is time for another attempt");
 }
+
+/// A balancer with few calls rejects what can't be expected in time. An answer may take less time than the average one, so
+/// that a call which only the exit cuts short is tried.
+#[test]
+fn a_call_is_tried_though_an_answer_takes_longer_than_until_the_exit_on_average() {
+    let few_calls = Settings {
+        balancers: 100,
+        ..settings(Idempotency::NonIdempotent)
+    };
+    let mut proxy = Proxy::new(few_calls, 3);
+    let (_, actions) = call_before_exit(&mut proxy, 1_001, Some(20 * MS));
+    assert_eq!(sent(&actions).len(), 1, "{actions:?}");
+    let actions = proxy.event(request(CallId(1_002), 20 * MS, None));
+    assert!(
+        rejected(&actions, CallId(1_002)),
+        "its client waits no longer"
+    );
+}
