Testkit: a host that closes after its response reports the request before any later one

Cause: the stand-in host wrote its response, closed, and only then reported the request, so that the client's next request, on another connection, could be reported first by another thread. With a pause of 50 ms before the report the test failed each time in the same way.

The host now holds its reports back while it answers and closes: the request is still reported after the close, which tests rely on, and what follows from the response after it. With the same pause all five tests of response_framing passed. No test was changed.

--- a/crates/testkit/src/host.rs
+++ b/crates/testkit/src/host.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 
 /// What a stand-in host does with a request.
@@ -53,11 +53,12 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("its address");
         let (sender, seen) = channel();
+        let sender = Arc::new(Mutex::new(sender));
         let (script, count) = (Arc::new(script), Arc::new(AtomicUsize::new(0)));
         thread::spawn(move || {
             for (number, stream) in listener.incoming().flatten().enumerate() {
                 let (script, count, sender) =
-                    (Arc::clone(&script), Arc::clone(&count), sender.clone());
+                    (Arc::clone(&script), Arc::clone(&count), Arc::clone(&sender));
                 thread::spawn(move || serve(number, stream, &*script, &count, &sender));
             }
         });
@@ -111,26 +112,31 @@
     stream: TcpStream,
     script: &dyn Fn(usize) -> Reply,
     count: &AtomicUsize,
-    sender: &Sender<HostEvent>,
+    sender: &Mutex<Sender<HostEvent>>,
 ) {
-    let _ = sender.send(HostEvent::Opened(number));
+    let send = |event| {
+        let _ = sender.lock().expect("no panic").send(event);
+    };
+    send(HostEvent::Opened(number));
     let mut stream = BufReader::new(stream);
     while let Some(message) = read(&mut stream) {
         let reply = script(count.fetch_add(1, Ordering::SeqCst));
         let last = matches!(reply, Reply::WriteAndClose(_));
         if let (true, Reply::WriteAndClose(text)) = (last, &reply) {
+            // Held until the request is reported: what the peer sends once it has the response is reported after it.
+            let sender = sender.lock().expect("no panic");
             let _ = stream.get_mut().write_all(text.as_bytes());
             drop(stream);
             let _ = sender.send(HostEvent::Request(number, message));
             let _ = sender.send(HostEvent::Closed(number));
             return;
         }
-        let _ = sender.send(HostEvent::Request(number, message));
+        send(HostEvent::Request(number, message));
         if let Reply::Write(text) = reply {
             let _ = stream.get_mut().write_all(text.as_bytes());
         }
     }
-    let _ = sender.send(HostEvent::Closed(number));
+    send(HostEvent::Closed(number));
 }
 
 /// A loopback address at which nothing listens.
